--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+BUILD ?= build
+JOBS ?= $(shell nproc)
+CTEST_ARGS ?=
+PACKAGES = g++ cmake ninja-build libwebsockets-dev libssl-dev libthrift-dev prometheus-cpp-dev \
+  libcxxopts-dev liblog4cplus-dev libboost-dev librapidcheck-dev libgtest-dev libbenchmark-dev \
+  libxxhash-dev nlohmann-json3-dev spin
+SOURCES = $(shell git ls-files '*.cpp' '*.h' | grep -v '^gen/')
+
+.PHONY: all packages build run test format format-check lint model bench gen clean
+
+all: build
+
+# Installs what the build and the tests need; does nothing where it is all there.
+packages:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update && \
+	  DEBIAN_FRONTEND=noninteractive apt-get install -y --no-install-recommends $(PACKAGES); }
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja $(CMAKE_ARGS) >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+run: build
+	$(BUILD)/testing/demo
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4 $(CTEST_ARGS)
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run --Werror $(SOURCES)
+
+lint: build
+	printf '%s\n' $(filter %.cpp,$(SOURCES)) | xargs -P $(JOBS) -n 2 clang-tidy --quiet -p $(BUILD)
+
+model: packages
+	models/run
+
+bench: build
+	bench/run $(BUILD)
+
+# Regenerates gen/ from api/; needs thrift-compiler. The result is committed.
+gen:
+	for schema in api/*.thrift; do thrift --gen cpp:no_skeleton -out gen $$schema; done
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/api/platform.thrift
@@ -0,0 +1,51 @@
+// The platform services as this project calls them: Thrift messages over HTTP POST.
+namespace cpp sequoiapier.api
+
+struct PlatformRow {
+  1: string key
+  2: binary value
+  3: i64 version  // grows with every write of the row
+}
+
+struct PlatformWrite {
+  1: string key
+  2: optional binary value  // absent: remove the row
+  3: i64 baseVersion        // 0: the row must not exist
+}
+
+enum PlatformCommitOutcome {
+  COMMITTED = 1
+  CONFLICT = 2
+  NOT_COMMITTED = 3
+}
+
+struct PlatformCommitAnswer {
+  1: PlatformCommitOutcome outcome
+  2: list<i64> versions
+}
+
+// Transactional table: a commit is all or nothing.
+service TableService {
+  list<PlatformRow> read(1: string key)  // no row or one
+  list<PlatformRow> scan(1: string prefix)
+  PlatformCommitAnswer commit(1: string writeId, 2: list<PlatformWrite> writes)
+}
+
+enum HostPhase {
+  LIVE = 1
+  LEAVING = 2
+}
+
+struct LiveHost {
+  1: string name
+  2: string address
+  3: i32 port
+  4: string zone
+  5: string rack
+  6: HostPhase phase
+}
+
+// The lagging list of live and leaving hosts.
+service LiveListService {
+  list<LiveHost> hosts()
+}
--- /dev/null
+++ b/cli/command.h
@@ -0,0 +1,18 @@
+// The subcommands of the binary. Each takes its arguments, its own name first, and returns the exit
+// status.
+#pragma once
+
+#include <span>
+
+namespace sequoiapier {
+
+using CommandArgs = std::span<const char *const>;
+
+int runGateway(CommandArgs args);
+int runScheduler(CommandArgs args);
+int runController(CommandArgs args);
+int runCtl(CommandArgs args);
+int runTimeline(CommandArgs args);
+int runCheck(CommandArgs args);
+
+} // namespace sequoiapier
--- /dev/null
+++ b/cli/daemon.h
@@ -0,0 +1,89 @@
+// Daemon: what every role's process is made of: loop, log, event ring, metrics, HTTP client and the
+// admin port with /metrics, /healthz, /readyz, /events and the role's own paths.
+//
+//   Daemon daemon(settings.common);
+//   daemon.route("/table", [&](auto exchange) { rpc.serve(exchange); });
+//   daemon.onDrain([&](std::function<void()> done) { ... });
+//   return daemon.run();
+//
+// On SIGTERM or SIGINT the process turns not ready, the drain hook runs, and the process exits with
+// Ok once it calls `done`, or with DrainTimeout at the drain deadline. A second signal exits at
+// once with ForcedExit.
+#pragma once
+
+#include "cli/logger.h"
+#include "cli/settingsparser.h"
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "net/timer.h"
+#include "sequoiapier/eventring.h"
+
+#include <prometheus/registry.h>
+
+#include <map>
+#include <memory>
+
+namespace sequoiapier {
+
+struct CommonSettings
+{
+    std::string name; // unique among processes
+    std::string zone = "zone-1";
+    std::string address = "127.0.0.1"; // IP number to listen on
+    std::int64_t port = 0; // admin and peers
+    std::string logFormat = "text";
+    std::string logLevel = "info";
+    std::int64_t drainMilliseconds = 10'000;
+    std::int64_t maxDescriptors = 4096;
+};
+
+void addCommonSettings(SettingsParser &parser, CommonSettings &settings);
+
+class Daemon
+{
+public:
+    using DrainHook = std::function<void(std::function<void()> done)>;
+
+    explicit Daemon(const CommonSettings &settings);
+
+    Loop &loop() { return m_loop; }
+    HttpClient &httpClient() { return m_httpClient; }
+    const Logger &logger() const { return m_logger; }
+    EventRing &events() { return m_events; }
+    prometheus::Registry &metrics() { return m_metrics; }
+    const CommonSettings &settings() const { return m_settings; }
+
+    // Answers requests to `path` on the admin port.
+    void route(std::string path, HttpServer::Handler handler);
+    void onDrain(DrainHook hook) { m_drainHook = std::move(hook); }
+    // Whether /readyz answers 200; false until set and while draining.
+    void setReady(bool ready) { m_isReady = ready; }
+    bool isDraining() const { return m_isDraining; }
+
+    // Records an event in the ring and the log.
+    void report(std::string_view kind, Event event);
+
+    // Serves until drained; returns the exit status.
+    int run();
+
+private:
+    void serve(const std::shared_ptr<HttpExchange> &exchange);
+    void handleSignal(int signal);
+    void finish(ResultCode code);
+
+    CommonSettings m_settings;
+    Loop m_loop;
+    Logger m_logger;
+    EventRing m_events;
+    prometheus::Registry m_metrics;
+    HttpClient m_httpClient;
+    HttpServer m_admin;
+    std::map<std::string, HttpServer::Handler, std::less<>> m_routes;
+    DrainHook m_drainHook;
+    Timer m_drainTimer;
+    bool m_isReady = false;
+    bool m_isDraining = false;
+    ResultCode m_exitCode = ResultCode::Ok;
+};
+
+} // namespace sequoiapier
--- /dev/null
+++ b/gateway/gatewaysettings.cpp
@@ -0,0 +1,34 @@
+#include "gateway/gatewaysettings.h"
+
+namespace sequoiapier {
+
+Result<std::optional<GatewaySettings>> parseGatewaySettings(std::span<const char *const> args)
+{
+    GatewaySettings settings;
+    SettingsParser parser("gateway", "Takes callers' requests and sends them to runners.");
+    addCommonSettings(parser, settings.common);
+    parser.addInteger("caller-port", settings.callerPort,
+                      {.min = 1, .max = 65'535, .help = "TCP port for callers"});
+    parser.addInteger("max-body-bytes", settings.maxBodyBytes,
+                      {.unit = "bytes", .min = 1, .max = 64 << 20, .help = "Longest request body"});
+    parser.addInteger("max-caller-connections", settings.maxCallerConnections,
+                      {.min = 1, .max = 100'000, .help = "Callers' connections at once"});
+    parser.addInteger(
+        "read-timeout-s", settings.readTimeoutSeconds,
+        {.unit = "s", .min = 1, .max = 300, .help = "Longest time to send a request"});
+    parser.addText("table", settings.tableEndpoint,
+                   {.isRequired = true,
+                    .isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
+                    .expected = "IP-number:port",
+                    .help = "The platform's table service"});
+    parser.addInteger("configuration-poll-ms", settings.configurationPollMilliseconds,
+                      {.unit = "ms", .min = 50, .max = 5'000, .help = "Interval of table reads"});
+    const Result<ParseAction> action = parser.parse(args, processEnvironment);
+    if (!action)
+        return action.error();
+    if (action.value() == ParseAction::Exit)
+        return std::optional<GatewaySettings>();
+    return std::optional<GatewaySettings>(std::move(settings));
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/gateway/gatewaysettings.h
@@ -0,0 +1,25 @@
+// GatewaySettings: what a gateway process is started with.
+#pragma once
+
+#include "cli/daemon.h"
+#include "net/endpoint.h"
+
+#include <optional>
+
+namespace sequoiapier {
+
+struct GatewaySettings
+{
+    CommonSettings common;
+    std::int64_t callerPort = 0;
+    std::int64_t maxBodyBytes = 1024 * 1024;
+    std::int64_t maxCallerConnections = 1024;
+    std::int64_t readTimeoutSeconds = 10;
+    std::string tableEndpoint;
+    std::int64_t configurationPollMilliseconds = 1'000;
+};
+
+// InvalidSettings lists every error; nullopt after --help or --version.
+Result<std::optional<GatewaySettings>> parseGatewaySettings(std::span<const char *const> args);
+
+} // namespace sequoiapier
--- /dev/null
+++ b/net/httpcall.h
@@ -0,0 +1,42 @@
+// A request to be made by HttpClient and how it ended.
+#pragma once
+
+#include "net/httpmessage.h"
+#include "sequoiapier/bootclock.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace sequoiapier {
+
+// Which connection a call may use.
+enum class ConnectionUse : std::uint8_t {
+    Fresh, // a new connection, proved alive by its handshake
+    Reuse, // an idle one to the same endpoint if there is one
+};
+
+struct HttpCall
+{
+    std::string address; // IP number
+    std::uint16_t port = 0;
+    HttpRequest request;
+    TimePoint deadline;
+    ConnectionUse connectionUse = ConnectionUse::Reuse;
+};
+
+enum class HttpOutcome : std::uint8_t {
+    Answered, // a whole response
+    NotSent, // no byte of the request left this process
+    Lost, // the request may have reached the other end
+};
+
+struct HttpAnswer
+{
+    HttpOutcome outcome = HttpOutcome::NotSent;
+    bool timedOut = false;
+    HttpResponse response;
+};
+
+using HttpCallback = std::function<void(HttpAnswer)>;
+
+} // namespace sequoiapier
--- /dev/null
+++ b/net/httpclient.cpp
@@ -0,0 +1,263 @@
+// A transaction is tied to its lws by the opaque user data and is untied when it finishes, so that
+// nothing that arrives later on the connection can reach another caller.
+#include "net/httpclient.h"
+
+#include "net/timer.h"
+
+#include <libwebsockets.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr std::size_t ReadChunkBytes = 16 * 1024;
+
+int clientCallback(lws *connection, lws_callback_reasons reason, void *user, void *in,
+                   std::size_t length)
+{
+    return HttpClient::handleEvent(connection, reason, user, in, length);
+}
+
+const std::array<lws_protocols, 2> Protocols{{
+    {"http", clientCallback, 0, 0, 0, nullptr, 0},
+    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+}};
+
+} // namespace
+
+struct HttpClient::Lane
+{
+    lws_vhost *vhost = nullptr;
+    std::string endpoint; // that its idle connection, if any, leads to
+    std::unique_ptr<Transaction> transaction;
+};
+
+struct HttpClient::Transaction
+{
+    Transaction(HttpClient &owner, Lane &lane, HttpCall call, HttpCallback callback)
+        : client(owner)
+        , lane(lane)
+        , call(std::move(call))
+        , callback(std::move(callback))
+        , timer(owner.m_loop, [this] { onDeadline(); })
+    { }
+
+    void onDeadline()
+    {
+        client.finish(*this, sent ? HttpOutcome::Lost : HttpOutcome::NotSent, true);
+    }
+
+    HttpClient &client;
+    Lane &lane;
+    HttpCall call;
+    HttpCallback callback;
+    Timer timer;
+    lws *connection = nullptr;
+    bool sent = false;
+    bool finished = false;
+    HttpResponse response;
+};
+
+HttpClient::HttpClient(Loop &loop, Options options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_buffer(LWS_PRE + ReadChunkBytes)
+{ }
+
+HttpClient::~HttpClient()
+{
+    for (const auto &lane : m_lanes) {
+        if (lane->transaction && lane->transaction->connection != nullptr)
+            lws_set_opaque_user_data(lane->transaction->connection, nullptr);
+    }
+}
+
+HttpClient::Lane *HttpClient::takeLane(const std::string &endpoint, ConnectionUse use)
+{
+    if (use == ConnectionUse::Reuse) {
+        const auto idle = m_idleLanes.find(endpoint);
+        if (idle != m_idleLanes.end() && !idle->second.empty()) {
+            Lane *lane = idle->second.back();
+            idle->second.pop_back();
+            return lane;
+        }
+    }
+    if (!m_freeLanes.empty()) {
+        Lane *lane = m_freeLanes.back();
+        m_freeLanes.pop_back();
+        return lane;
+    }
+    if (m_lanes.size() >= m_options.maxConnections)
+        return nullptr;
+    auto lane = std::make_unique<Lane>();
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = Protocols.data();
+    info.user = this;
+    info.vhost_name = "client";
+    info.connect_timeout_secs = m_options.connectTimeoutSeconds;
+    lane->vhost = lws_create_vhost(m_loop.context(), &info);
+    if (lane->vhost == nullptr)
+        return nullptr;
+    m_lanes.push_back(std::move(lane));
+    return m_lanes.back().get();
+}
+
+void HttpClient::call(HttpCall call, HttpCallback callback)
+{
+    const std::string endpoint = call.address + ":" + std::to_string(call.port);
+    Lane *lane = takeLane(endpoint, call.connectionUse);
+    if (lane == nullptr) {
+        callback({.outcome = HttpOutcome::NotSent});
+        return;
+    }
+    const bool reuse = call.connectionUse == ConnectionUse::Reuse;
+    lane->endpoint = endpoint;
+    lane->transaction
+        = std::make_unique<Transaction>(*this, *lane, std::move(call), std::move(callback));
+    Transaction &transaction = *lane->transaction;
+    ++m_activeCount;
+
+    lws_client_connect_info info{};
+    info.context = m_loop.context();
+    info.vhost = lane->vhost;
+    info.address = transaction.call.address.c_str();
+    info.host = lane->endpoint.c_str();
+    info.origin = info.address;
+    info.port = transaction.call.port;
+    info.path = transaction.call.request.path.c_str();
+    info.method = transaction.call.request.method.c_str();
+    info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT | (reuse ? LCCSCF_PIPELINE : 0);
+    info.protocol = "http";
+    info.opaque_user_data = &transaction;
+    info.keep_warm_secs = m_options.idleSeconds;
+    transaction.timer.startAt(transaction.call.deadline);
+    // A connection that fails at once is reported through the callback, inside this call.
+    lws *connection = lws_client_connect_via_info(&info);
+    if (lane->transaction.get() != &transaction)
+        return;
+    transaction.connection = connection;
+    if (connection == nullptr)
+        finish(transaction, HttpOutcome::NotSent, false);
+}
+
+void HttpClient::finish(Transaction &transaction, HttpOutcome outcome, bool timedOut)
+{
+    if (transaction.finished)
+        return;
+    transaction.finished = true;
+    Lane &lane = transaction.lane;
+    const std::unique_ptr<Transaction> owned = std::move(lane.transaction);
+    owned->timer.cancel();
+    --m_activeCount;
+    const bool keep
+        = outcome == HttpOutcome::Answered && owned->call.connectionUse == ConnectionUse::Reuse;
+    if (owned->connection != nullptr) {
+        lws_set_opaque_user_data(owned->connection, nullptr);
+        if (!keep)
+            lws_set_timeout(owned->connection, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
+    }
+    if (keep)
+        m_idleLanes[lane.endpoint].push_back(&lane);
+    else
+        m_freeLanes.push_back(&lane);
+    owned->callback({outcome, timedOut, std::move(owned->response)});
+}
+
+int HttpClient::writeHead(Transaction &transaction, unsigned char **position, unsigned char *end)
+{
+    lws *connection = transaction.connection;
+    transaction.sent = true;
+    const HttpRequest &request = transaction.call.request;
+    for (const HttpHeader &header : request.headers) {
+        const std::string name = header.name + ":";
+        if (lws_add_http_header_by_name(
+                connection, reinterpret_cast<const unsigned char *>(name.c_str()),
+                reinterpret_cast<const unsigned char *>(header.value.data()),
+                int(header.value.size()), position, end)
+            != 0) {
+            return -1;
+        }
+    }
+    if (request.body.empty() && request.method == "GET")
+        return 0;
+    if (lws_add_http_header_content_length(connection, request.body.size(), position, end) != 0)
+        return -1;
+    if (!request.body.empty()) {
+        lws_client_http_body_pending(connection, 1);
+        lws_callback_on_writable(connection);
+    }
+    return 0;
+}
+
+int HttpClient::writeBody(Transaction &transaction)
+{
+    std::string &body = transaction.call.request.body;
+    if (body.empty())
+        return 0;
+    m_buffer.resize(std::max(m_buffer.size(), LWS_PRE + body.size()));
+    std::copy(body.begin(), body.end(), m_buffer.begin() + LWS_PRE);
+    lws_client_http_body_pending(transaction.connection, 0);
+    const int written = lws_write(transaction.connection, m_buffer.data() + LWS_PRE, body.size(),
+                                  LWS_WRITE_HTTP_FINAL);
+    body.clear();
+    return written < 0 ? -1 : 0;
+}
+
+int HttpClient::handleEvent(lws *connection, int reason, void *user, void *in, std::size_t length)
+{
+    auto *transaction = static_cast<Transaction *>(lws_get_opaque_user_data(connection));
+    if (transaction == nullptr) {
+        // Nobody waits for what arrives here: an idle connection or one given up.
+        if (reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP)
+            return -1;
+        return lws_callback_http_dummy(connection, lws_callback_reasons(reason), user, in, length);
+    }
+    HttpClient &client = transaction->client;
+    switch (reason) {
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+        transaction->connection = nullptr;
+        client.finish(*transaction, transaction->sent ? HttpOutcome::Lost : HttpOutcome::NotSent,
+                      false);
+        return 0;
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
+        transaction->connection = connection;
+        auto **position = static_cast<unsigned char **>(in);
+        return client.writeHead(*transaction, position, *position + length);
+    }
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+        return client.writeBody(*transaction);
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+        transaction->response.status = int(lws_http_client_http_response(connection));
+        return 0;
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP: {
+        char *data = reinterpret_cast<char *>(client.m_buffer.data()) + LWS_PRE;
+        int size = int(ReadChunkBytes);
+        return lws_http_client_read(connection, &data, &size) < 0 ? -1 : 0;
+    }
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ: {
+        std::string &body = transaction->response.body;
+        if (body.size() + length > client.m_options.maxResponseBytes)
+            return -1;
+        body.append(static_cast<const char *>(in), length);
+        return 0;
+    }
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+        client.finish(*transaction, HttpOutcome::Answered, false);
+        return 0;
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+    case LWS_CALLBACK_WSI_DESTROY:
+        transaction->connection = nullptr;
+        client.finish(*transaction, transaction->sent ? HttpOutcome::Lost : HttpOutcome::NotSent,
+                      false);
+        return 0;
+    default:
+        return lws_callback_http_dummy(connection, lws_callback_reasons(reason), user, in, length);
+    }
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/net/httpserver.cpp
@@ -0,0 +1,273 @@
+// One libwebsockets vhost per server. An exchange lives in m_exchanges from the end of its headers
+// until its response is written; head and body go out in one write.
+#include "net/httpserver.h"
+
+#include <libwebsockets.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr std::size_t MaxHeadBytes = 4096; // of a response
+constexpr int StatusLengthRequired = 411;
+constexpr int StatusTooLarge = 413;
+
+int serverCallback(lws *connection, lws_callback_reasons reason, void *user, void *in,
+                   std::size_t length)
+{
+    return HttpServer::handleEvent(connection, reason, user, in, length);
+}
+
+const std::array<lws_protocols, 2> Protocols{{
+    {"http", serverCallback, 0, 0, 0, nullptr, 0},
+    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+}};
+
+std::string_view methodName(int method)
+{
+    switch (method) {
+    case LWSHUMETH_GET:
+        return "GET";
+    case LWSHUMETH_POST:
+        return "POST";
+    case LWSHUMETH_PUT:
+        return "PUT";
+    case LWSHUMETH_DELETE:
+        return "DELETE";
+    case LWSHUMETH_HEAD:
+        return "HEAD";
+    default:
+        return "OTHER";
+    }
+}
+
+std::string copyKnownHeader(lws *connection, lws_token_indexes token)
+{
+    const int length = lws_hdr_total_length(connection, token);
+    if (length <= 0)
+        return {};
+    std::string value(std::size_t(length) + 1, '\0');
+    const int copied = lws_hdr_copy(connection, value.data(), length + 1, token);
+    value.resize(std::size_t(std::max(copied, 0)));
+    return value;
+}
+
+std::string copyCustomHeader(lws *connection, const std::string &name)
+{
+    const std::string withColon = name + ":";
+    const int length = lws_hdr_custom_length(connection, withColon.c_str(), int(withColon.size()));
+    if (length <= 0)
+        return {};
+    std::string value(std::size_t(length) + 1, '\0');
+    const int copied = lws_hdr_custom_copy(connection, value.data(), length + 1, withColon.c_str(),
+                                           int(withColon.size()));
+    value.resize(std::size_t(std::max(copied, 0)));
+    return value;
+}
+
+} // namespace
+
+void HttpExchange::reply(HttpResponse response)
+{
+    if (!isOpen())
+        return;
+    m_replied = true;
+    m_response = std::move(response);
+    lws_callback_on_writable(m_connection);
+}
+
+HttpServer::HttpServer(Loop &loop, Options options, Handler handler)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_handler(std::move(handler))
+{
+    lws_context_creation_info info{};
+    info.port = m_options.port;
+    info.iface = m_options.address.c_str();
+    info.protocols = Protocols.data();
+    info.user = this;
+    info.vhost_name = m_options.address.c_str();
+    info.timeout_secs = m_options.readTimeoutSeconds;
+    info.keepalive_timeout = 60;
+    info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+    m_vhost = lws_create_vhost(m_loop.context(), &info);
+}
+
+HttpServer::~HttpServer()
+{
+    for (auto &[connection, exchange] : m_exchanges)
+        exchange->m_connection = nullptr;
+    if (m_vhost != nullptr)
+        lws_vhost_destroy(m_vhost);
+}
+
+int HttpServer::handleEvent(lws *connection, int reason, void *user, void *in, std::size_t length)
+{
+    lws_vhost *vhost = lws_get_vhost(connection);
+    auto *server = vhost != nullptr ? static_cast<HttpServer *>(lws_vhost_user(vhost)) : nullptr;
+    if (server == nullptr || server->m_vhost == nullptr)
+        return lws_callback_http_dummy(connection, lws_callback_reasons(reason), user, in, length);
+    const std::string_view data(static_cast<const char *>(in), in != nullptr ? length : 0);
+    switch (reason) {
+    case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
+        if (server->m_connections < server->m_options.maxConnections)
+            return 0;
+        ++server->m_refusedConnections;
+        return 1;
+    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+        ++server->m_connections;
+        return 0;
+    case LWS_CALLBACK_WSI_DESTROY:
+        // The listening socket of the vhost comes here too, without having been counted.
+        server->m_connections -= std::min<std::size_t>(server->m_connections, 1);
+        return 0;
+    case LWS_CALLBACK_HTTP:
+        return server->onRequest(connection, data);
+    case LWS_CALLBACK_HTTP_BODY:
+        return server->onBody(connection, data);
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+        return server->onBodyComplete(connection);
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+        return server->onWriteable(connection);
+    case LWS_CALLBACK_CLOSED_HTTP:
+        server->onClosed(connection);
+        return 0;
+    default:
+        return lws_callback_http_dummy(connection, lws_callback_reasons(reason), user, in, length);
+    }
+}
+
+int HttpServer::onRequest(lws *connection, std::string_view path)
+{
+    auto exchange = std::make_shared<HttpExchange>(connection);
+    m_exchanges[connection] = exchange;
+    HttpRequest &request = exchange->m_request;
+    char *uri = nullptr;
+    int uriLength = 0;
+    request.method = methodName(lws_http_get_uri_and_method(connection, &uri, &uriLength));
+    request.path = path;
+    readHeaders(connection, request);
+    const std::string lengthText = copyKnownHeader(connection, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+    if (lws_hdr_total_length(connection, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0) {
+        exchange->reply({.status = StatusLengthRequired});
+        return 0;
+    }
+    std::size_t bodyBytes = 0;
+    std::from_chars(lengthText.data(), lengthText.data() + lengthText.size(), bodyBytes);
+    if (bodyBytes > m_options.maxBodyBytes) {
+        exchange->reply({.status = StatusTooLarge, .headers = {{"connection", "close"}}});
+        return 0;
+    }
+    if (bodyBytes == 0)
+        dispatch(exchange);
+    else
+        request.body.reserve(bodyBytes);
+    return 0;
+}
+
+void HttpServer::readHeaders(lws *connection, HttpRequest &request) const
+{
+    static const std::array<std::pair<std::string_view, lws_token_indexes>, 4> Known{{
+        {"authorization", WSI_TOKEN_HTTP_AUTHORIZATION},
+        {"content-type", WSI_TOKEN_HTTP_CONTENT_TYPE},
+        {"accept", WSI_TOKEN_HTTP_ACCEPT},
+        {"retry-after", WSI_TOKEN_HTTP_RETRY_AFTER},
+    }};
+    for (const std::string &name : m_options.keptHeaders) {
+        const auto known = std::find_if(Known.begin(), Known.end(),
+                                        [&](const auto &entry) { return entry.first == name; });
+        std::string value = known != Known.end() ? copyKnownHeader(connection, known->second)
+                                                 : copyCustomHeader(connection, name);
+        if (!value.empty())
+            request.headers.push_back({name, std::move(value)});
+    }
+}
+
+int HttpServer::onBody(lws *connection, std::string_view data)
+{
+    const auto found = m_exchanges.find(connection);
+    if (found == m_exchanges.end())
+        return -1;
+    HttpRequest &request = found->second->m_request;
+    if (request.body.size() + data.size() > m_options.maxBodyBytes)
+        return -1;
+    request.body.append(data);
+    return 0;
+}
+
+int HttpServer::onBodyComplete(lws *connection)
+{
+    const auto found = m_exchanges.find(connection);
+    if (found != m_exchanges.end())
+        dispatch(std::shared_ptr<HttpExchange>(found->second));
+    return 0;
+}
+
+void HttpServer::dispatch(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (exchange->m_dispatched || exchange->m_replied)
+        return;
+    exchange->m_dispatched = true;
+    lws_set_timeout(exchange->m_connection, NO_PENDING_TIMEOUT, 0);
+    m_handler(exchange);
+}
+
+int HttpServer::onWriteable(lws *connection)
+{
+    const auto found = m_exchanges.find(connection);
+    if (found == m_exchanges.end() || !found->second->m_replied)
+        return 0;
+    const std::shared_ptr<HttpExchange> exchange = found->second;
+    m_exchanges.erase(found);
+    exchange->m_connection = nullptr;
+    const HttpResponse &response = exchange->m_response;
+
+    m_buffer.resize(LWS_PRE + MaxHeadBytes + response.body.size());
+    unsigned char *start = m_buffer.data() + LWS_PRE;
+    unsigned char *position = start;
+    unsigned char *end = start + MaxHeadBytes;
+    if (lws_add_http_header_status(connection, unsigned(response.status), &position, end) != 0)
+        return -1;
+    bool close = false;
+    for (const HttpHeader &header : response.headers) {
+        close = close || (header.name == "connection" && header.value == "close");
+        const std::string name = header.name + ":";
+        if (lws_add_http_header_by_name(
+                connection, reinterpret_cast<const unsigned char *>(name.c_str()),
+                reinterpret_cast<const unsigned char *>(header.value.data()),
+                int(header.value.size()), &position, end)
+            != 0) {
+            return -1;
+        }
+    }
+    if (lws_add_http_header_content_length(connection, response.body.size(), &position, end) != 0
+        || lws_finalize_http_header(connection, &position, end) != 0) {
+        return -1;
+    }
+    std::copy(response.body.begin(), response.body.end(), position);
+    const auto total = std::size_t(position - start) + response.body.size();
+    if (lws_write(connection, start, total, LWS_WRITE_HTTP_FINAL) < 0)
+        return -1;
+    if (close)
+        return -1;
+    return lws_http_transaction_completed(connection) != 0 ? -1 : 0;
+}
+
+void HttpServer::onClosed(lws *connection)
+{
+    const auto found = m_exchanges.find(connection);
+    if (found == m_exchanges.end())
+        return;
+    const std::shared_ptr<HttpExchange> exchange = found->second;
+    m_exchanges.erase(found);
+    exchange->m_connection = nullptr;
+    if (exchange->m_closedHook && !exchange->m_replied)
+        exchange->m_closedHook();
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/net/httpserver.h
@@ -0,0 +1,72 @@
+// HttpServer: HTTP/1.1 on one address and port, over libwebsockets.
+//
+//   HttpServer server(loop, {.address = "127.0.0.1", .port = 8080},
+//                     [](std::shared_ptr<HttpExchange> exchange) { exchange->reply({}); });
+//   if (!server.isListening()) ...
+//
+// Memory: maxConnections * (maxHeaderBytes of the loop + maxBodyBytes). A longer body is answered
+// 413, a connection past the bound is closed at once, a chunked body is answered 411, and a sender
+// that takes longer than readTimeout is cut off.
+#pragma once
+
+#include "net/httpexchange.h"
+#include "net/loop.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+struct lws;
+struct lws_vhost;
+
+namespace sequoiapier {
+
+class HttpServer
+{
+public:
+    using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+
+    struct Options
+    {
+        std::string address; // IP number
+        std::uint16_t port = 0;
+        std::size_t maxBodyBytes = 1024 * 1024;
+        std::size_t maxConnections = 1024;
+        unsigned readTimeoutSeconds = 10; // for headers and body
+        std::vector<std::string> keptHeaders; // lower case; others are dropped
+    };
+
+    HttpServer(Loop &loop, Options options, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    bool isListening() const { return m_vhost != nullptr; }
+    std::size_t connectionCount() const { return m_connections; }
+    std::uint64_t refusedConnectionCount() const { return m_refusedConnections; }
+
+    // libwebsockets' callback; `reason` is an lws_callback_reasons.
+    static int handleEvent(lws *connection, int reason, void *user, void *in, std::size_t length);
+
+private:
+    int onRequest(lws *connection, std::string_view path);
+    int onBody(lws *connection, std::string_view data);
+    int onBodyComplete(lws *connection);
+    int onWriteable(lws *connection);
+    void onClosed(lws *connection);
+    void readHeaders(lws *connection, HttpRequest &request) const;
+    void dispatch(const std::shared_ptr<HttpExchange> &exchange);
+
+    Loop &m_loop;
+    Options m_options;
+    Handler m_handler;
+    lws_vhost *m_vhost = nullptr;
+    std::size_t m_connections = 0;
+    std::uint64_t m_refusedConnections = 0;
+    std::unordered_map<lws *, std::shared_ptr<HttpExchange>> m_exchanges;
+    std::vector<unsigned char> m_buffer;
+};
+
+} // namespace sequoiapier
--- /dev/null
+++ b/net/loop.cpp
@@ -0,0 +1,114 @@
+#include "net/loop.h"
+
+#include <libwebsockets.h>
+
+#include <csignal>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr Duration HeartbeatInterval = std::chrono::milliseconds(50);
+
+// The signal not yet handed to the loop, and the context to wake for it.
+volatile std::sig_atomic_t pendingSignal = 0;
+lws_context *volatile signalContext = nullptr;
+
+void handleSignal(int signal)
+{
+    pendingSignal = signal;
+    if (signalContext != nullptr)
+        lws_cancel_service(signalContext);
+}
+
+} // namespace
+
+// A timer that is due at every heartbeat. Timers run before sockets in a turn, so that one that is
+// late by the threshold tells of a pause before any event of that turn is handled.
+struct Loop::Heartbeat
+{
+    lws_sorted_usec_list_t list{};
+    Loop *loop = nullptr;
+    TimePoint due;
+
+    void start()
+    {
+        due = BootClock::now() + HeartbeatInterval;
+        const auto fire = [](lws_sorted_usec_list_t *list) {
+            reinterpret_cast<Heartbeat *>(list)->loop->onHeartbeat();
+        };
+        lws_sul_schedule(loop->m_context, 0, &list, fire, HeartbeatInterval.count());
+    }
+};
+
+Loop::Loop(Options options)
+    : m_options(options)
+    , m_heartbeat(std::make_unique<Heartbeat>())
+{
+    lws_set_log_level(0, nullptr);
+    lws_context_creation_info info{};
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.fd_limit_per_thread = m_options.maxDescriptors;
+    info.max_http_header_data2 = m_options.maxHeaderBytes;
+    info.pt_serv_buf_size = 16 * 1024;
+    m_context = lws_create_context(&info);
+    std::signal(SIGPIPE, SIG_IGN);
+    m_heartbeat->loop = this;
+    m_heartbeat->start();
+}
+
+void Loop::onHeartbeat()
+{
+    const Duration late = BootClock::now() - m_heartbeat->due;
+    m_heartbeat->start();
+    if (late < m_options.pauseThreshold)
+        return;
+    for (const auto &hook : m_pauseHooks)
+        hook(late);
+}
+
+Loop::~Loop()
+{
+    lws_sul_cancel(&m_heartbeat->list);
+    signalContext = nullptr;
+    lws_context_destroy(m_context);
+}
+
+void Loop::run()
+{
+    while (!m_stopped)
+        turn();
+}
+
+void Loop::turn()
+{
+    lws_service(m_context, 0);
+    if (pendingSignal != 0 && m_signalHook) {
+        const int signal = pendingSignal;
+        pendingSignal = 0;
+        m_signalHook(signal);
+    }
+}
+
+void Loop::stop()
+{
+    m_stopped = true;
+    lws_cancel_service(m_context);
+}
+
+void Loop::onSignal(std::function<void(int)> hook)
+{
+    m_signalHook = std::move(hook);
+    signalContext = m_context;
+    std::signal(SIGTERM, handleSignal);
+    std::signal(SIGINT, handleSignal);
+}
+
+void Loop::onPause(std::function<void(Duration)> hook)
+{
+    m_pauseHooks.push_back(std::move(hook));
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/testing/standin/main.cpp
@@ -0,0 +1,57 @@
+// The stand-ins for the outside systems: `standin table` and `standin runner`.
+#include "testing/standin/runnerstandin.h"
+#include "testing/standin/tablestandin.h"
+
+#include <iostream>
+
+namespace {
+
+using namespace sequoiapier;
+
+int runTable(CommonSettings &settings)
+{
+    Daemon daemon(settings);
+    const TableStandin table(daemon);
+    daemon.setReady(true);
+    return daemon.run();
+}
+
+int runRunner(CommonSettings &settings, const RunnerSettings &runnerSettings)
+{
+    Daemon daemon(settings);
+    const RunnerStandin runner(daemon, runnerSettings);
+    if (!runner.isListening())
+        return int(ResultCode::ListenFailed);
+    daemon.setReady(true);
+    return daemon.run();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CommonSettings settings;
+    RunnerSettings runner;
+    std::vector<std::string> kinds;
+    SettingsParser parser("standin", "Stand-ins for the outside systems: table | runner");
+    addCommonSettings(parser, settings);
+    parser.addInteger("slots", runner.slots, {.min = 1, .help = "Requests run at once"});
+    parser.addInteger("connections", runner.connections, {.min = 1, .help = "Connections at once"});
+    parser.addInteger("work-ms", runner.workMilliseconds,
+                      {.unit = "ms", .help = "Time of one run"});
+    parser.addInteger("work-port", runner.workPort, {.max = 65'535, .help = "TCP port for work"});
+    parser.addPositional(kinds, "KIND");
+    const auto action = parser.parse({argv, std::size_t(argc)}, processEnvironment);
+    if (!action) {
+        std::cerr << action.error().detail << "\n";
+        return int(ResultCode::InvalidSettings);
+    }
+    if (action.value() == ParseAction::Exit)
+        return int(ResultCode::Ok);
+    if (kinds == std::vector<std::string>{"table"})
+        return runTable(settings);
+    if (kinds == std::vector<std::string>{"runner"})
+        return runRunner(settings, runner);
+    std::cerr << "kinds: table | runner\n";
+    return int(ResultCode::Usage);
+}
--- /dev/null
+++ b/testing/standin/runnerstandin.h
@@ -0,0 +1,47 @@
+// RunnerStandin: an upstream runner with a bounded number of slots and connections.
+//
+// POST /work runs for `x-work-ms` milliseconds, or the default, and echoes the body. It keeps a
+// record of every run by request identifier, served as JSON at GET /record. A request past the
+// slots or while leaving is refused with 503 before it runs.
+#pragma once
+
+#include "cli/daemon.h"
+#include "testing/standin/faults.h"
+
+#include <map>
+
+namespace sequoiapier {
+
+struct RunnerSettings
+{
+    std::int64_t slots = 8;
+    std::int64_t connections = 64;
+    std::int64_t workMilliseconds = 0;
+    std::int64_t workPort = 0;
+};
+
+class RunnerStandin
+{
+public:
+    RunnerStandin(Daemon &daemon, const RunnerSettings &settings);
+
+    bool isListening() const { return m_server.isListening(); }
+
+private:
+    void work(const std::shared_ptr<HttpExchange> &exchange);
+    void finish(const std::shared_ptr<HttpExchange> &exchange);
+    void serveRecord(const std::shared_ptr<HttpExchange> &exchange) const;
+
+    Daemon &m_daemon;
+    RunnerSettings m_settings;
+    Faults m_faults;
+    std::int64_t m_running = 0;
+    std::int64_t m_peakRunning = 0;
+    std::uint64_t m_refused = 0;
+    std::map<std::string, int> m_runs; // by request identifier
+    std::map<std::uint64_t, std::unique_ptr<Timer>> m_timers;
+    std::uint64_t m_nextTimer = 0;
+    HttpServer m_server;
+};
+
+} // namespace sequoiapier
--- /dev/null
+++ b/testing/standin/tablestandin.h
@@ -0,0 +1,29 @@
+// TableStandin: the platform's table service over Thrift, kept in memory.
+#pragma once
+
+#include "cli/daemon.h"
+#include "gen/TableService.h"
+#include "net/rpcserver.h"
+#include "testing/standin/faults.h"
+#include "testing/standin/memorytable.h"
+
+namespace sequoiapier {
+
+class TableStandin
+{
+public:
+    explicit TableStandin(Daemon &daemon);
+
+private:
+    void serve(const std::shared_ptr<HttpExchange> &exchange);
+    void addMethods();
+
+    Daemon &m_daemon;
+    MemoryTable m_table;
+    Faults m_faults;
+    RpcServer m_rpc;
+    std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
+    std::vector<std::unique_ptr<Timer>> m_delays;
+};
+
+} // namespace sequoiapier
--- /dev/null
+++ b/testing/support/demo.cpp
@@ -0,0 +1,100 @@
+// The demo behind `make run`: a whole system on loopback, real requests with good, withdrawn and
+// missing keys, a merged time line, and a graceful stop. Exits non-zero if any step fails.
+#include "testing/support/localsystem.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace sequoiapier;
+
+bool allPassed = true;
+
+std::string firstLine(const std::string &text)
+{
+    return text.substr(0, text.find('\n'));
+}
+
+void check(bool passed, const std::string &step)
+{
+    std::cout << (passed ? "ok    " : "FAIL  ") << step << std::endl;
+    allPassed = allPassed && passed;
+}
+
+void checkAnswer(const HttpAnswer &answer, int status, const std::string &step)
+{
+    check(answer.outcome == HttpOutcome::Answered && answer.response.status == status,
+          step + " -> " + std::to_string(answer.response.status) + " "
+              + firstLine(answer.response.body));
+}
+
+Configuration makeConfiguration(LocalSystem &system)
+{
+    Configuration configuration;
+    configuration.teams = {{.name = "settlements", .share = 2}, {.name = "pricing", .share = 1}};
+    configuration.keys = {{.digest = keyDigest("good-key"), .team = "pricing"},
+                          {.digest = keyDigest("other-key"), .team = "settlements"}};
+    ServiceConfig service{.name = "prices"};
+    for (const char *runner : {"runner-1", "runner-2"})
+        service.runners.push_back({"127.0.0.1", system.member(runner).workPort});
+    configuration.services = {service};
+    configuration.queues = {{.name = "prices", .service = "prices"},
+                            {.name = "public", .service = "prices", .isOpen = true}};
+    return configuration;
+}
+
+void stopAll(LocalSystem &system)
+{
+    for (const std::string &name : system.memberNames()) {
+        ChildProcess &process = system.member(name).process;
+        process.signal(SIGTERM);
+        check(process.waitExit(LocalSystem::Patience) == 0, name + " stops gracefully");
+    }
+}
+
+void runDemo(LocalSystem &system)
+{
+    check(system.startTable(), "table stand-in");
+    for (const char *name : {"runner-1", "runner-2"})
+        check(system.startRunner(name), name);
+    check(system.startController("controller-1"), "controller-1");
+    check(system.startScheduler("scheduler-1"), "scheduler-1");
+    for (const char *name : {"gateway-1", "gateway-2", "gateway-3"})
+        check(system.startGateway(name), name);
+
+    Configuration configuration = makeConfiguration(system);
+    int status = system.applyConfiguration(toJson(configuration), 0, "first");
+    check(status == 0, "ctl apply: " + firstLine(system.output()));
+    for (const char *name : {"gateway-1", "gateway-2", "gateway-3"}) {
+        check(system.waitReady(name), std::string(name) + " is ready");
+        checkAnswer(system.work(name, "prices", "good-key", "crate of 12"), 200, "good key");
+    }
+    checkAnswer(system.work("gateway-1", "prices", "", "x"), 401, "missing key");
+    checkAnswer(system.work("gateway-1", "prices", "wrong", "x"), 403, "wrong key");
+    checkAnswer(system.work("gateway-1", "public", "", "open"), 200, "open queue, no key");
+
+    status = system.applyConfiguration(toJson(configuration), 0, "second");
+    check(status != 0, "change from an old version: " + firstLine(system.output()));
+    check(system.ctl({"configuration"}) == 0, "ctl configuration");
+    const auto version = std::stoull(system.output().substr(system.output().find(' ') + 1));
+    configuration.keys.erase(configuration.keys.begin());
+    status = system.applyConfiguration(toJson(configuration), version, "withdraw");
+    check(status == 0, "withdraw the key: " + firstLine(system.output()));
+    const bool isWithdrawn = LocalSystem::waitUntil(
+        [&] { return system.work("gateway-2", "prices", "good-key", "x").response.status == 403; });
+    check(isWithdrawn, "the withdrawn key is refused");
+    check(system.timeline() == 0, "time line");
+    std::cout << system.output();
+}
+
+} // namespace
+
+int main()
+{
+    LocalSystem system("demo");
+    runDemo(system);
+    stopAll(system);
+    std::cout << (allPassed ? "demo passed" : "demo FAILED") << std::endl;
+    return allPassed ? 0 : 1;
+}
--- /dev/null
+++ b/testing/support/localsystem.cpp
@@ -0,0 +1,240 @@
+#include "testing/support/localsystem.h"
+
+#include "cli/onecall.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr const char *Loopback = "127.0.0.1";
+// Below the range from which the kernel takes ports for outgoing connections.
+constexpr std::uint16_t FirstPort = 12'000;
+constexpr std::uint16_t PortsPerProcess = 64;
+constexpr int PortBlocks = 300;
+
+bool isPortFree(std::uint16_t port)
+{
+    const int socketFd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, Loopback, &address.sin_addr);
+    const int reuse = 1;
+    setsockopt(socketFd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    const bool isFree = bind(socketFd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+    close(socketFd);
+    return isFree;
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream stream(path);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+LocalSystem::LocalSystem(std::string name)
+    : m_directory(std::filesystem::path(SEQUOIAPIER_BINARY).parent_path() / "test-logs"
+                  / std::move(name))
+{
+    std::filesystem::remove_all(m_directory);
+    std::filesystem::create_directories(m_directory);
+}
+
+std::uint16_t LocalSystem::freePort()
+{
+    static int next = 0;
+    const int block = getpid() % PortBlocks;
+    for (int tries = 0; tries < PortsPerProcess * 4; ++tries) {
+        const auto port
+            = std::uint16_t(FirstPort + block * PortsPerProcess + next++ % PortsPerProcess);
+        if (isPortFree(port))
+            return port;
+    }
+    return 0;
+}
+
+bool LocalSystem::start(const std::string &name, std::vector<std::string> words,
+                        std::uint16_t workPort)
+{
+    const std::uint16_t adminPort = freePort();
+    words.insert(words.end(), {"--name", name, "--port", std::to_string(adminPort)});
+    m_members.erase(name);
+    m_members.emplace(
+        name, Member{adminPort, workPort, ChildProcess(words, m_directory + "/" + name + ".log")});
+    return waitUntil([&] { return fetch(name, "/healthz").outcome == HttpOutcome::Answered; });
+}
+
+bool LocalSystem::startTable()
+{
+    return start("table", {STANDIN_BINARY, "table"}, 0);
+}
+
+bool LocalSystem::startRunner(const std::string &name, const std::vector<std::string> &flags)
+{
+    const std::uint16_t port = freePort();
+    std::vector<std::string> words{STANDIN_BINARY, "runner", "--work-port", std::to_string(port)};
+    words.insert(words.end(), flags.begin(), flags.end());
+    return start(name, std::move(words), port);
+}
+
+bool LocalSystem::startGateway(const std::string &name, const std::vector<std::string> &flags)
+{
+    const std::uint16_t port = freePort();
+    std::vector<std::string> words{SEQUOIAPIER_BINARY,        "gateway",
+                                   "--caller-port",           std::to_string(port),
+                                   "--configuration-poll-ms", "100"};
+    for (const std::string &flag : tableFlags())
+        words.push_back(flag);
+    words.insert(words.end(), flags.begin(), flags.end());
+    return start(name, std::move(words), port);
+}
+
+bool LocalSystem::startScheduler(const std::string &name, const std::vector<std::string> &flags)
+{
+    std::vector<std::string> words{SEQUOIAPIER_BINARY, "scheduler"};
+    words.insert(words.end(), flags.begin(), flags.end());
+    return start(name, std::move(words), 0);
+}
+
+bool LocalSystem::startController(const std::string &name, const std::vector<std::string> &flags)
+{
+    std::vector<std::string> words{SEQUOIAPIER_BINARY, "controller"};
+    for (const std::string &flag : tableFlags())
+        words.push_back(flag);
+    words.insert(words.end(), flags.begin(), flags.end());
+    return start(name, std::move(words), 0);
+}
+
+std::vector<std::string> LocalSystem::tableFlags() const
+{
+    return {"--table",
+            std::string(Loopback) + ":" + std::to_string(m_members.at("table").adminPort)};
+}
+
+bool LocalSystem::waitReady(const std::string &name)
+{
+    return waitUntil([&] { return fetch(name, "/readyz").response.status == 200; });
+}
+
+std::vector<std::string> LocalSystem::memberNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, member] : m_members)
+        names.push_back(name);
+    return names;
+}
+
+HttpAnswer LocalSystem::call(std::uint16_t port, HttpRequest request,
+                             std::chrono::milliseconds patience) const
+{
+    OneCall call;
+    HttpAnswer result;
+    call.run([&] {
+        HttpCall httpCall{.address = Loopback, .port = port, .request = std::move(request)};
+        httpCall.deadline = BootClock::now() + patience;
+        call.http().call(std::move(httpCall), [&](HttpAnswer answer) {
+            result = std::move(answer);
+            call.done();
+        });
+    });
+    return result;
+}
+
+HttpAnswer LocalSystem::fetch(const std::string &name, const std::string &path) const
+{
+    return call(m_members.at(name).adminPort, {.method = "GET", .path = path},
+                std::chrono::milliseconds(2'000));
+}
+
+bool LocalSystem::setFaults(const std::string &name, const std::string &document) const
+{
+    return call(m_members.at(name).adminPort,
+                {.method = "POST", .path = "/faults", .body = document})
+               .response.status
+        == 200;
+}
+
+HttpAnswer LocalSystem::work(const std::string &gateway, const std::string &queue,
+                             const std::string &key, const std::string &body,
+                             std::vector<HttpHeader> headers) const
+{
+    if (!key.empty())
+        headers.push_back({"authorization", "Bearer " + key});
+    return call(m_members.at(gateway).workPort,
+                {.method = "POST",
+                 .path = "/v1/queues/" + queue,
+                 .headers = std::move(headers),
+                 .body = body});
+}
+
+int LocalSystem::runTool(const std::vector<std::string> &words)
+{
+    const std::string log = m_directory + "/tool.log";
+    std::filesystem::remove(log);
+    ChildProcess process(words, log);
+    const std::optional<int> status = process.waitExit(Patience * 2);
+    m_output = readFile(log);
+    return status.value_or(-1);
+}
+
+int LocalSystem::ctl(const std::vector<std::string> &words)
+{
+    std::vector<std::string> all{SEQUOIAPIER_BINARY, "ctl"};
+    for (const auto &[name, member] : m_members) {
+        if (name.starts_with("controller")) {
+            all.insert(
+                all.end(),
+                {"--controller", std::string(Loopback) + ":" + std::to_string(member.adminPort)});
+            break;
+        }
+    }
+    all.insert(all.end(), words.begin(), words.end());
+    return runTool(all);
+}
+
+int LocalSystem::timeline()
+{
+    std::string processes;
+    for (const auto &[name, member] : m_members) {
+        processes += processes.empty() ? "" : ",";
+        processes += std::string(Loopback) + ":" + std::to_string(member.adminPort);
+    }
+    return runTool({SEQUOIAPIER_BINARY, "timeline", "--processes", processes});
+}
+
+int LocalSystem::applyConfiguration(const std::string &document, std::uint64_t baseVersion,
+                                    const std::string &operationId)
+{
+    const std::string file = m_directory + "/configuration.json";
+    std::ofstream(file) << document;
+    return ctl({"apply", file, "--base-version", std::to_string(baseVersion), "--operation-id",
+                operationId});
+}
+
+bool LocalSystem::waitUntil(const std::function<bool()> &condition,
+                            std::chrono::milliseconds patience)
+{
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < deadline) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return condition();
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/testing/support/localsystem.h
@@ -0,0 +1,83 @@
+// LocalSystem: a whole system in separate processes on loopback, for process tests and the demo.
+//
+//   LocalSystem system("kill-gateway");
+//   system.startTable();
+//   system.startRunner("runner-1");
+//   ASSERT_TRUE(system.waitReady("gateway-1"));
+//
+// Logs go to a directory under the build tree, one file a process. All waits are on conditions.
+#pragma once
+
+#include "net/httpcall.h"
+#include "sequoiapier/configuration.h"
+#include "testing/support/childprocess.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sequoiapier {
+
+struct Member
+{
+    std::uint16_t adminPort = 0;
+    std::uint16_t workPort = 0; // callers' or work port, 0 if it has none
+    ChildProcess process;
+};
+
+class LocalSystem
+{
+public:
+    static constexpr std::chrono::milliseconds Patience{10'000};
+
+    explicit LocalSystem(std::string name);
+
+    // Start a process and wait until it listens; false if it does not within Patience.
+    bool startTable();
+    bool startRunner(const std::string &name, const std::vector<std::string> &flags = {});
+    bool startGateway(const std::string &name, const std::vector<std::string> &flags = {});
+    bool startScheduler(const std::string &name, const std::vector<std::string> &flags = {});
+    bool startController(const std::string &name, const std::vector<std::string> &flags = {});
+
+    bool waitReady(const std::string &name);
+    Member &member(const std::string &name) { return m_members.at(name); }
+    bool hasMember(const std::string &name) const { return m_members.contains(name); }
+    void forget(const std::string &name) { m_members.erase(name); }
+    std::vector<std::string> memberNames() const;
+
+    // Calls an HTTP server on loopback and waits for the end of the call.
+    HttpAnswer call(std::uint16_t port, HttpRequest request,
+                    std::chrono::milliseconds patience = Patience) const;
+    HttpAnswer fetch(const std::string &name, const std::string &path) const;
+    bool setFaults(const std::string &name, const std::string &document) const;
+
+    // Sends a caller's request to a gateway. Headers may override the defaults.
+    HttpAnswer work(const std::string &gateway, const std::string &queue, const std::string &key,
+                    const std::string &body, std::vector<HttpHeader> headers = {}) const;
+
+    // Runs `sequoiapier ctl` and returns its exit status; its output is in output().
+    int ctl(const std::vector<std::string> &words);
+    // Runs `sequoiapier timeline` over all members.
+    int timeline();
+    const std::string &output() const { return m_output; }
+
+    // Writes `document` through ctl, from `baseVersion`.
+    int applyConfiguration(const std::string &document, std::uint64_t baseVersion,
+                           const std::string &operationId);
+
+    // Waits until `condition` holds, polling; false after Patience.
+    static bool waitUntil(const std::function<bool()> &condition,
+                          std::chrono::milliseconds patience = Patience);
+
+private:
+    bool start(const std::string &name, std::vector<std::string> words, std::uint16_t workPort);
+    std::vector<std::string> tableFlags() const;
+    int runTool(const std::vector<std::string> &words);
+    static std::uint16_t freePort();
+
+    std::string m_directory;
+    std::map<std::string, Member> m_members;
+    std::string m_output;
+};
+
+} // namespace sequoiapier
