--- /dev/null
+++ b/testing/support/faketable.h
@@ -0,0 +1,54 @@
+// FakeTable: the platform's table under virtual time, with its faults.
+//
+//   FakeTable fake(time);
+//   Table table = fake.hooks("gateway-1");
+//   fake.setOutage(true);                 // every call fails at its deadline
+//   fake.cutOff("gateway-1");             // only for this caller
+//   fake.loseNextAnswers(2);              // the next commits take effect, their answers are lost
+#pragma once
+
+#include "sequoiapier/table.h"
+#include "testing/standin/memorytable.h"
+#include "testing/support/virtualtime.h"
+
+#include <set>
+#include <string>
+
+namespace sequoiapier {
+
+class FakeTable
+{
+public:
+    explicit FakeTable(VirtualTime &time)
+        : m_time(time)
+    {
+    }
+
+    // The hooks as used by the process called `caller`.
+    Table hooks(std::string caller);
+
+    void setOutage(bool outage) { m_outage = outage; }
+    void cutOff(const std::string &caller) { m_cutOff.insert(caller); }
+    void reconnect(const std::string &caller) { m_cutOff.erase(caller); }
+    void loseNextAnswers(int count) { m_lostAnswers = count; }
+    void setLatency(Duration latency) { m_latency = latency; }
+
+    // Direct access, without latency or faults.
+    MemoryTable &rows() { return m_rows; }
+    std::uint64_t readCount() const { return m_reads; }
+    std::uint64_t commitCount() const { return m_commits; }
+
+private:
+    bool isReachable(const std::string &caller) const;
+
+    VirtualTime &m_time;
+    MemoryTable m_rows;
+    bool m_outage = false;
+    std::set<std::string> m_cutOff;
+    int m_lostAnswers = 0;
+    Duration m_latency = std::chrono::milliseconds(2);
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_commits = 0;
+};
+
+} // namespace sequoiapier
--- /dev/null
+++ b/testing/support/virtualtime.h
@@ -0,0 +1,35 @@
+// VirtualTime: a discrete-event clock for tests and sweeps. Nothing sleeps.
+//
+//   VirtualTime time;
+//   time.after(std::chrono::milliseconds(5), [&] { ... });
+//   time.runUntil(time.now() + std::chrono::seconds(10));
+//
+// Actions due at one instant run in the order in which they were added. O(log n) an action.
+#pragma once
+
+#include "sequoiapier/bootclock.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace sequoiapier {
+
+class VirtualTime
+{
+public:
+    TimePoint now() const { return m_now; }
+    void at(TimePoint due, std::function<void()> action);
+    void after(Duration delay, std::function<void()> action) { at(m_now + delay, std::move(action)); }
+    // Runs all actions due until `end`, then stands at `end`.
+    void runUntil(TimePoint end);
+    bool isIdle() const { return m_actions.empty(); }
+
+private:
+    TimePoint m_now {std::chrono::hours(1)};
+    std::uint64_t m_nextOrder = 0;
+    std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> m_actions;
+};
+
+} // namespace sequoiapier
