--- a/sequoiapier/configuration.cpp
+++ b/sequoiapier/configuration.cpp
@@ -246,6 +246,7 @@
         reader.list("services", configuration.services, readService);
         reader.list("queues", configuration.queues, readQueue);
         reader.list("pools", configuration.pools, readPool);
+        reader.integer("maxGateways", configuration.maxGateways, 0, MaxCount);
         reader.rejectUnknown();
     }
     if (error.empty())
@@ -257,7 +258,8 @@
 
 std::string toJson(const Configuration &configuration)
 {
-    nlohmann::ordered_json json{{"teams", Json::array()},
+    nlohmann::ordered_json json{{"maxGateways", configuration.maxGateways},
+                                {"teams", Json::array()},
                                 {"keys", Json::array()},
                                 {"services", Json::array()},
                                 {"queues", Json::array()},
--- a/sequoiapier/configuration.h
+++ b/sequoiapier/configuration.h
@@ -67,6 +67,7 @@
     std::vector<ServiceConfig> services;
     std::vector<QueueConfig> queues;
     std::vector<PoolConfig> pools;
+    std::uint32_t maxGateways = 0; // gateways that may run at once; 0: no work in a table outage
 
     const QueueConfig *findQueue(std::string_view name) const;
     const ServiceConfig *findService(std::string_view name) const;
