--- a/sequoiapier/configurationfollower.cpp
+++ b/sequoiapier/configurationfollower.cpp
@@ -21,6 +21,8 @@
 
 TimePoint ConfigurationFollower::tick(TimePoint now)
 {
+    if (!m_droppedAt)
+        dropConfirmation(now);
     if (now >= m_readDue && !m_isReading && needsTable(now)) {
         m_isReading = true;
         m_readDue = now + m_options.pollInterval;
@@ -72,13 +74,12 @@
 {
     const TimePoint askedAt{Duration(report.token)};
     if (report.incarnation != m_options.incarnation || askedAt > now
-        || (m_droppedAt && askedAt < *m_droppedAt)) {
+        || (m_droppedAt && askedAt < *m_droppedAt)) { // sent before a pause
         return;
     }
     for (const WithdrawalNotice &notice : report.notices)
         m_notices.add(notice, now);
-    const bool isFresh = report.confirmedAge
-        && now - (askedAt - *report.confirmedAge) < m_options.confirmation.staleness;
+    const bool isFresh = report.confirmedAge && isFreshChain(askedAt - *report.confirmedAge, now);
     // A process without a version may have held a higher one before its restart.
     if (!report.document.empty() && (isFresh || m_configuration.version != 0))
         take(report.version, report.document);
@@ -91,6 +92,12 @@
         m_confirmation.vouch(report.sender, askedAt, report.seenVersion);
 }
 
+bool ConfigurationFollower::isFreshChain(TimePoint instant, TimePoint now) const
+{
+    return now - instant < m_options.confirmation.staleness
+        && (!m_droppedAt || instant >= *m_droppedAt);
+}
+
 ConfigurationReport ConfigurationFollower::answerPoll(const ConfigurationPoll &poll,
                                                       TimePoint now) const
 {
--- a/sequoiapier/configurationfollower.h
+++ b/sequoiapier/configurationfollower.h
@@ -92,6 +92,8 @@
     bool hasYoungChain(TimePoint now) const;
     bool take(std::uint64_t version, std::string_view document);
     bool mayReplace(std::uint64_t version) const;
+    // Whether a chain from `instant` is within the staleness and not from before a start or pause.
+    bool isFreshChain(TimePoint instant, TimePoint now) const;
 
     Options m_options;
     Hooks m_hooks;
@@ -107,7 +109,7 @@
     bool m_isReading = false;
     TimePoint m_readDue{};
     TimePoint m_pollDue{};
-    std::optional<TimePoint> m_droppedAt;
+    std::optional<TimePoint> m_droppedAt; // at the latest pause, or the start
 };
 
 } // namespace sequoiapier
