Reuse idle connections to runners and measure the gateway against a direct call

Cause: libwebsockets finds an idle connection by comparing the call's address with the host name that the connection was opened with; the client passed address:port as host, so every call opened a new connection and the idle ones piled up until the runner's bound of 64 refused the 65th. Ruled out: the method (GET, POST, PUT and PATCH all opened new ones), and calling from within the completion callback (a call 100 ms later did too). Before: 64 of 100 sequential calls answered.

--- /dev/null
+++ b/bench/support/loadclient.cpp
@@ -0,0 +1,103 @@
+#include "bench/support/loadclient.h"
+
+#include "net/httpclient.h"
+#include "net/timer.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr Duration RequestDeadline = std::chrono::seconds(5);
+
+class LoadRun
+{
+public:
+    explicit LoadRun(const LoadOptions &options)
+        : m_options(options)
+        , m_loop({})
+        , m_http(m_loop, {.maxConnections = options.concurrency + 1})
+    {
+        m_latencies.reserve(options.requestCount);
+    }
+
+    LoadResult run()
+    {
+        m_start = BootClock::now();
+        for (unsigned slot = 0; slot < m_options.concurrency; ++slot) {
+            m_timers.push_back(std::make_unique<Timer>(m_loop, [this, slot] { send(slot); }));
+            next(slot);
+        }
+        m_loop.run();
+        return summarize();
+    }
+
+private:
+    void next(unsigned slot)
+    {
+        if (m_startedCount == m_options.requestCount) {
+            if (m_latencies.size() == m_options.requestCount)
+                m_loop.stop();
+            return;
+        }
+        TimePoint due = BootClock::now();
+        if (m_options.requestsPerSecond > 0) {
+            const double offset = m_startedCount / m_options.requestsPerSecond * 1e6;
+            due = std::max(due, m_start + Duration(std::int64_t(offset)));
+        }
+        ++m_startedCount;
+        if (due > BootClock::now())
+            m_timers[slot]->startAt(due);
+        else
+            send(slot);
+    }
+
+    void send(unsigned slot)
+    {
+        const TimePoint sentAt = BootClock::now();
+        HttpCall call{.address = "127.0.0.1", .port = m_options.port};
+        call.deadline = sentAt + RequestDeadline;
+        call.request = {.method = "POST",
+                        .path = m_options.path,
+                        .headers = m_options.headers,
+                        .body = std::string(m_options.bodyBytes, 'b')};
+        m_http.call(std::move(call), [this, slot, sentAt](const HttpAnswer &answer) {
+            m_latencies.push_back(double((BootClock::now() - sentAt).count()));
+            const bool isOk
+                = answer.outcome == HttpOutcome::Answered && answer.response.status == 200;
+            (isOk ? m_result.okCount : m_result.otherCount) += 1;
+            next(slot);
+        });
+    }
+
+    LoadResult summarize()
+    {
+        const double seconds = double((BootClock::now() - m_start).count()) / 1e6;
+        std::sort(m_latencies.begin(), m_latencies.end());
+        m_result.requestsPerSecond = double(m_latencies.size()) / seconds;
+        m_result.p50Microseconds = m_latencies[m_latencies.size() / 2];
+        m_result.p99Microseconds = m_latencies[m_latencies.size() * 99 / 100];
+        return m_result;
+    }
+
+    LoadOptions m_options;
+    Loop m_loop;
+    HttpClient m_http;
+    std::vector<std::unique_ptr<Timer>> m_timers;
+    TimePoint m_start;
+    unsigned m_startedCount = 0;
+    std::vector<double> m_latencies; // microseconds
+    LoadResult m_result;
+};
+
+} // namespace
+
+LoadResult runLoad(const LoadOptions &options)
+{
+    LoadRun run(options);
+    return run.run();
+}
+
+} // namespace sequoiapier
--- a/bench/support/report.cpp
+++ b/bench/support/report.cpp
@@ -1,9 +1,10 @@
 #include "bench/support/report.h"
 
+#include <nlohmann/json.hpp>
+
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace sequoiapier {
@@ -42,7 +43,7 @@
         return 0;
     std::ofstream stream(outputPath(m_name + ".jsonl"));
     for (const Row &row : m_rows) {
-        nlohmann::ordered_json json {{"bench", m_name}, {"label", row.label}};
+        nlohmann::ordered_json json{{"bench", m_name}, {"label", row.label}};
         for (const Measure &measure : row.measures)
             json[measure.name] = measure.value;
         stream << json.dump() << "\n";
--- a/bench/support/report.h
+++ b/bench/support/report.h
@@ -4,7 +4,8 @@
 //   report.add("members=8", {{"messages_per_s", 16.0}, {"cpu_us", 3.1}});
 //   return report.finish();
 //
-// With --out DIR the rows go to DIR/<name>.jsonl, one object a row, and charts may be written there.
+// With --out DIR the rows go to DIR/<name>.jsonl, one object a row, and charts may be written
+// there.
 #pragma once
 
 #include <string>
--- a/bench/support/svgchart.cpp
+++ b/bench/support/svgchart.cpp
@@ -16,8 +16,8 @@
 constexpr double Top = 40;
 constexpr double Bottom = 90;
 constexpr int TickCount = 5;
-constexpr std::array<const char *, 6> Colors {"#1b6ca8", "#c2410c", "#15803d",
-                                              "#7e22ce", "#a16207", "#475569"};
+constexpr std::array<const char *, 6> Colors{"#1b6ca8", "#c2410c", "#15803d",
+                                             "#7e22ce", "#a16207", "#475569"};
 
 struct Scale
 {
@@ -25,12 +25,15 @@
     double maxY = 1;
 
     double x(double value) const { return Left + value / maxX * (Width - Left - Right); }
-    double y(double value) const { return Height - Bottom - value / maxY * (Height - Top - Bottom); }
+    double y(double value) const
+    {
+        return Height - Bottom - value / maxY * (Height - Top - Bottom);
+    }
 };
 
 Scale findScale(std::span<const ChartSeries> series)
 {
-    Scale scale {0, 0};
+    Scale scale{0, 0};
     for (const ChartSeries &line : series) {
         for (const ChartPoint &point : line.points) {
             scale.maxX = std::max(scale.maxX, point.x);
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -126,7 +126,7 @@
     info.context = m_loop.context();
     info.vhost = lane->vhost;
     info.address = transaction.call.address.c_str();
-    info.host = lane->endpoint.c_str();
+    info.host = info.address; // idle connections are found by this name
     info.origin = info.address;
     info.port = transaction.call.port;
     info.path = transaction.call.request.path.c_str();
--- a/testing/support/faketable.cpp
+++ b/testing/support/faketable.cpp
@@ -47,24 +47,24 @@
             callback(m_rows.scan(prefix));
         });
     };
-    table.commit = [this, caller](Commit commit, TimePoint deadline,
-                                  const Table::CommitCallback &callback) {
-        if (!isReachable(caller)) {
-            m_time.at(deadline, [callback] { callback({CommitOutcome::Unknown, {}}); });
-            return;
-        }
-        commit.writes.push_back({.key = writeRecordKey(commit.writeId), .value = "1"});
-        m_time.after(m_latency, [this, callback, deadline, commit = std::move(commit)] {
-            ++m_commits;
-            const CommitAnswer answer = m_rows.commit(commit.writes);
-            if (m_lostAnswers > 0) {
-                --m_lostAnswers;
-                m_time.at(deadline, [callback] { callback({CommitOutcome::Unknown, {}}); });
-                return;
-            }
-            callback(answer);
-        });
-    };
+    table.commit
+        = [this, caller](Commit commit, TimePoint deadline, const Table::CommitCallback &callback) {
+              if (!isReachable(caller)) {
+                  m_time.at(deadline, [callback] { callback({CommitOutcome::Unknown, {}}); });
+                  return;
+              }
+              commit.writes.push_back({.key = writeRecordKey(commit.writeId), .value = "1"});
+              m_time.after(m_latency, [this, callback, deadline, commit = std::move(commit)] {
+                  ++m_commits;
+                  const CommitAnswer answer = m_rows.commit(commit.writes);
+                  if (m_lostAnswers > 0) {
+                      --m_lostAnswers;
+                      m_time.at(deadline, [callback] { callback({CommitOutcome::Unknown, {}}); });
+                      return;
+                  }
+                  callback(answer);
+              });
+          };
     return table;
 }
 
--- a/testing/support/faketable.h
+++ b/testing/support/faketable.h
@@ -21,8 +21,7 @@
 public:
     explicit FakeTable(VirtualTime &time)
         : m_time(time)
-    {
-    }
+    { }
 
     // The hooks as used by the process called `caller`.
     Table hooks(std::string caller);
--- a/testing/support/virtualtime.h
+++ b/testing/support/virtualtime.h
@@ -21,13 +21,16 @@
 public:
     TimePoint now() const { return m_now; }
     void at(TimePoint due, std::function<void()> action);
-    void after(Duration delay, std::function<void()> action) { at(m_now + delay, std::move(action)); }
+    void after(Duration delay, std::function<void()> action)
+    {
+        at(m_now + delay, std::move(action));
+    }
     // Runs all actions due until `end`, then stands at `end`.
     void runUntil(TimePoint end);
     bool isIdle() const { return m_actions.empty(); }
 
 private:
-    TimePoint m_now {std::chrono::hours(1)};
+    TimePoint m_now{std::chrono::hours(1)};
     std::uint64_t m_nextOrder = 0;
     std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> m_actions;
 };
