--- /dev/null
+++ b/api/peer.thrift
@@ -0,0 +1,83 @@
+// What the system's own processes tell each other, by Thrift over HTTP POST to /peer. Every message
+// may be lost, repeated, delayed or reordered. Times travel as durations: no process trusts
+// another's clock.
+namespace cpp sequoiapier.api
+
+struct HybridTimestamp {
+  1: i64 wallMicroseconds
+  2: i32 counter
+}
+
+// Who speaks, and its hybrid logical time, which orders the time line.
+struct PeerSender {
+  1: string name
+  2: i64 incarnation
+  3: HybridTimestamp time
+}
+
+struct WithdrawalMessage {
+  1: string digest
+  2: i64 remainingMicroseconds
+}
+
+struct PollMessage {
+  1: i64 token
+  2: i64 incarnation
+  3: i64 version
+}
+
+struct ReportMessage {
+  1: i64 token
+  2: i64 incarnation
+  3: string sender
+  4: i64 senderIncarnation
+  5: i64 version
+  6: i64 seenVersion
+  7: optional i64 confirmedAgeMicroseconds
+  8: bool canVouch
+  9: string document
+  10: list<WithdrawalMessage> notices
+}
+
+struct PollAnswer {
+  1: PeerSender sender
+  2: ReportMessage report
+}
+
+struct LoanReportMessage {
+  1: string resource
+  2: string borrower
+  3: i64 incarnation
+  4: i64 sequence
+  5: i64 epoch
+  6: i64 held
+  7: i64 inUse
+  8: i64 wanted
+  9: i32 weight
+  10: i64 accepted
+}
+
+struct LoanGrantMessage {
+  1: string resource
+  2: i64 sequence
+  3: i64 epoch
+  4: i64 amount
+  5: i64 termMilliseconds
+  6: i32 code
+}
+
+struct LendAnswer {
+  1: PeerSender sender
+  2: list<LoanGrantMessage> grants
+}
+
+service PeerService {
+  // Heartbeat and question about the configuration in one.
+  PollAnswer poll(1: PeerSender sender, 2: PollMessage poll)
+  // A committed configuration; answers the highest version seen.
+  i64 push(1: PeerSender sender, 2: i64 version, 3: string document)
+  // Keys about to be withdrawn.
+  bool notice(1: PeerSender sender, 2: list<WithdrawalMessage> notices)
+  // A borrower's reports to a lender, one a resource.
+  LendAnswer lend(1: PeerSender sender, 2: list<LoanReportMessage> reports)
+}
--- /dev/null
+++ b/peer/peernode.cpp
@@ -0,0 +1,252 @@
+#include "peer/peernode.h"
+
+#include <random>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr const char *PeerPath = "/peer";
+constexpr Duration TableDeadline = std::chrono::seconds(2);
+constexpr Duration PeerDeadline = std::chrono::milliseconds(800);
+constexpr Duration RegisterRetryInterval = std::chrono::milliseconds(500);
+constexpr Duration MemberScanInterval = std::chrono::seconds(1);
+constexpr Duration HeartbeatInterval = std::chrono::seconds(1);
+constexpr Duration HeartbeatTimeout = std::chrono::seconds(3);
+constexpr std::size_t TableReaderCount = 3;
+
+std::string randomId()
+{
+    std::random_device device;
+    return std::to_string((std::uint64_t(device()) << 32) | device());
+}
+
+Endpoint endpointOf(const MemberRow &member)
+{
+    return {member.address, member.port};
+}
+
+} // namespace
+
+PeerNode::PeerNode(Daemon &daemon, Options options, Hooks hooks)
+    : m_daemon(daemon)
+    , m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+    , m_remoteTable(daemon.httpClient(), {m_options.table})
+    , m_table(m_remoteTable.hooks())
+    , m_rpcClient(daemon.httpClient())
+    , m_membership({.self = daemon.settings().name, .heartbeatTimeout = HeartbeatTimeout})
+    , m_registerTimer(daemon.loop(), [this] { registerSelf(); })
+    , m_scanTimer(daemon.loop(), [this] { scanMembers(); })
+    , m_heartbeatTimer(daemon.loop(), [this] { heartbeat(); })
+    , m_followerTimer(daemon.loop(), [this] { tickFollower(); })
+{
+    addMethods();
+    daemon.route(PeerPath, [this](const std::shared_ptr<HttpExchange> &exchange) {
+        if (hasJoined())
+            m_rpcServer.serve(exchange);
+        else
+            exchange->reply({.status = 503});
+    });
+    daemon.loop().onPause([this](Duration) {
+        if (m_follower)
+            m_follower->dropConfirmation(BootClock::now());
+    });
+}
+
+MemberId PeerNode::self() const
+{
+    return {m_daemon.settings().name, m_incarnation};
+}
+
+api::PeerSender PeerNode::sender()
+{
+    api::PeerSender sender;
+    sender.name = m_daemon.settings().name;
+    sender.incarnation = std::int64_t(m_incarnation);
+    sender.time = toWire(m_daemon.events().clock().tick());
+    return sender;
+}
+
+void PeerNode::observe(const api::PeerSender &sender)
+{
+    m_daemon.events().clock().observe(fromWire(sender.time));
+    m_membership.onHeartbeat(sender.name, std::uint64_t(sender.incarnation), BootClock::now());
+}
+
+void PeerNode::registerSelf()
+{
+    const CommonSettings &settings = m_daemon.settings();
+    const std::string key = std::string(MemberPrefix) + settings.name;
+    m_table.read(
+        key, BootClock::now() + TableDeadline, [this](Result<std::optional<TableRow>> row) {
+            if (!row) {
+                m_registerTimer.startAt(BootClock::now() + RegisterRetryInterval);
+                return;
+            }
+            const CommonSettings &settings = m_daemon.settings();
+            const MemberRegistration registration
+                = registerMember({.name = settings.name,
+                                  .role = m_options.role,
+                                  .zone = settings.zone,
+                                  .address = settings.address,
+                                  .port = std::uint16_t(settings.port)},
+                                 row.value());
+            m_table.commit({.writeId = "register/" + settings.name + "/" + randomId(),
+                            .writes = {registration.write}},
+                           BootClock::now() + TableDeadline,
+                           [this, registration](const CommitAnswer &answer) {
+                               onRegistered(registration, answer);
+                           });
+        });
+}
+
+void PeerNode::onRegistered(const MemberRegistration &registration, const CommitAnswer &answer)
+{
+    if (answer.outcome == CommitOutcome::Committed)
+        join(registration.incarnation);
+    else // An unknown write that took effect only leaves its incarnation unused.
+        m_registerTimer.startAt(BootClock::now() + RegisterRetryInterval);
+}
+
+void PeerNode::join(std::uint64_t incarnation)
+{
+    m_incarnation = incarnation;
+    ConfigurationFollower::Options options {.name = m_daemon.settings().name,
+                                            .incarnation = incarnation,
+                                            .isVoter = m_options.role == "gateway"};
+    m_follower = std::make_unique<ConfigurationFollower>(std::move(options), followerHooks());
+    m_daemon.report("member.joined", {.subject = m_options.role, .epoch = incarnation});
+    if (m_hooks.joined)
+        m_hooks.joined();
+    scanMembers();
+    heartbeat();
+    tickFollower();
+}
+
+ConfigurationFollower::Hooks PeerNode::followerHooks()
+{
+    ConfigurationFollower::Hooks hooks;
+    hooks.readTable = [this](TimePoint startedAt) {
+        m_table.read(ConfigurationKey, BootClock::now() + TableDeadline,
+                     [this, startedAt](const Result<std::optional<TableRow>> &row) {
+                         m_follower->onTableRow(startedAt, row, BootClock::now());
+                     });
+    };
+    hooks.poll = [this](std::string_view peer, const ConfigurationPoll &poll) {
+        for (const MemberRow &member : m_membership.peers("")) {
+            if (member.name == peer)
+                sendPoll(member, poll);
+        }
+    };
+    hooks.apply = [this](const Configuration &configuration) {
+        if (m_hooks.apply)
+            m_hooks.apply(configuration);
+    };
+    hooks.event = [this](std::string_view kind, std::uint64_t version, std::string_view detail) {
+        m_daemon.report(kind, {.epoch = version, .detail = std::string(detail)});
+    };
+    return hooks;
+}
+
+void PeerNode::scanMembers()
+{
+    const TimePoint startedAt = BootClock::now();
+    m_table.scan(MemberPrefix, startedAt + TableDeadline,
+                 [this, startedAt](const Result<std::vector<TableRow>> &rows) {
+                     const TimePoint now = BootClock::now();
+                     if (rows) {
+                         m_membership.onRows(startedAt, rows.value(), now);
+                         std::vector<std::string> names;
+                         for (const MemberRow &member : m_membership.peers(""))
+                             names.push_back(member.name);
+                         m_follower->setPeers(std::move(names));
+                     }
+                     m_scanTimer.startAt(now + MemberScanInterval);
+                 });
+}
+
+void PeerNode::heartbeat()
+{
+    const TimePoint now = BootClock::now();
+    const std::string &self = m_daemon.settings().name;
+    const ConfigurationPoll poll {.token = now.time_since_epoch().count(),
+                                  .incarnation = m_incarnation,
+                                  .version = m_follower->configuration().version};
+    for (const MemberRow &member : m_membership.peers("")) {
+        if (self < member.name || !m_membership.isAlive(member.name, now))
+            sendPoll(member, poll);
+    }
+    m_heartbeatTimer.startAt(now + HeartbeatInterval);
+}
+
+void PeerNode::tickFollower()
+{
+    const TimePoint now = BootClock::now();
+    m_follower->setTableReader(m_membership.isTableReader(TableReaderCount, now));
+    m_followerTimer.startAt(m_follower->tick(now));
+}
+
+void PeerNode::sendPoll(const MemberRow &peer, const ConfigurationPoll &poll)
+{
+    api::PeerService_poll_args args;
+    args.sender = sender();
+    args.poll = toWire(poll);
+    m_rpcClient.call<api::PeerService_poll_args, api::PeerService_poll_result>(
+        endpointOf(peer), PeerPath, "poll", args, BootClock::now() + PeerDeadline,
+        [this](const RpcAnswer<api::PeerService_poll_result> &answer) {
+            if (!answer.reply)
+                return;
+            observe(answer.reply->success.sender);
+            m_follower->onReport(fromWire(answer.reply->success.report), BootClock::now());
+        });
+}
+
+void PeerNode::push(std::uint64_t version, const std::string &document)
+{
+    for (const MemberRow &member : m_membership.peers("gateway")) {
+        api::PeerService_push_args args;
+        args.sender = sender();
+        args.version = std::int64_t(version);
+        args.document = document;
+        m_rpcClient.call<api::PeerService_push_args, api::PeerService_push_result>(
+            endpointOf(member), PeerPath, "push", args, BootClock::now() + PeerDeadline,
+            [](const RpcAnswer<api::PeerService_push_result> &) {});
+    }
+}
+
+void PeerNode::addMethods()
+{
+    m_rpcServer.add<api::PeerService_poll_args, api::PeerService_poll_result>(
+        "poll", [this](const auto &args, const auto &answer) {
+            observe(args.sender);
+            api::PeerService_poll_result result;
+            result.success.sender = sender();
+            result.success.report
+                = toWire(m_follower->answerPoll(fromWire(args.poll), BootClock::now()));
+            result.__isset.success = true;
+            answer(result);
+        });
+    m_rpcServer.add<api::PeerService_push_args, api::PeerService_push_result>(
+        "push", [this](const auto &args, const auto &answer) {
+            observe(args.sender);
+            api::PeerService_push_result result;
+            result.success = std::int64_t(m_follower->onPush(
+                {.version = std::uint64_t(args.version), .document = args.document}));
+            result.__isset.success = true;
+            answer(result);
+        });
+    m_rpcServer.add<api::PeerService_notice_args, api::PeerService_notice_result>(
+        "notice", [this](const auto &args, const auto &answer) {
+            observe(args.sender);
+            for (const api::WithdrawalMessage &notice : args.notices)
+                m_follower->onNotice(fromWire(notice), BootClock::now());
+            api::PeerService_notice_result result;
+            result.success = true;
+            result.__isset.success = true;
+            answer(result);
+        });
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/peer/peernode.h
@@ -0,0 +1,89 @@
+// PeerNode: one process's part in the system: its row in the table, its heartbeats, and the
+// configuration in force.
+//
+//   PeerNode node(daemon, {.role = "gateway", .table = endpoint}, {.apply = ...});
+//   node.start();
+//   if (!node.follower().isConfirmed(now)) ...
+//
+// A process registers under `members/<name>` with the next incarnation, reads that prefix every
+// MemberScanInterval, and of each pair of members the one with the lower name sends a heartbeat
+// every HeartbeatInterval. Each heartbeat is a configuration poll as well.
+#pragma once
+
+#include "cli/daemon.h"
+#include "net/endpoint.h"
+#include "net/rpcclient.h"
+#include "net/rpcserver.h"
+#include "peer/peerwire.h"
+#include "platform/remotetable.h"
+#include "sequoiapier/configurationfollower.h"
+#include "sequoiapier/membership.h"
+
+#include <memory>
+
+namespace sequoiapier {
+
+class PeerNode
+{
+public:
+    struct Options
+    {
+        std::string role; // "gateway", "scheduler" or "controller"
+        Endpoint table;
+    };
+
+    struct Hooks
+    {
+        // Called with every configuration that comes into force.
+        std::function<void(const Configuration &)> apply;
+        // Called once the process has an incarnation.
+        std::function<void()> joined;
+    };
+
+    PeerNode(Daemon &daemon, Options options, Hooks hooks);
+
+    void start() { registerSelf(); }
+
+    bool hasJoined() const { return m_incarnation != 0; }
+    MemberId self() const;
+    Table &table() { return m_table; }
+    ConfigurationFollower &follower() { return *m_follower; }
+    Membership &membership() { return m_membership; }
+    // Serves the /peer path; roles may add methods of their own.
+    RpcServer &rpcServer() { return m_rpcServer; }
+    RpcClient &rpcClient() { return m_rpcClient; }
+    api::PeerSender sender();
+    // Takes what a message says of its sender: its time and that it is alive.
+    void observe(const api::PeerSender &sender);
+
+    // Sends a committed version to every gateway.
+    void push(std::uint64_t version, const std::string &document);
+
+private:
+    void registerSelf();
+    void onRegistered(const MemberRegistration &registration, const CommitAnswer &answer);
+    void join(std::uint64_t incarnation);
+    void scanMembers();
+    void heartbeat();
+    void tickFollower();
+    void sendPoll(const MemberRow &peer, const ConfigurationPoll &poll);
+    void addMethods();
+    ConfigurationFollower::Hooks followerHooks();
+
+    Daemon &m_daemon;
+    Options m_options;
+    Hooks m_hooks;
+    RemoteTable m_remoteTable;
+    Table m_table;
+    RpcClient m_rpcClient;
+    RpcServer m_rpcServer;
+    Membership m_membership;
+    std::unique_ptr<ConfigurationFollower> m_follower;
+    std::uint64_t m_incarnation = 0;
+    Timer m_registerTimer;
+    Timer m_scanTimer;
+    Timer m_heartbeatTimer;
+    Timer m_followerTimer;
+};
+
+} // namespace sequoiapier
--- /dev/null
+++ b/peer/peerwire.h
@@ -0,0 +1,22 @@
+// The library's messages as Thrift structs and back.
+#pragma once
+
+#include "gen/PeerService.h"
+#include "sequoiapier/configurationmessages.h"
+#include "sequoiapier/event.h"
+
+namespace sequoiapier {
+
+api::HybridTimestamp toWire(HybridTime time);
+HybridTime fromWire(const api::HybridTimestamp &time);
+
+api::PollMessage toWire(const ConfigurationPoll &poll);
+ConfigurationPoll fromWire(const api::PollMessage &poll);
+
+api::ReportMessage toWire(const ConfigurationReport &report);
+ConfigurationReport fromWire(const api::ReportMessage &report);
+
+api::WithdrawalMessage toWire(const WithdrawalNotice &notice);
+WithdrawalNotice fromWire(const api::WithdrawalMessage &notice);
+
+} // namespace sequoiapier
