--- /dev/null
+++ b/sequoiapier/loanrecord.h
@@ -0,0 +1,33 @@
+// LoanRecord: what a lender remembers about one borrower. Part of Lender.
+#pragma once
+
+#include "sequoiapier/bootclock.h"
+#include "sequoiapier/loangrant.h"
+#include "sequoiapier/loanreport.h"
+
+#include <algorithm>
+
+namespace sequoiapier::detail {
+
+struct LoanRecord
+{
+    LoanReport last; // the latest report
+    LoanGrant grant; // the answer to it
+    TimePoint grantEnd{}; // of the lease in that answer
+    TimePoint loanEnd{}; // no lease of this borrower reaches past it
+    std::int64_t limit = 0; // most units in use, when less than lent is shown to be
+    bool isLimited = false;
+    bool isAdopted = false; // holds loans of this lender's epoch only
+    std::int64_t priorUnits = 0; // lent by an earlier lender, as last reported under its epoch
+    double averageDemand = 0; // units
+    TimePoint reportedAt{};
+
+    // Units that the borrower may use now or after any grant still on its way.
+    std::int64_t exposure() const
+    {
+        const std::int64_t lent = std::max({last.held, last.inUse, grant.amount});
+        return isLimited ? std::min(lent, limit) : lent;
+    }
+};
+
+} // namespace sequoiapier::detail
