--- a/gen/OperatorService.cpp
+++ b/gen/OperatorService.cpp
@@ -361,6 +361,193 @@
   return xfer;
 }
 
+
+OperatorService_edit_args::~OperatorService_edit_args() noexcept {
+}
+
+
+uint32_t OperatorService_edit_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OperatorService_edit_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OperatorService_edit_args");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_edit_pargs::~OperatorService_edit_pargs() noexcept {
+}
+
+
+uint32_t OperatorService_edit_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OperatorService_edit_pargs");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->request)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_edit_result::~OperatorService_edit_result() noexcept {
+}
+
+
+uint32_t OperatorService_edit_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OperatorService_edit_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("OperatorService_edit_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_edit_presult::~OperatorService_edit_presult() noexcept {
+}
+
+
+uint32_t OperatorService_edit_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void OperatorServiceClient::configuration(ConfigurationAnswer& _return)
 {
   send_configuration();
@@ -476,6 +663,64 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "change failed: unknown result");
 }
 
+void OperatorServiceClient::edit(ChangeAnswer& _return, const EditRequest& request)
+{
+  send_edit(request);
+  recv_edit(_return);
+}
+
+void OperatorServiceClient::send_edit(const EditRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("edit", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  OperatorService_edit_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void OperatorServiceClient::recv_edit(ChangeAnswer& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("edit") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  OperatorService_edit_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "edit failed: unknown result");
+}
+
 bool OperatorServiceProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -603,6 +848,60 @@
   }
 }
 
+void OperatorServiceProcessor::process_edit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("OperatorService.edit", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "OperatorService.edit");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "OperatorService.edit");
+  }
+
+  OperatorService_edit_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "OperatorService.edit", bytes);
+  }
+
+  OperatorService_edit_result result;
+  try {
+    iface_->edit(result.success, args.request);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "OperatorService.edit");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("edit", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "OperatorService.edit");
+  }
+
+  oprot->writeMessageBegin("edit", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "OperatorService.edit", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > OperatorServiceProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< OperatorServiceIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< OperatorServiceIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -777,5 +1076,89 @@
   } // end while(true)
 }
 
+void OperatorServiceConcurrentClient::edit(ChangeAnswer& _return, const EditRequest& request)
+{
+  int32_t seqid = send_edit(request);
+  recv_edit(_return, seqid);
+}
+
+int32_t OperatorServiceConcurrentClient::send_edit(const EditRequest& request)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("edit", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  OperatorService_edit_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void OperatorServiceConcurrentClient::recv_edit(ChangeAnswer& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("edit") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      OperatorService_edit_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "edit failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/gen/OperatorService.h
+++ b/gen/OperatorService.h
@@ -24,6 +24,7 @@
   virtual ~OperatorServiceIf() {}
   virtual void configuration(ConfigurationAnswer& _return) = 0;
   virtual void change(ChangeAnswer& _return, const ChangeRequest& request) = 0;
+  virtual void edit(ChangeAnswer& _return, const EditRequest& request) = 0;
 };
 
 class OperatorServiceIfFactory {
@@ -59,6 +60,9 @@
   void change(ChangeAnswer& /* _return */, const ChangeRequest& /* request */) override {
     return;
   }
+  void edit(ChangeAnswer& /* _return */, const EditRequest& /* request */) override {
+    return;
+  }
 };
 
 
@@ -257,6 +261,110 @@
 
 };
 
+typedef struct _OperatorService_edit_args__isset {
+  _OperatorService_edit_args__isset() : request(false) {}
+  bool request :1;
+} _OperatorService_edit_args__isset;
+
+class OperatorService_edit_args {
+ public:
+
+  OperatorService_edit_args(const OperatorService_edit_args&);
+  OperatorService_edit_args& operator=(const OperatorService_edit_args&);
+  OperatorService_edit_args() noexcept {
+  }
+
+  virtual ~OperatorService_edit_args() noexcept;
+  EditRequest request;
+
+  _OperatorService_edit_args__isset __isset;
+
+  void __set_request(const EditRequest& val);
+
+  bool operator == (const OperatorService_edit_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const OperatorService_edit_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OperatorService_edit_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class OperatorService_edit_pargs {
+ public:
+
+
+  virtual ~OperatorService_edit_pargs() noexcept;
+  const EditRequest* request;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _OperatorService_edit_result__isset {
+  _OperatorService_edit_result__isset() : success(false) {}
+  bool success :1;
+} _OperatorService_edit_result__isset;
+
+class OperatorService_edit_result {
+ public:
+
+  OperatorService_edit_result(const OperatorService_edit_result&);
+  OperatorService_edit_result& operator=(const OperatorService_edit_result&);
+  OperatorService_edit_result() noexcept {
+  }
+
+  virtual ~OperatorService_edit_result() noexcept;
+  ChangeAnswer success;
+
+  _OperatorService_edit_result__isset __isset;
+
+  void __set_success(const ChangeAnswer& val);
+
+  bool operator == (const OperatorService_edit_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const OperatorService_edit_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OperatorService_edit_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _OperatorService_edit_presult__isset {
+  _OperatorService_edit_presult__isset() : success(false) {}
+  bool success :1;
+} _OperatorService_edit_presult__isset;
+
+class OperatorService_edit_presult {
+ public:
+
+
+  virtual ~OperatorService_edit_presult() noexcept;
+  ChangeAnswer* success;
+
+  _OperatorService_edit_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class OperatorServiceClient : virtual public OperatorServiceIf {
  public:
   OperatorServiceClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -288,6 +396,9 @@
   void change(ChangeAnswer& _return, const ChangeRequest& request) override;
   void send_change(const ChangeRequest& request);
   void recv_change(ChangeAnswer& _return);
+  void edit(ChangeAnswer& _return, const EditRequest& request) override;
+  void send_edit(const EditRequest& request);
+  void recv_edit(ChangeAnswer& _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -305,11 +416,13 @@
   ProcessMap processMap_;
   void process_configuration(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_change(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_edit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   OperatorServiceProcessor(::std::shared_ptr<OperatorServiceIf> iface) :
     iface_(iface) {
     processMap_["configuration"] = &OperatorServiceProcessor::process_configuration;
     processMap_["change"] = &OperatorServiceProcessor::process_change;
+    processMap_["edit"] = &OperatorServiceProcessor::process_edit;
   }
 
   virtual ~OperatorServiceProcessor() {}
@@ -358,6 +471,16 @@
     return;
   }
 
+  void edit(ChangeAnswer& _return, const EditRequest& request) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->edit(_return, request);
+    }
+    ifaces_[i]->edit(_return, request);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -396,6 +519,9 @@
   void change(ChangeAnswer& _return, const ChangeRequest& request) override;
   int32_t send_change(const ChangeRequest& request);
   void recv_change(ChangeAnswer& _return, const int32_t seqid);
+  void edit(ChangeAnswer& _return, const EditRequest& request) override;
+  int32_t send_edit(const EditRequest& request);
+  void recv_edit(ChangeAnswer& _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/gen/operator_types.cpp
+++ b/gen/operator_types.cpp
@@ -29,6 +29,10 @@
 void ChangeRequest::__set_document(const std::string& val) {
   this->document = val;
 }
+
+void ChangeRequest::__set_isNewId(const bool val) {
+  this->isNewId = val;
+}
 std::ostream& operator<<(std::ostream& out, const ChangeRequest& obj)
 {
   obj.printTo(out);
@@ -36,7 +40,1285 @@
 }
 
 
-uint32_t ChangeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ChangeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operationId);
+          this->__isset.operationId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isNewId);
+          this->__isset.isNewId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ChangeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ChangeRequest");
+
+  xfer += oprot->writeFieldBegin("operationId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->operationId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->baseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isNewId", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isNewId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ChangeRequest &a, ChangeRequest &b) {
+  using ::std::swap;
+  swap(a.operationId, b.operationId);
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.document, b.document);
+  swap(a.isNewId, b.isNewId);
+  swap(a.__isset, b.__isset);
+}
+
+ChangeRequest::ChangeRequest(const ChangeRequest& other0) {
+  operationId = other0.operationId;
+  baseVersion = other0.baseVersion;
+  document = other0.document;
+  isNewId = other0.isNewId;
+  __isset = other0.__isset;
+}
+ChangeRequest& ChangeRequest::operator=(const ChangeRequest& other1) {
+  operationId = other1.operationId;
+  baseVersion = other1.baseVersion;
+  document = other1.document;
+  isNewId = other1.isNewId;
+  __isset = other1.__isset;
+  return *this;
+}
+void ChangeRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ChangeRequest(";
+  out << "operationId=" << to_string(operationId);
+  out << ", " << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "document=" << to_string(document);
+  out << ", " << "isNewId=" << to_string(isNewId);
+  out << ")";
+}
+
+
+TeamEdit::~TeamEdit() noexcept {
+}
+
+
+void TeamEdit::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void TeamEdit::__set_share(const int32_t val) {
+  this->share = val;
+}
+
+void TeamEdit::__set_ceiling(const int32_t val) {
+  this->ceiling = val;
+}
+std::ostream& operator<<(std::ostream& out, const TeamEdit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TeamEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->share);
+          this->__isset.share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ceiling);
+          this->__isset.ceiling = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TeamEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TeamEdit");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->share);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ceiling", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ceiling);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TeamEdit &a, TeamEdit &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.share, b.share);
+  swap(a.ceiling, b.ceiling);
+  swap(a.__isset, b.__isset);
+}
+
+TeamEdit::TeamEdit(const TeamEdit& other2) {
+  name = other2.name;
+  share = other2.share;
+  ceiling = other2.ceiling;
+  __isset = other2.__isset;
+}
+TeamEdit& TeamEdit::operator=(const TeamEdit& other3) {
+  name = other3.name;
+  share = other3.share;
+  ceiling = other3.ceiling;
+  __isset = other3.__isset;
+  return *this;
+}
+void TeamEdit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TeamEdit(";
+  out << "name=" << to_string(name);
+  out << ", " << "share=" << to_string(share);
+  out << ", " << "ceiling=" << to_string(ceiling);
+  out << ")";
+}
+
+
+KeyEdit::~KeyEdit() noexcept {
+}
+
+
+void KeyEdit::__set_digest(const std::string& val) {
+  this->digest = val;
+}
+
+void KeyEdit::__set_team(const std::string& val) {
+  this->team = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeyEdit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeyEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeyEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeyEdit");
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeyEdit &a, KeyEdit &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.team, b.team);
+  swap(a.__isset, b.__isset);
+}
+
+KeyEdit::KeyEdit(const KeyEdit& other4) {
+  digest = other4.digest;
+  team = other4.team;
+  __isset = other4.__isset;
+}
+KeyEdit& KeyEdit::operator=(const KeyEdit& other5) {
+  digest = other5.digest;
+  team = other5.team;
+  __isset = other5.__isset;
+  return *this;
+}
+void KeyEdit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeyEdit(";
+  out << "digest=" << to_string(digest);
+  out << ", " << "team=" << to_string(team);
+  out << ")";
+}
+
+
+QueueEdit::~QueueEdit() noexcept {
+}
+
+
+void QueueEdit::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void QueueEdit::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void QueueEdit::__set_isOpen(const bool val) {
+  this->isOpen = val;
+}
+
+void QueueEdit::__set_maxQueued(const int32_t val) {
+  this->maxQueued = val;
+}
+std::ostream& operator<<(std::ostream& out, const QueueEdit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QueueEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isOpen);
+          this->__isset.isOpen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxQueued);
+          this->__isset.maxQueued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QueueEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QueueEdit");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isOpen", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isOpen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxQueued", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->maxQueued);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QueueEdit &a, QueueEdit &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.serviceName, b.serviceName);
+  swap(a.isOpen, b.isOpen);
+  swap(a.maxQueued, b.maxQueued);
+  swap(a.__isset, b.__isset);
+}
+
+QueueEdit::QueueEdit(const QueueEdit& other6) {
+  name = other6.name;
+  serviceName = other6.serviceName;
+  isOpen = other6.isOpen;
+  maxQueued = other6.maxQueued;
+  __isset = other6.__isset;
+}
+QueueEdit& QueueEdit::operator=(const QueueEdit& other7) {
+  name = other7.name;
+  serviceName = other7.serviceName;
+  isOpen = other7.isOpen;
+  maxQueued = other7.maxQueued;
+  __isset = other7.__isset;
+  return *this;
+}
+void QueueEdit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QueueEdit(";
+  out << "name=" << to_string(name);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "isOpen=" << to_string(isOpen);
+  out << ", " << "maxQueued=" << to_string(maxQueued);
+  out << ")";
+}
+
+
+PoolEdit::~PoolEdit() noexcept {
+}
+
+
+void PoolEdit::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void PoolEdit::__set_maxUnavailable(const int32_t val) {
+  this->maxUnavailable = val;
+}
+std::ostream& operator<<(std::ostream& out, const PoolEdit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PoolEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxUnavailable);
+          this->__isset.maxUnavailable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PoolEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PoolEdit");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxUnavailable", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->maxUnavailable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PoolEdit &a, PoolEdit &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.maxUnavailable, b.maxUnavailable);
+  swap(a.__isset, b.__isset);
+}
+
+PoolEdit::PoolEdit(const PoolEdit& other8) {
+  name = other8.name;
+  maxUnavailable = other8.maxUnavailable;
+  __isset = other8.__isset;
+}
+PoolEdit& PoolEdit::operator=(const PoolEdit& other9) {
+  name = other9.name;
+  maxUnavailable = other9.maxUnavailable;
+  __isset = other9.__isset;
+  return *this;
+}
+void PoolEdit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PoolEdit(";
+  out << "name=" << to_string(name);
+  out << ", " << "maxUnavailable=" << to_string(maxUnavailable);
+  out << ")";
+}
+
+
+RunnerEdit::~RunnerEdit() noexcept {
+}
+
+
+void RunnerEdit::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void RunnerEdit::__set_port(const int32_t val) {
+  this->port = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunnerEdit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunnerEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunnerEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunnerEdit");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunnerEdit &a, RunnerEdit &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.__isset, b.__isset);
+}
+
+RunnerEdit::RunnerEdit(const RunnerEdit& other10) {
+  address = other10.address;
+  port = other10.port;
+  __isset = other10.__isset;
+}
+RunnerEdit& RunnerEdit::operator=(const RunnerEdit& other11) {
+  address = other11.address;
+  port = other11.port;
+  __isset = other11.__isset;
+  return *this;
+}
+void RunnerEdit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunnerEdit(";
+  out << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ")";
+}
+
+
+ServiceEdit::~ServiceEdit() noexcept {
+}
+
+
+void ServiceEdit::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void ServiceEdit::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void ServiceEdit::__set_slotsPerRunner(const int32_t val) {
+  this->slotsPerRunner = val;
+}
+
+void ServiceEdit::__set_connectionsPerRunner(const int32_t val) {
+  this->connectionsPerRunner = val;
+}
+
+void ServiceEdit::__set_runners(const std::vector<RunnerEdit> & val) {
+  this->runners = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServiceEdit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServiceEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slotsPerRunner);
+          this->__isset.slotsPerRunner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->connectionsPerRunner);
+          this->__isset.connectionsPerRunner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->runners.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->runners.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              xfer += this->runners[_i16].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.runners = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServiceEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServiceEdit");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slotsPerRunner", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->slotsPerRunner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("connectionsPerRunner", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->connectionsPerRunner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("runners", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runners.size()));
+    std::vector<RunnerEdit> ::const_iterator _iter17;
+    for (_iter17 = this->runners.begin(); _iter17 != this->runners.end(); ++_iter17)
+    {
+      xfer += (*_iter17).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServiceEdit &a, ServiceEdit &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.pool, b.pool);
+  swap(a.slotsPerRunner, b.slotsPerRunner);
+  swap(a.connectionsPerRunner, b.connectionsPerRunner);
+  swap(a.runners, b.runners);
+  swap(a.__isset, b.__isset);
+}
+
+ServiceEdit::ServiceEdit(const ServiceEdit& other18) {
+  name = other18.name;
+  pool = other18.pool;
+  slotsPerRunner = other18.slotsPerRunner;
+  connectionsPerRunner = other18.connectionsPerRunner;
+  runners = other18.runners;
+  __isset = other18.__isset;
+}
+ServiceEdit& ServiceEdit::operator=(const ServiceEdit& other19) {
+  name = other19.name;
+  pool = other19.pool;
+  slotsPerRunner = other19.slotsPerRunner;
+  connectionsPerRunner = other19.connectionsPerRunner;
+  runners = other19.runners;
+  __isset = other19.__isset;
+  return *this;
+}
+void ServiceEdit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServiceEdit(";
+  out << "name=" << to_string(name);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "slotsPerRunner=" << to_string(slotsPerRunner);
+  out << ", " << "connectionsPerRunner=" << to_string(connectionsPerRunner);
+  out << ", " << "runners=" << to_string(runners);
+  out << ")";
+}
+
+
+Edit::~Edit() noexcept {
+}
+
+
+void Edit::__set_putTeam(const TeamEdit& val) {
+  this->putTeam = val;
+__isset.putTeam = true;
+}
+
+void Edit::__set_removeTeam(const std::string& val) {
+  this->removeTeam = val;
+__isset.removeTeam = true;
+}
+
+void Edit::__set_grantKey(const KeyEdit& val) {
+  this->grantKey = val;
+__isset.grantKey = true;
+}
+
+void Edit::__set_withdrawKey(const std::string& val) {
+  this->withdrawKey = val;
+__isset.withdrawKey = true;
+}
+
+void Edit::__set_putQueue(const QueueEdit& val) {
+  this->putQueue = val;
+__isset.putQueue = true;
+}
+
+void Edit::__set_removeQueue(const std::string& val) {
+  this->removeQueue = val;
+__isset.removeQueue = true;
+}
+
+void Edit::__set_putPool(const PoolEdit& val) {
+  this->putPool = val;
+__isset.putPool = true;
+}
+
+void Edit::__set_removePool(const std::string& val) {
+  this->removePool = val;
+__isset.removePool = true;
+}
+
+void Edit::__set_putService(const ServiceEdit& val) {
+  this->putService = val;
+__isset.putService = true;
+}
+
+void Edit::__set_removeService(const std::string& val) {
+  this->removeService = val;
+__isset.removeService = true;
+}
+
+void Edit::__set_setMaxGateways(const int32_t val) {
+  this->setMaxGateways = val;
+__isset.setMaxGateways = true;
+}
+std::ostream& operator<<(std::ostream& out, const Edit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Edit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->putTeam.read(iprot);
+          this->__isset.putTeam = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->removeTeam);
+          this->__isset.removeTeam = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->grantKey.read(iprot);
+          this->__isset.grantKey = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->withdrawKey);
+          this->__isset.withdrawKey = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->putQueue.read(iprot);
+          this->__isset.putQueue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->removeQueue);
+          this->__isset.removeQueue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->putPool.read(iprot);
+          this->__isset.putPool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->removePool);
+          this->__isset.removePool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->putService.read(iprot);
+          this->__isset.putService = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->removeService);
+          this->__isset.removeService = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->setMaxGateways);
+          this->__isset.setMaxGateways = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Edit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Edit");
+
+  if (this->__isset.putTeam) {
+    xfer += oprot->writeFieldBegin("putTeam", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->putTeam.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.removeTeam) {
+    xfer += oprot->writeFieldBegin("removeTeam", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->removeTeam);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.grantKey) {
+    xfer += oprot->writeFieldBegin("grantKey", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->grantKey.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.withdrawKey) {
+    xfer += oprot->writeFieldBegin("withdrawKey", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->withdrawKey);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.putQueue) {
+    xfer += oprot->writeFieldBegin("putQueue", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->putQueue.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.removeQueue) {
+    xfer += oprot->writeFieldBegin("removeQueue", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->removeQueue);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.putPool) {
+    xfer += oprot->writeFieldBegin("putPool", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->putPool.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.removePool) {
+    xfer += oprot->writeFieldBegin("removePool", ::apache::thrift::protocol::T_STRING, 8);
+    xfer += oprot->writeString(this->removePool);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.putService) {
+    xfer += oprot->writeFieldBegin("putService", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->putService.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.removeService) {
+    xfer += oprot->writeFieldBegin("removeService", ::apache::thrift::protocol::T_STRING, 10);
+    xfer += oprot->writeString(this->removeService);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.setMaxGateways) {
+    xfer += oprot->writeFieldBegin("setMaxGateways", ::apache::thrift::protocol::T_I32, 11);
+    xfer += oprot->writeI32(this->setMaxGateways);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Edit &a, Edit &b) {
+  using ::std::swap;
+  swap(a.putTeam, b.putTeam);
+  swap(a.removeTeam, b.removeTeam);
+  swap(a.grantKey, b.grantKey);
+  swap(a.withdrawKey, b.withdrawKey);
+  swap(a.putQueue, b.putQueue);
+  swap(a.removeQueue, b.removeQueue);
+  swap(a.putPool, b.putPool);
+  swap(a.removePool, b.removePool);
+  swap(a.putService, b.putService);
+  swap(a.removeService, b.removeService);
+  swap(a.setMaxGateways, b.setMaxGateways);
+  swap(a.__isset, b.__isset);
+}
+
+Edit::Edit(const Edit& other20) {
+  putTeam = other20.putTeam;
+  removeTeam = other20.removeTeam;
+  grantKey = other20.grantKey;
+  withdrawKey = other20.withdrawKey;
+  putQueue = other20.putQueue;
+  removeQueue = other20.removeQueue;
+  putPool = other20.putPool;
+  removePool = other20.removePool;
+  putService = other20.putService;
+  removeService = other20.removeService;
+  setMaxGateways = other20.setMaxGateways;
+  __isset = other20.__isset;
+}
+Edit& Edit::operator=(const Edit& other21) {
+  putTeam = other21.putTeam;
+  removeTeam = other21.removeTeam;
+  grantKey = other21.grantKey;
+  withdrawKey = other21.withdrawKey;
+  putQueue = other21.putQueue;
+  removeQueue = other21.removeQueue;
+  putPool = other21.putPool;
+  removePool = other21.removePool;
+  putService = other21.putService;
+  removeService = other21.removeService;
+  setMaxGateways = other21.setMaxGateways;
+  __isset = other21.__isset;
+  return *this;
+}
+void Edit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Edit(";
+  out << "putTeam="; (__isset.putTeam ? (out << to_string(putTeam)) : (out << "<null>"));
+  out << ", " << "removeTeam="; (__isset.removeTeam ? (out << to_string(removeTeam)) : (out << "<null>"));
+  out << ", " << "grantKey="; (__isset.grantKey ? (out << to_string(grantKey)) : (out << "<null>"));
+  out << ", " << "withdrawKey="; (__isset.withdrawKey ? (out << to_string(withdrawKey)) : (out << "<null>"));
+  out << ", " << "putQueue="; (__isset.putQueue ? (out << to_string(putQueue)) : (out << "<null>"));
+  out << ", " << "removeQueue="; (__isset.removeQueue ? (out << to_string(removeQueue)) : (out << "<null>"));
+  out << ", " << "putPool="; (__isset.putPool ? (out << to_string(putPool)) : (out << "<null>"));
+  out << ", " << "removePool="; (__isset.removePool ? (out << to_string(removePool)) : (out << "<null>"));
+  out << ", " << "putService="; (__isset.putService ? (out << to_string(putService)) : (out << "<null>"));
+  out << ", " << "removeService="; (__isset.removeService ? (out << to_string(removeService)) : (out << "<null>"));
+  out << ", " << "setMaxGateways="; (__isset.setMaxGateways ? (out << to_string(setMaxGateways)) : (out << "<null>"));
+  out << ")";
+}
+
+
+EditRequest::~EditRequest() noexcept {
+}
+
+
+void EditRequest::__set_operationId(const std::string& val) {
+  this->operationId = val;
+}
+
+void EditRequest::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+}
+
+void EditRequest::__set_edit(const Edit& val) {
+  this->edit = val;
+}
+
+void EditRequest::__set_isNewId(const bool val) {
+  this->isNewId = val;
+}
+std::ostream& operator<<(std::ostream& out, const EditRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EditRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -74,9 +1356,17 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->document);
-          this->__isset.document = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->edit.read(iprot);
+          this->__isset.edit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isNewId);
+          this->__isset.isNewId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -93,10 +1383,10 @@
   return xfer;
 }
 
-uint32_t ChangeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EditRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ChangeRequest");
+  xfer += oprot->writeStructBegin("EditRequest");
 
   xfer += oprot->writeFieldBegin("operationId", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->operationId);
@@ -106,8 +1396,12 @@
   xfer += oprot->writeI64(this->baseVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->document);
+  xfer += oprot->writeFieldBegin("edit", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->edit.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isNewId", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isNewId);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -115,33 +1409,37 @@
   return xfer;
 }
 
-void swap(ChangeRequest &a, ChangeRequest &b) {
+void swap(EditRequest &a, EditRequest &b) {
   using ::std::swap;
   swap(a.operationId, b.operationId);
   swap(a.baseVersion, b.baseVersion);
-  swap(a.document, b.document);
+  swap(a.edit, b.edit);
+  swap(a.isNewId, b.isNewId);
   swap(a.__isset, b.__isset);
 }
 
-ChangeRequest::ChangeRequest(const ChangeRequest& other0) {
-  operationId = other0.operationId;
-  baseVersion = other0.baseVersion;
-  document = other0.document;
-  __isset = other0.__isset;
+EditRequest::EditRequest(const EditRequest& other22) {
+  operationId = other22.operationId;
+  baseVersion = other22.baseVersion;
+  edit = other22.edit;
+  isNewId = other22.isNewId;
+  __isset = other22.__isset;
 }
-ChangeRequest& ChangeRequest::operator=(const ChangeRequest& other1) {
-  operationId = other1.operationId;
-  baseVersion = other1.baseVersion;
-  document = other1.document;
-  __isset = other1.__isset;
+EditRequest& EditRequest::operator=(const EditRequest& other23) {
+  operationId = other23.operationId;
+  baseVersion = other23.baseVersion;
+  edit = other23.edit;
+  isNewId = other23.isNewId;
+  __isset = other23.__isset;
   return *this;
 }
-void ChangeRequest::printTo(std::ostream& out) const {
+void EditRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ChangeRequest(";
+  out << "EditRequest(";
   out << "operationId=" << to_string(operationId);
   out << ", " << "baseVersion=" << to_string(baseVersion);
-  out << ", " << "document=" << to_string(document);
+  out << ", " << "edit=" << to_string(edit);
+  out << ", " << "isNewId=" << to_string(isNewId);
   out << ")";
 }
 
@@ -255,17 +1553,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeAnswer::ChangeAnswer(const ChangeAnswer& other2) {
-  code = other2.code;
-  detail = other2.detail;
-  version = other2.version;
-  __isset = other2.__isset;
+ChangeAnswer::ChangeAnswer(const ChangeAnswer& other24) {
+  code = other24.code;
+  detail = other24.detail;
+  version = other24.version;
+  __isset = other24.__isset;
 }
-ChangeAnswer& ChangeAnswer::operator=(const ChangeAnswer& other3) {
-  code = other3.code;
-  detail = other3.detail;
-  version = other3.version;
-  __isset = other3.__isset;
+ChangeAnswer& ChangeAnswer::operator=(const ChangeAnswer& other25) {
+  code = other25.code;
+  detail = other25.detail;
+  version = other25.version;
+  __isset = other25.__isset;
   return *this;
 }
 void ChangeAnswer::printTo(std::ostream& out) const {
@@ -404,19 +1702,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationAnswer::ConfigurationAnswer(const ConfigurationAnswer& other4) {
-  code = other4.code;
-  detail = other4.detail;
-  version = other4.version;
-  document = other4.document;
-  __isset = other4.__isset;
+ConfigurationAnswer::ConfigurationAnswer(const ConfigurationAnswer& other26) {
+  code = other26.code;
+  detail = other26.detail;
+  version = other26.version;
+  document = other26.document;
+  __isset = other26.__isset;
 }
-ConfigurationAnswer& ConfigurationAnswer::operator=(const ConfigurationAnswer& other5) {
-  code = other5.code;
-  detail = other5.detail;
-  version = other5.version;
-  document = other5.document;
-  __isset = other5.__isset;
+ConfigurationAnswer& ConfigurationAnswer::operator=(const ConfigurationAnswer& other27) {
+  code = other27.code;
+  detail = other27.detail;
+  version = other27.version;
+  document = other27.document;
+  __isset = other27.__isset;
   return *this;
 }
 void ConfigurationAnswer::printTo(std::ostream& out) const {
--- a/gen/operator_types.h
+++ b/gen/operator_types.h
@@ -23,15 +23,32 @@
 
 class ChangeRequest;
 
+class TeamEdit;
+
+class KeyEdit;
+
+class QueueEdit;
+
+class PoolEdit;
+
+class RunnerEdit;
+
+class ServiceEdit;
+
+class Edit;
+
+class EditRequest;
+
 class ChangeAnswer;
 
 class ConfigurationAnswer;
 
 typedef struct _ChangeRequest__isset {
-  _ChangeRequest__isset() : operationId(false), baseVersion(false), document(false) {}
+  _ChangeRequest__isset() : operationId(false), baseVersion(false), document(false), isNewId(true) {}
   bool operationId :1;
   bool baseVersion :1;
   bool document :1;
+  bool isNewId :1;
 } _ChangeRequest__isset;
 
 class ChangeRequest : public virtual ::apache::thrift::TBase {
@@ -42,13 +59,15 @@
   ChangeRequest() noexcept
                 : operationId(),
                   baseVersion(0),
-                  document() {
+                  document(),
+                  isNewId(false) {
   }
 
   virtual ~ChangeRequest() noexcept;
   std::string operationId;
   int64_t baseVersion;
   std::string document;
+  bool isNewId;
 
   _ChangeRequest__isset __isset;
 
@@ -58,6 +77,8 @@
 
   void __set_document(const std::string& val);
 
+  void __set_isNewId(const bool val);
+
   bool operator == (const ChangeRequest & rhs) const
   {
     if (!(operationId == rhs.operationId))
@@ -66,6 +87,8 @@
       return false;
     if (!(document == rhs.document))
       return false;
+    if (!(isNewId == rhs.isNewId))
+      return false;
     return true;
   }
   bool operator != (const ChangeRequest &rhs) const {
@@ -84,6 +107,540 @@
 
 std::ostream& operator<<(std::ostream& out, const ChangeRequest& obj);
 
+typedef struct _TeamEdit__isset {
+  _TeamEdit__isset() : name(false), share(false), ceiling(false) {}
+  bool name :1;
+  bool share :1;
+  bool ceiling :1;
+} _TeamEdit__isset;
+
+class TeamEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  TeamEdit(const TeamEdit&);
+  TeamEdit& operator=(const TeamEdit&);
+  TeamEdit() noexcept
+           : name(),
+             share(0),
+             ceiling(0) {
+  }
+
+  virtual ~TeamEdit() noexcept;
+  std::string name;
+  int32_t share;
+  int32_t ceiling;
+
+  _TeamEdit__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_share(const int32_t val);
+
+  void __set_ceiling(const int32_t val);
+
+  bool operator == (const TeamEdit & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(share == rhs.share))
+      return false;
+    if (!(ceiling == rhs.ceiling))
+      return false;
+    return true;
+  }
+  bool operator != (const TeamEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TeamEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TeamEdit &a, TeamEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const TeamEdit& obj);
+
+typedef struct _KeyEdit__isset {
+  _KeyEdit__isset() : digest(false), team(false) {}
+  bool digest :1;
+  bool team :1;
+} _KeyEdit__isset;
+
+class KeyEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  KeyEdit(const KeyEdit&);
+  KeyEdit& operator=(const KeyEdit&);
+  KeyEdit() noexcept
+          : digest(),
+            team() {
+  }
+
+  virtual ~KeyEdit() noexcept;
+  std::string digest;
+  std::string team;
+
+  _KeyEdit__isset __isset;
+
+  void __set_digest(const std::string& val);
+
+  void __set_team(const std::string& val);
+
+  bool operator == (const KeyEdit & rhs) const
+  {
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(team == rhs.team))
+      return false;
+    return true;
+  }
+  bool operator != (const KeyEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KeyEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KeyEdit &a, KeyEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const KeyEdit& obj);
+
+typedef struct _QueueEdit__isset {
+  _QueueEdit__isset() : name(false), serviceName(false), isOpen(false), maxQueued(false) {}
+  bool name :1;
+  bool serviceName :1;
+  bool isOpen :1;
+  bool maxQueued :1;
+} _QueueEdit__isset;
+
+class QueueEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  QueueEdit(const QueueEdit&);
+  QueueEdit& operator=(const QueueEdit&);
+  QueueEdit() noexcept
+            : name(),
+              serviceName(),
+              isOpen(0),
+              maxQueued(0) {
+  }
+
+  virtual ~QueueEdit() noexcept;
+  std::string name;
+  std::string serviceName;
+  bool isOpen;
+  int32_t maxQueued;
+
+  _QueueEdit__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_isOpen(const bool val);
+
+  void __set_maxQueued(const int32_t val);
+
+  bool operator == (const QueueEdit & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(isOpen == rhs.isOpen))
+      return false;
+    if (!(maxQueued == rhs.maxQueued))
+      return false;
+    return true;
+  }
+  bool operator != (const QueueEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QueueEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QueueEdit &a, QueueEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const QueueEdit& obj);
+
+typedef struct _PoolEdit__isset {
+  _PoolEdit__isset() : name(false), maxUnavailable(false) {}
+  bool name :1;
+  bool maxUnavailable :1;
+} _PoolEdit__isset;
+
+class PoolEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  PoolEdit(const PoolEdit&);
+  PoolEdit& operator=(const PoolEdit&);
+  PoolEdit() noexcept
+           : name(),
+             maxUnavailable(0) {
+  }
+
+  virtual ~PoolEdit() noexcept;
+  std::string name;
+  int32_t maxUnavailable;
+
+  _PoolEdit__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_maxUnavailable(const int32_t val);
+
+  bool operator == (const PoolEdit & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(maxUnavailable == rhs.maxUnavailable))
+      return false;
+    return true;
+  }
+  bool operator != (const PoolEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PoolEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PoolEdit &a, PoolEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const PoolEdit& obj);
+
+typedef struct _RunnerEdit__isset {
+  _RunnerEdit__isset() : address(false), port(false) {}
+  bool address :1;
+  bool port :1;
+} _RunnerEdit__isset;
+
+class RunnerEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunnerEdit(const RunnerEdit&);
+  RunnerEdit& operator=(const RunnerEdit&);
+  RunnerEdit() noexcept
+             : address(),
+               port(0) {
+  }
+
+  virtual ~RunnerEdit() noexcept;
+  std::string address;
+  int32_t port;
+
+  _RunnerEdit__isset __isset;
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  bool operator == (const RunnerEdit & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    return true;
+  }
+  bool operator != (const RunnerEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunnerEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunnerEdit &a, RunnerEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const RunnerEdit& obj);
+
+typedef struct _ServiceEdit__isset {
+  _ServiceEdit__isset() : name(false), pool(false), slotsPerRunner(false), connectionsPerRunner(false), runners(false) {}
+  bool name :1;
+  bool pool :1;
+  bool slotsPerRunner :1;
+  bool connectionsPerRunner :1;
+  bool runners :1;
+} _ServiceEdit__isset;
+
+class ServiceEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServiceEdit(const ServiceEdit&);
+  ServiceEdit& operator=(const ServiceEdit&);
+  ServiceEdit() noexcept
+              : name(),
+                pool(),
+                slotsPerRunner(0),
+                connectionsPerRunner(0) {
+  }
+
+  virtual ~ServiceEdit() noexcept;
+  std::string name;
+  std::string pool;
+  int32_t slotsPerRunner;
+  int32_t connectionsPerRunner;
+  std::vector<RunnerEdit>  runners;
+
+  _ServiceEdit__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_pool(const std::string& val);
+
+  void __set_slotsPerRunner(const int32_t val);
+
+  void __set_connectionsPerRunner(const int32_t val);
+
+  void __set_runners(const std::vector<RunnerEdit> & val);
+
+  bool operator == (const ServiceEdit & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(slotsPerRunner == rhs.slotsPerRunner))
+      return false;
+    if (!(connectionsPerRunner == rhs.connectionsPerRunner))
+      return false;
+    if (!(runners == rhs.runners))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServiceEdit &a, ServiceEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceEdit& obj);
+
+typedef struct _Edit__isset {
+  _Edit__isset() : putTeam(false), removeTeam(false), grantKey(false), withdrawKey(false), putQueue(false), removeQueue(false), putPool(false), removePool(false), putService(false), removeService(false), setMaxGateways(false) {}
+  bool putTeam :1;
+  bool removeTeam :1;
+  bool grantKey :1;
+  bool withdrawKey :1;
+  bool putQueue :1;
+  bool removeQueue :1;
+  bool putPool :1;
+  bool removePool :1;
+  bool putService :1;
+  bool removeService :1;
+  bool setMaxGateways :1;
+} _Edit__isset;
+
+class Edit : public virtual ::apache::thrift::TBase {
+ public:
+
+  Edit(const Edit&);
+  Edit& operator=(const Edit&);
+  Edit() noexcept
+       : removeTeam(),
+         withdrawKey(),
+         removeQueue(),
+         removePool(),
+         removeService(),
+         setMaxGateways(0) {
+  }
+
+  virtual ~Edit() noexcept;
+  TeamEdit putTeam;
+  std::string removeTeam;
+  KeyEdit grantKey;
+  std::string withdrawKey;
+  QueueEdit putQueue;
+  std::string removeQueue;
+  PoolEdit putPool;
+  std::string removePool;
+  ServiceEdit putService;
+  std::string removeService;
+  int32_t setMaxGateways;
+
+  _Edit__isset __isset;
+
+  void __set_putTeam(const TeamEdit& val);
+
+  void __set_removeTeam(const std::string& val);
+
+  void __set_grantKey(const KeyEdit& val);
+
+  void __set_withdrawKey(const std::string& val);
+
+  void __set_putQueue(const QueueEdit& val);
+
+  void __set_removeQueue(const std::string& val);
+
+  void __set_putPool(const PoolEdit& val);
+
+  void __set_removePool(const std::string& val);
+
+  void __set_putService(const ServiceEdit& val);
+
+  void __set_removeService(const std::string& val);
+
+  void __set_setMaxGateways(const int32_t val);
+
+  bool operator == (const Edit & rhs) const
+  {
+    if (__isset.putTeam != rhs.__isset.putTeam)
+      return false;
+    else if (__isset.putTeam && !(putTeam == rhs.putTeam))
+      return false;
+    if (__isset.removeTeam != rhs.__isset.removeTeam)
+      return false;
+    else if (__isset.removeTeam && !(removeTeam == rhs.removeTeam))
+      return false;
+    if (__isset.grantKey != rhs.__isset.grantKey)
+      return false;
+    else if (__isset.grantKey && !(grantKey == rhs.grantKey))
+      return false;
+    if (__isset.withdrawKey != rhs.__isset.withdrawKey)
+      return false;
+    else if (__isset.withdrawKey && !(withdrawKey == rhs.withdrawKey))
+      return false;
+    if (__isset.putQueue != rhs.__isset.putQueue)
+      return false;
+    else if (__isset.putQueue && !(putQueue == rhs.putQueue))
+      return false;
+    if (__isset.removeQueue != rhs.__isset.removeQueue)
+      return false;
+    else if (__isset.removeQueue && !(removeQueue == rhs.removeQueue))
+      return false;
+    if (__isset.putPool != rhs.__isset.putPool)
+      return false;
+    else if (__isset.putPool && !(putPool == rhs.putPool))
+      return false;
+    if (__isset.removePool != rhs.__isset.removePool)
+      return false;
+    else if (__isset.removePool && !(removePool == rhs.removePool))
+      return false;
+    if (__isset.putService != rhs.__isset.putService)
+      return false;
+    else if (__isset.putService && !(putService == rhs.putService))
+      return false;
+    if (__isset.removeService != rhs.__isset.removeService)
+      return false;
+    else if (__isset.removeService && !(removeService == rhs.removeService))
+      return false;
+    if (__isset.setMaxGateways != rhs.__isset.setMaxGateways)
+      return false;
+    else if (__isset.setMaxGateways && !(setMaxGateways == rhs.setMaxGateways))
+      return false;
+    return true;
+  }
+  bool operator != (const Edit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Edit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Edit &a, Edit &b);
+
+std::ostream& operator<<(std::ostream& out, const Edit& obj);
+
+typedef struct _EditRequest__isset {
+  _EditRequest__isset() : operationId(false), baseVersion(false), edit(false), isNewId(true) {}
+  bool operationId :1;
+  bool baseVersion :1;
+  bool edit :1;
+  bool isNewId :1;
+} _EditRequest__isset;
+
+class EditRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  EditRequest(const EditRequest&);
+  EditRequest& operator=(const EditRequest&);
+  EditRequest() noexcept
+              : operationId(),
+                baseVersion(0),
+                isNewId(false) {
+  }
+
+  virtual ~EditRequest() noexcept;
+  std::string operationId;
+  int64_t baseVersion;
+  Edit edit;
+  bool isNewId;
+
+  _EditRequest__isset __isset;
+
+  void __set_operationId(const std::string& val);
+
+  void __set_baseVersion(const int64_t val);
+
+  void __set_edit(const Edit& val);
+
+  void __set_isNewId(const bool val);
+
+  bool operator == (const EditRequest & rhs) const
+  {
+    if (!(operationId == rhs.operationId))
+      return false;
+    if (!(baseVersion == rhs.baseVersion))
+      return false;
+    if (!(edit == rhs.edit))
+      return false;
+    if (!(isNewId == rhs.isNewId))
+      return false;
+    return true;
+  }
+  bool operator != (const EditRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EditRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EditRequest &a, EditRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const EditRequest& obj);
+
 typedef struct _ChangeAnswer__isset {
   _ChangeAnswer__isset() : code(false), detail(false), version(false) {}
   bool code :1;
--- a/testing/support/configurationgroup.cpp
+++ b/testing/support/configurationgroup.cpp
@@ -107,10 +107,10 @@
         deliver(to, [this, &from, &to, poll] {
             const ConfigurationReport report = to.follower->answerPoll(poll, m_time.now());
             send(ReportBytes + report.document.size(), [this, &from, &to, report] {
-                if (from.side == to.side)
-                    deliver(from, [this, &from, report] {
-                        from.follower->onReport(report, m_time.now());
-                    });
+                if (from.side != to.side)
+                    return;
+                deliver(from,
+                        [this, &from, report] { from.follower->onReport(report, m_time.now()); });
             });
         });
     });
@@ -132,7 +132,7 @@
     });
 }
 
-void ConfigurationGroup::send(std::size_t bytes, std::function<void()> arrive)
+void ConfigurationGroup::send(std::size_t bytes, const std::function<void()> &arrive)
 {
     std::uniform_real_distribution<double> chance(0, 1);
     std::uniform_int_distribution<Duration::rep> delay(m_options.minDelay.count(),
--- a/testing/support/configurationgroup.h
+++ b/testing/support/configurationgroup.h
@@ -91,7 +91,7 @@
     void poll(Member &from, std::string_view peer, const ConfigurationPoll &poll);
     void push(Member &member, const ConfigurationPush &push,
               const std::shared_ptr<PushRound> &round);
-    void send(std::size_t bytes, std::function<void()> arrive);
+    void send(std::size_t bytes, const std::function<void()> &arrive);
     static void deliver(Member &member, std::function<void()> event);
     void settle(const PushRound &round, const std::set<std::string> &withdrawn);
     void check();
