--- a/cli/ctl.cpp
+++ b/cli/ctl.cpp
@@ -1,10 +1,9 @@
 #include "cli/command.h"
-#include "cli/onecall.h"
+#include "cli/ctlcommand.h"
 #include "cli/settingsparser.h"
-#include "gen/OperatorService.h"
-#include "net/rpcclient.h"
+#include "net/endpoint.h"
 
-#include <fstream>
+#include <algorithm>
 #include <iostream>
 #include <sstream>
 
@@ -12,84 +11,60 @@
 
 namespace {
 
-constexpr Duration CallDeadline = std::chrono::seconds(10);
+std::vector<CtlCommand> allCommands()
+{
+    std::vector<CtlCommand> commands;
+    for (const auto &group : {ctlConfigurationCommands(), ctlTeamCommands(), ctlKeyCommands(),
+                              ctlQueueCommands(), ctlPoolCommands(), ctlServiceCommands()}) {
+        commands.insert(commands.end(), group.begin(), group.end());
+    }
+    return commands;
+}
 
-struct CtlSettings
+std::string usage(const CtlCommand &command)
 {
-    std::string controller = "127.0.0.1:7300";
-    std::string operationId;
-    std::int64_t baseVersion = 0;
-    std::vector<std::string> words;
-};
+    std::string text;
+    for (const std::string_view word : command.words)
+        text += std::string(word) + " ";
+    return text + std::string(command.operands);
+}
 
-template<typename Args, typename Reply>
-RpcAnswer<Reply> callOnce(const CtlSettings &settings, std::string method, const Args &args)
+std::string allUsages()
 {
-    OneCall call;
-    RpcClient rpc(call.http());
-    RpcAnswer<Reply> answer;
-    call.run([&] {
-        rpc.call<Args, Reply>(parseEndpoint(settings.controller).value(), "/operator",
-                              std::move(method), args, BootClock::now() + CallDeadline,
-                              [&](RpcAnswer<Reply> reply) {
-                                  answer = std::move(reply);
-                                  call.done();
-                              });
-    });
-    return answer;
+    std::string text;
+    for (const CtlCommand &command : allCommands())
+        text += (text.empty() ? "" : " | ") + usage(command);
+    return text;
 }
 
-int printFailure(HttpOutcome outcome, std::string_view detail)
+std::size_t operandCount(const CtlCommand &command)
 {
-    std::cerr << "no answer from the controller: " << detail
-              << (outcome == HttpOutcome::Lost ? " (the call may have taken effect)" : "") << "\n";
-    return int(ResultCode::Unreachable);
+    std::istringstream stream{std::string(command.operands)};
+    std::size_t count = 0;
+    for (std::string operand; stream >> operand;)
+        ++count;
+    return count;
 }
 
-int showConfiguration(const CtlSettings &settings)
+bool isCalled(const CtlCommand &command, const std::vector<std::string> &words)
 {
-    const auto answer
-        = callOnce<api::OperatorService_configuration_args,
-                   api::OperatorService_configuration_result>(settings, "configuration", {});
-    if (!answer.reply)
-        return printFailure(answer.outcome, answer.detail);
-    const api::ConfigurationAnswer &configuration = answer.reply->success;
-    if (configuration.code != int(ResultCode::Ok)) {
-        std::cerr << configuration.code << " " << configuration.detail << "\n";
-        return int(ResultCode::Unreachable);
-    }
-    std::cerr << "version " << configuration.version << "\n";
-    std::cout << configuration.document << "\n";
-    return int(ResultCode::Ok);
+    return words.size() == command.words.size() + operandCount(command)
+        && std::equal(command.words.begin(), command.words.end(), words.begin());
 }
 
-int applyDocument(const CtlSettings &settings, const std::string &file)
+bool areEndpoints(std::string_view text)
 {
-    std::ifstream stream(file);
-    std::ostringstream text;
-    text << stream.rdbuf();
-    api::OperatorService_change_args args;
-    args.request.operationId = settings.operationId;
-    args.request.baseVersion = settings.baseVersion;
-    args.request.document = text.str();
-    const auto answer
-        = callOnce<api::OperatorService_change_args, api::OperatorService_change_result>(
-            settings, "change", args);
-    if (!answer.reply)
-        return printFailure(answer.outcome, answer.detail);
-    const api::ChangeAnswer &change = answer.reply->success;
-    const ResultInfo &info = resultInfo(ResultCode(change.code));
-    std::cout << change.code << " " << info.name << " version " << change.version << " "
-              << change.detail << "\n";
-    return int(info.code == ResultCode::Committed ? ResultCode::Ok : ResultCode::Usage);
+    std::istringstream stream{std::string(text)};
+    bool areValid = true;
+    for (std::string endpoint; std::getline(stream, endpoint, ',');)
+        areValid = areValid && bool(parseEndpoint(endpoint));
+    return areValid;
 }
 
-} // namespace
+constexpr std::int64_t MaxNumber = 1'000'000;
 
-int runCtl(CommandArgs args)
+void addChangeFlags(SettingsParser &parser, CtlSettings &settings)
 {
-    CtlSettings settings;
-    SettingsParser parser("ctl", "Operators' commands: configuration | apply FILE");
     parser.addText("controller", settings.controller,
                    {.isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
                     .expected = "IP-number:port",
@@ -97,7 +72,43 @@
     parser.addText("operation-id", settings.operationId,
                    {.help = "Identifier of the change; repeat it to ask for its outcome"});
     parser.addInteger("base-version", settings.baseVersion,
-                      {.help = "Version that the change was made from"});
+                      {.help = "Version that the change was made from; -1: the current one, or 0 "
+                               "for apply"});
+}
+
+void addObjectFlags(SettingsParser &parser, CtlSettings &settings)
+{
+    parser.addInteger("share", settings.share,
+                      {.min = 1, .max = MaxNumber, .help = "Team: weight when all is full"});
+    parser.addInteger("ceiling", settings.ceiling,
+                      {.max = MaxNumber, .help = "Team: most requests running; 0: no ceiling"});
+    parser.addText("service", settings.service, {.help = "Queue: its service"});
+    parser.addText("open", settings.open,
+                   {.allowed = {"true", "false"}, .help = "Queue: takes work without a key"});
+    parser.addInteger("max-queued", settings.maxQueued,
+                      {.min = 1, .max = MaxNumber, .help = "Queue: requests waiting on a gateway"});
+    parser.addInteger(
+        "max-unavailable", settings.maxUnavailable,
+        {.max = MaxNumber, .help = "Pool: hosts out at once, planned and accidental"});
+    parser.addText("pool", settings.pool, {.help = "Service: its pool"});
+    parser.addInteger("slots", settings.slots,
+                      {.min = 1, .max = MaxNumber, .help = "Service: slots of a runner"});
+    parser.addInteger("connections", settings.connections,
+                      {.min = 1, .max = MaxNumber, .help = "Service: connections of a runner"});
+    parser.addText("runners", settings.runners,
+                   {.isValid = areEndpoints,
+                    .expected = "IP-number:port,...",
+                    .help = "Service: its runners, replacing the current ones"});
+}
+
+} // namespace
+
+int runCtl(CommandArgs args)
+{
+    CtlSettings settings;
+    SettingsParser parser("ctl", "Operators' commands: " + allUsages());
+    addChangeFlags(parser, settings);
+    addObjectFlags(parser, settings);
     parser.addPositional(settings.words, "COMMAND");
     const Result<ParseAction> action = parser.parse(args, processEnvironment);
     if (!action) {
@@ -106,12 +117,13 @@
     }
     if (action.value() == ParseAction::Exit)
         return int(ResultCode::Ok);
-    const std::vector<std::string> &words = settings.words;
-    if (words.size() == 1 && words[0] == "configuration")
-        return showConfiguration(settings);
-    if (words.size() == 2 && words[0] == "apply")
-        return applyDocument(settings, words[1]);
-    std::cerr << "commands: configuration | apply FILE\n";
+    for (const CtlCommand &command : allCommands()) {
+        if (isCalled(command, settings.words)) {
+            const auto operands = std::span(settings.words).subspan(command.words.size());
+            return command.run(settings, operands);
+        }
+    }
+    std::cerr << "commands: " << allUsages() << "\n";
     return int(ResultCode::Usage);
 }
 
--- /dev/null
+++ b/cli/ctlcommand.h
@@ -0,0 +1,51 @@
+// CtlCommand: one operators' command of `sequoiapier ctl`.
+//
+// A command gets the words after its own ones and returns the exit status. Each file cli/ctl*.cpp
+// defines the commands of one kind of object.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sequoiapier {
+
+// Every flag of ctl; those that were not given keep NotGiven or stay empty.
+struct CtlSettings
+{
+    static constexpr std::int64_t NotGiven = -1;
+
+    std::string controller = "127.0.0.1:7300";
+    std::string operationId;
+    std::int64_t baseVersion = NotGiven;
+    std::int64_t share = NotGiven;
+    std::int64_t ceiling = NotGiven;
+    std::string service;
+    std::string open;
+    std::int64_t maxQueued = NotGiven;
+    std::int64_t maxUnavailable = NotGiven;
+    std::string pool;
+    std::int64_t slots = NotGiven;
+    std::int64_t connections = NotGiven;
+    std::string runners;
+    std::vector<std::string> words;
+};
+
+struct CtlCommand
+{
+    std::vector<std::string_view> words; // "team", "set"
+    std::string_view operands; // "NAME"; their number is checked
+    std::function<int(const CtlSettings &, std::span<const std::string> operands)> run;
+};
+
+std::vector<CtlCommand> ctlConfigurationCommands();
+std::vector<CtlCommand> ctlTeamCommands();
+std::vector<CtlCommand> ctlKeyCommands();
+std::vector<CtlCommand> ctlQueueCommands();
+std::vector<CtlCommand> ctlPoolCommands();
+std::vector<CtlCommand> ctlServiceCommands();
+
+} // namespace sequoiapier
--- /dev/null
+++ b/testing/process/configuration_test.cpp
@@ -0,0 +1,186 @@
+// Operators' changes and their way into gateways, with each role in its own process.
+#include "cli/onecall.h"
+#include "platform/remotetable.h"
+#include "testing/support/localsystem.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+namespace sequoiapier {
+namespace {
+
+using namespace std::chrono_literals;
+
+// From the operator's answer to the last request that a withdrawn key may start.
+constexpr auto WithdrawalBound = 5s;
+
+class ConfigurationProcess : public testing::Test
+{
+protected:
+    ConfigurationProcess()
+        : m_system(testing::UnitTest::GetInstance()->current_test_info()->name())
+    { }
+
+    void SetUp() override
+    {
+        ASSERT_TRUE(m_system.startTable());
+        ASSERT_TRUE(m_system.startRunner("runner-1"));
+        ASSERT_TRUE(m_system.startController("controller-1"));
+        ASSERT_TRUE(m_system.startGateway("gateway-1"));
+        Configuration configuration;
+        configuration.teams = {{.name = "pricing"}};
+        configuration.keys = {{.digest = keyDigest("key"), .team = "pricing"}};
+        configuration.services = {
+            {.name = "prices", .runners = {{"127.0.0.1", m_system.member("runner-1").workPort}}}};
+        configuration.queues = {{.name = "prices", .service = "prices"}};
+        m_document = toJson(configuration);
+        ASSERT_EQ(m_system.applyConfiguration(m_document, 0, "first"), 0) << m_system.output();
+        m_version = answeredVersion();
+        ASSERT_TRUE(m_system.waitReady("gateway-1"));
+    }
+
+    // "200 committed version 7 "
+    std::string answeredCode() const { return m_system.output().substr(0, 3); }
+    std::uint64_t answeredVersion() const
+    {
+        const std::size_t word = m_system.output().find("version ");
+        return word == std::string::npos ? 0 : std::stoull(m_system.output().substr(word + 8));
+    }
+    int status(const std::string &key)
+    {
+        return m_system.work("gateway-1", "prices", key, "x").response.status;
+    }
+    std::string events(const std::string &name) const
+    {
+        return m_system.fetch(name, "/events").response.body;
+    }
+    // Writes the configuration row as something other than a controller would.
+    CommitOutcome writeRow(const std::string &value, std::uint64_t base)
+    {
+        OneCall call;
+        RemoteTable remote(call.http(), {{"127.0.0.1", m_system.member("table").adminPort}});
+        const Table table = remote.hooks();
+        CommitOutcome outcome = CommitOutcome::Unknown;
+        call.run([&] {
+            table.commit({.writeId = "test/" + std::to_string(base),
+                          .writes = {{std::string(ConfigurationKey), value, base}}},
+                         BootClock::now() + 5s, [&](const CommitAnswer &answer) {
+                             outcome = answer.outcome;
+                             call.done();
+                         });
+        });
+        return outcome;
+    }
+
+    LocalSystem m_system;
+    std::string m_document;
+    std::uint64_t m_version = 0;
+};
+
+TEST_F(ConfigurationProcess, RacingOperatorsGetOneCommitAndOneConflict)
+{
+    const std::string base = std::to_string(m_version);
+    EXPECT_EQ(m_system.ctl({"team", "set", "returns", "--base-version", base, "--operation-id",
+                            "operator-a"}),
+              0)
+        << m_system.output();
+    const std::uint64_t committed = answeredVersion();
+    EXPECT_NE(m_system.ctl(
+                  {"team", "set", "tills", "--base-version", base, "--operation-id", "operator-b"}),
+              0);
+    EXPECT_EQ(answeredCode(), "201") << m_system.output();
+    EXPECT_EQ(answeredVersion(), committed);
+    EXPECT_EQ(m_system.ctl({"team", "set", "returns", "--operation-id", "operator-a"}), 0);
+    EXPECT_EQ(answeredVersion(), committed) << "a repeat has the first outcome";
+    EXPECT_NE(m_system.ctl({"team", "set", "tills", "--operation-id", "operator-b"}), 0);
+    EXPECT_EQ(answeredCode(), "201") << m_system.output();
+}
+
+TEST_F(ConfigurationProcess, AnswerLostAfterTheWriteIsStillCommitted)
+{
+    const auto setTeam = [&](const std::string &name) {
+        return m_system.ctl({"team", "set", name, "--operation-id", name, "--base-version",
+                             std::to_string(m_version)});
+    };
+    // The change's answer is lost; then also that of the refusal written after it.
+    for (const int lost : {1, 2}) {
+        const std::string name = "lost-" + std::to_string(lost);
+        ASSERT_TRUE(m_system.setFaults("table", "{\"lostCommits\": " + std::to_string(lost) + "}"));
+        setTeam(name);
+        EXPECT_EQ(answeredCode(), lost == 1 ? "200" : "203") << m_system.output();
+        EXPECT_EQ(setTeam(name), 0) << m_system.output();
+        m_version = answeredVersion();
+        ASSERT_NE(m_version, 0U);
+    }
+    EXPECT_EQ(m_system.ctl({"configuration"}), 0);
+    for (const char *team : {"lost-1", "lost-2"})
+        EXPECT_NE(m_system.output().find(team), std::string::npos) << team;
+}
+
+TEST_F(ConfigurationProcess, OutageIsAnsweredTruthfully)
+{
+    ASSERT_TRUE(m_system.setFaults("table", "{\"outage\": true}"));
+    EXPECT_NE(m_system.applyConfiguration(m_document, m_version, "during"), 0);
+    EXPECT_EQ(answeredCode(), "203") << m_system.output();
+    ASSERT_TRUE(m_system.setFaults("table", "{}"));
+    EXPECT_EQ(m_system.applyConfiguration(m_document, m_version, "during"), 0);
+    EXPECT_GT(answeredVersion(), m_version);
+    EXPECT_EQ(status("key"), 200);
+}
+
+TEST_F(ConfigurationProcess, MalformedRowIsRejectedWholeAndTheLastGoodOneServes)
+{
+    ASSERT_EQ(writeRow("{\"teams\": [{\"name\": \"x\"}], \"keys\": 3}", m_version),
+              CommitOutcome::Committed);
+    ASSERT_TRUE(LocalSystem::waitUntil(
+        [&] { return events("gateway-1").find("configuration.rejected") != std::string::npos; }));
+    EXPECT_EQ(status("key"), 200);
+    EXPECT_NE(m_system.ctl({"team", "set", "x"}), 0) << "no edit of what can't be parsed";
+    ASSERT_EQ(m_system.ctl({"configuration"}), 0);
+    const std::uint64_t malformed = answeredVersion();
+    EXPECT_EQ(m_system.applyConfiguration(m_document, malformed, "mend"), 0) << m_system.output();
+    EXPECT_EQ(status("key"), 200);
+}
+
+TEST_F(ConfigurationProcess, GrantedKeyWorksAndWithdrawnKeyIsRefusedWithinTheBound)
+{
+    const std::string file = testing::TempDir() + "sequoiapier-key-" + std::to_string(getpid());
+    std::filesystem::remove(file);
+    ASSERT_EQ(m_system.ctl({"key", "grant", "pricing", file}), 0) << m_system.output();
+    std::ifstream stream(file);
+    std::string key;
+    std::getline(stream, key);
+    EXPECT_TRUE(LocalSystem::waitUntil([&] { return status(key) == 200; }));
+    ASSERT_EQ(m_system.ctl({"configuration"}), 0);
+    EXPECT_EQ(m_system.output().find(key), std::string::npos) << "the key itself travelled";
+    ASSERT_EQ(m_system.ctl({"key", "withdraw", file}), 0) << m_system.output();
+    const auto answered = std::chrono::steady_clock::now();
+    EXPECT_TRUE(LocalSystem::waitUntil([&] { return status(key) == 403; }, WithdrawalBound));
+    EXPECT_LE(std::chrono::steady_clock::now() - answered, WithdrawalBound);
+    EXPECT_EQ(status("key"), 200) << "the team's other key";
+    std::filesystem::remove(file);
+}
+
+TEST_F(ConfigurationProcess, PausedGatewayDoesNotServeAWithdrawnKeyWhenResumed)
+{
+    ChildProcess &gateway = m_system.member("gateway-1").process;
+    gateway.signal(SIGSTOP);
+    ASSERT_EQ(m_system.ctl({"key", "withdraw-digest", keyDigest("key")}), 0) << m_system.output();
+    const auto answered = std::chrono::steady_clock::now();
+    // A request that arrives during the pause waits in the gateway's socket.
+    int paused = 0;
+    std::thread caller([&] { paused = status("key"); });
+    std::this_thread::sleep_until(answered + WithdrawalBound);
+    gateway.signal(SIGCONT);
+    caller.join();
+    EXPECT_TRUE(paused == 403 || paused == 503) << paused;
+    EXPECT_TRUE(LocalSystem::waitUntil([&] { return status("key") == 403; }));
+}
+
+} // namespace
+} // namespace sequoiapier
--- a/testing/standin/faults.cpp
+++ b/testing/standin/faults.cpp
@@ -13,6 +13,7 @@
         return Faults{.outage = json.value("outage", false),
                       .silent = json.value("silent", false),
                       .lostAnswers = json.value("lostAnswers", 0),
+                      .lostCommits = json.value("lostCommits", 0),
                       .delayMs = json.value("delayMs", 0),
                       .leaving = json.value("leaving", false)};
     } catch (const nlohmann::json::exception &exception) {
--- a/testing/standin/faults.h
+++ b/testing/standin/faults.h
@@ -2,6 +2,7 @@
 //
 //   {"outage": true}                    every call is refused (503) or, if "silent", never answered
 //   {"lostAnswers": 3}                  the next 3 calls take effect and are not answered
+//   {"lostCommits": 1}                  as lostAnswers, but only commits count
 //   {"delayMs": 200}                    every answer is late by this much
 #pragma once
 
@@ -16,6 +17,7 @@
     bool outage = false;
     bool silent = false;
     int lostAnswers = 0;
+    int lostCommits = 0;
     int delayMs = 0;
     bool leaving = false; // a runner refuses new work
 };
--- a/testing/standin/tablestandin.cpp
+++ b/testing/standin/tablestandin.cpp
@@ -72,6 +72,11 @@
     m_rpc.add<api::TableService_commit_args, api::TableService_commit_result>(
         "commit", [this](const auto &args, const auto &answer) {
             const CommitAnswer done = m_table.commit(toWrites(args.writes));
+            if (m_faults.lostCommits > 0) {
+                --m_faults.lostCommits;
+                m_lostCommits.push_back(answer);
+                return;
+            }
             api::TableService_commit_result result;
             result.success.outcome = toPlatformOutcome(done.outcome);
             result.success.versions.assign(done.versions.begin(), done.versions.end());
--- a/testing/standin/tablestandin.h
+++ b/testing/standin/tablestandin.h
@@ -23,6 +23,7 @@
     Faults m_faults;
     RpcServer m_rpc;
     std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
+    std::vector<RpcServer::Answer<api::TableService_commit_result>> m_lostCommits; // kept open
     std::vector<std::unique_ptr<Timer>> m_delays;
 };
 
