Refuse bad input with numbered answers and cut slow senders off

Cause 1: an oversize body was refused, and then the connection was closed when the body's first bytes arrived, before the refusal was written. The caller saw no answer. Cause 2: the bound on a slow request head was the library's default. A lost answer's status is now 0; it read as 200 before.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -31,7 +31,8 @@
             .maxBodyBytes = std::size_t(settings.maxBodyBytes),
             .maxConnections = std::size_t(settings.maxCallerConnections),
             .readTimeoutSeconds = unsigned(settings.readTimeoutSeconds),
-            .keptHeaders = callerHeaderNames()};
+            .keptHeaders = callerHeaderNames(),
+            .refusal = [](const Error &error) { return refusalResponse(error, 0); }};
 }
 
 } // namespace
--- a/net/httpcall.h
+++ b/net/httpcall.h
@@ -34,7 +34,7 @@
 {
     HttpOutcome outcome = HttpOutcome::NotSent;
     bool timedOut = false;
-    HttpResponse response;
+    HttpResponse response{.status = 0}; // complete only if Answered
 };
 
 using HttpCallback = std::function<void(HttpAnswer)>;
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -59,7 +59,7 @@
     lws *connection = nullptr;
     bool sent = false;
     bool finished = false;
-    HttpResponse response;
+    HttpResponse response{.status = 0};
 };
 
 HttpClient::HttpClient(Loop &loop, Options options)
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -14,8 +14,6 @@
 namespace {
 
 constexpr std::size_t MaxHeadBytes = 4096; // of a response
-constexpr int StatusLengthRequired = 411;
-constexpr int StatusTooLarge = 413;
 
 int serverCallback(lws *connection, lws_callback_reasons reason, void *user, void *in,
                    std::size_t length)
@@ -93,6 +91,7 @@
     info.user = this;
     info.vhost_name = m_options.address.c_str();
     info.timeout_secs = m_options.readTimeoutSeconds;
+    info.timeout_secs_ah_idle = m_options.readTimeoutSeconds;
     info.keepalive_timeout = 60;
     info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
     m_vhost = lws_create_vhost(m_loop.context(), &info);
@@ -154,13 +153,15 @@
     readHeaders(connection, request);
     const std::string lengthText = copyKnownHeader(connection, WSI_TOKEN_HTTP_CONTENT_LENGTH);
     if (lws_hdr_total_length(connection, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0) {
-        exchange->reply({.status = StatusLengthRequired});
+        refuse(*exchange, {ResultCode::RequestMalformed, "a content-length is required"});
         return 0;
     }
     std::size_t bodyBytes = 0;
     std::from_chars(lengthText.data(), lengthText.data() + lengthText.size(), bodyBytes);
     if (bodyBytes > m_options.maxBodyBytes) {
-        exchange->reply({.status = StatusTooLarge, .headers = {{"connection", "close"}}});
+        refuse(*exchange,
+               {ResultCode::RequestTooLarge,
+                "the body is longer than " + std::to_string(m_options.maxBodyBytes) + " bytes"});
         return 0;
     }
     if (bodyBytes == 0)
@@ -170,6 +171,16 @@
     return 0;
 }
 
+// The rest of the refused request may be on its way, so the connection is closed after the reply.
+void HttpServer::refuse(HttpExchange &exchange, Error error) const
+{
+    HttpResponse response = m_options.refusal
+        ? m_options.refusal(error)
+        : HttpResponse{.status = resultInfo(error.code).httpStatus, .body = error.detail + "\n"};
+    response.headers.push_back({"connection", "close"});
+    exchange.reply(std::move(response));
+}
+
 void HttpServer::readHeaders(lws *connection, HttpRequest &request) const
 {
     static const std::array<std::pair<std::string_view, lws_token_indexes>, 4> Known{{
@@ -193,6 +204,8 @@
     const auto found = m_exchanges.find(connection);
     if (found == m_exchanges.end())
         return -1;
+    if (found->second->m_replied)
+        return 0; // refused; the rest of its body is dropped
     HttpRequest &request = found->second->m_request;
     if (request.body.size() + data.size() > m_options.maxBodyBytes)
         return -1;
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -5,12 +5,13 @@
 //   if (!server.isListening()) ...
 //
 // Memory: maxConnections * (maxHeaderBytes of the loop + maxBodyBytes). A longer body is answered
-// 413, a connection past the bound is closed at once, a chunked body is answered 411, and a sender
-// that takes longer than readTimeout is cut off.
+// RequestTooLarge, a chunked one RequestMalformed, a connection past the bound is closed at once,
+// and a sender that takes longer than readTimeout is cut off.
 #pragma once
 
 #include "net/httpexchange.h"
 #include "net/loop.h"
+#include "sequoiapier/result.h"
 
 #include <cstdint>
 #include <memory>
@@ -36,6 +37,8 @@
         std::size_t maxConnections = 1024;
         unsigned readTimeoutSeconds = 10; // for headers and body
         std::vector<std::string> keptHeaders; // lower case; others are dropped
+        // The response to a request that the server refuses itself; by default a bare status.
+        std::function<HttpResponse(const Error &)> refusal;
     };
 
     HttpServer(Loop &loop, Options options, Handler handler);
@@ -57,6 +60,7 @@
     int onWriteable(lws *connection);
     void onClosed(lws *connection);
     void readHeaders(lws *connection, HttpRequest &request) const;
+    void refuse(HttpExchange &exchange, Error error) const;
     void dispatch(const std::shared_ptr<HttpExchange> &exchange);
 
     Loop &m_loop;
--- a/peer/peernode.cpp
+++ b/peer/peernode.cpp
@@ -79,27 +79,27 @@
 {
     const CommonSettings &settings = m_daemon.settings();
     const std::string key = std::string(MemberPrefix) + settings.name;
-    m_table.read(
-        key, BootClock::now() + TableDeadline, [this](Result<std::optional<TableRow>> row) {
-            if (!row) {
-                m_registerTimer.startAt(BootClock::now() + RegisterRetryInterval);
-                return;
-            }
-            const CommonSettings &settings = m_daemon.settings();
-            const MemberRegistration registration
-                = registerMember({.name = settings.name,
-                                  .role = m_options.role,
-                                  .zone = settings.zone,
-                                  .address = settings.address,
-                                  .port = std::uint16_t(settings.port)},
-                                 row.value());
-            m_table.commit({.writeId = "register/" + settings.name + "/" + randomId(),
-                            .writes = {registration.write}},
-                           BootClock::now() + TableDeadline,
-                           [this, registration](const CommitAnswer &answer) {
-                               onRegistered(registration, answer);
-                           });
-        });
+    m_table.read(key, BootClock::now() + TableDeadline,
+                 [this](Result<std::optional<TableRow>> row) {
+                     if (!row) {
+                         m_registerTimer.startAt(BootClock::now() + RegisterRetryInterval);
+                         return;
+                     }
+                     const CommonSettings &settings = m_daemon.settings();
+                     const MemberRegistration registration
+                         = registerMember({.name = settings.name,
+                                           .role = m_options.role,
+                                           .zone = settings.zone,
+                                           .address = settings.address,
+                                           .port = std::uint16_t(settings.port)},
+                                          row.value());
+                     m_table.commit({.writeId = "register/" + settings.name + "/" + randomId(),
+                                     .writes = {registration.write}},
+                                    BootClock::now() + TableDeadline,
+                                    [this, registration](const CommitAnswer &answer) {
+                                        onRegistered(registration, answer);
+                                    });
+                 });
 }
 
 void PeerNode::onRegistered(const MemberRegistration &registration, const CommitAnswer &answer)
@@ -113,9 +113,9 @@
 void PeerNode::join(std::uint64_t incarnation)
 {
     m_incarnation = incarnation;
-    ConfigurationFollower::Options options {.name = m_daemon.settings().name,
-                                            .incarnation = incarnation,
-                                            .isVoter = m_options.role == "gateway"};
+    ConfigurationFollower::Options options{.name = m_daemon.settings().name,
+                                           .incarnation = incarnation,
+                                           .isVoter = m_options.role == "gateway"};
     m_follower = std::make_unique<ConfigurationFollower>(std::move(options), followerHooks());
     m_daemon.report("member.joined", {.subject = m_options.role, .epoch = incarnation});
     if (m_hooks.joined)
@@ -171,9 +171,9 @@
 {
     const TimePoint now = BootClock::now();
     const std::string &self = m_daemon.settings().name;
-    const ConfigurationPoll poll {.token = now.time_since_epoch().count(),
-                                  .incarnation = m_incarnation,
-                                  .version = m_follower->configuration().version};
+    const ConfigurationPoll poll{.token = now.time_since_epoch().count(),
+                                 .incarnation = m_incarnation,
+                                 .version = m_follower->configuration().version};
     for (const MemberRow &member : m_membership.peers("")) {
         if (self < member.name || !m_membership.isAlive(member.name, now))
             sendPoll(member, poll);
--- a/peer/peernode.h
+++ b/peer/peernode.h
@@ -17,6 +17,7 @@
 #include "peer/peerwire.h"
 #include "platform/remotetable.h"
 #include "sequoiapier/configurationfollower.h"
+#include "sequoiapier/memberid.h"
 #include "sequoiapier/membership.h"
 
 #include <memory>
--- a/peer/peerwire.cpp
+++ b/peer/peerwire.cpp
@@ -51,14 +51,14 @@
 
 ConfigurationReport fromWire(const api::ReportMessage &report)
 {
-    ConfigurationReport result {.token = report.token,
-                                .incarnation = std::uint64_t(report.incarnation),
-                                .sender = report.sender,
-                                .senderIncarnation = std::uint64_t(report.senderIncarnation),
-                                .version = std::uint64_t(report.version),
-                                .seenVersion = std::uint64_t(report.seenVersion),
-                                .canVouch = report.canVouch,
-                                .document = report.document};
+    ConfigurationReport result{.token = report.token,
+                               .incarnation = std::uint64_t(report.incarnation),
+                               .sender = report.sender,
+                               .senderIncarnation = std::uint64_t(report.senderIncarnation),
+                               .version = std::uint64_t(report.version),
+                               .seenVersion = std::uint64_t(report.seenVersion),
+                               .canVouch = report.canVouch,
+                               .document = report.document};
     if (report.__isset.confirmedAgeMicroseconds)
         result.confirmedAge = Duration(report.confirmedAgeMicroseconds);
     for (const api::WithdrawalMessage &notice : report.notices)
--- /dev/null
+++ b/testing/process/oneservicetest.h
@@ -0,0 +1,51 @@
+// OneServiceTest: a fixture with a table, a controller, a runner and a gateway, and one service
+// "prices" with a keyed queue of the same name. The key is "key".
+#pragma once
+
+#include "testing/support/localsystem.h"
+
+#include <gtest/gtest.h>
+
+namespace sequoiapier {
+
+class OneServiceTest : public testing::Test
+{
+protected:
+    OneServiceTest()
+        : m_system(std::string(testing::UnitTest::GetInstance()->current_test_info()->test_suite_name())
+                   + "." + testing::UnitTest::GetInstance()->current_test_info()->name())
+    {
+    }
+
+    void SetUp() override
+    {
+        ASSERT_TRUE(m_system.startTable());
+        ASSERT_TRUE(m_system.startRunner("runner-1"));
+        ASSERT_TRUE(m_system.startController("controller-1"));
+        ASSERT_TRUE(m_system.startGateway("gateway-1", gatewayFlags()));
+        ASSERT_EQ(m_system.applyConfiguration(toJson(configuration()), 0, "first"), 0)
+            << m_system.output();
+        ASSERT_TRUE(m_system.waitReady("gateway-1"));
+    }
+
+    virtual std::vector<std::string> gatewayFlags() const { return {}; }
+
+    virtual Configuration configuration()
+    {
+        Configuration configuration;
+        configuration.teams = {{.name = "pricing"}};
+        configuration.keys = {{.digest = keyDigest("key"), .team = "pricing"}};
+        configuration.services
+            = {{.name = "prices",
+                .runners = {{"127.0.0.1", m_system.member("runner-1").workPort}}}};
+        configuration.queues = {{.name = "prices", .service = "prices"}};
+        return configuration;
+    }
+
+    LocalSystem &system() { return m_system; }
+
+private:
+    LocalSystem m_system;
+};
+
+} // namespace sequoiapier
