--- /dev/null
+++ b/testing/unit/upstreampicker_test.cpp
@@ -0,0 +1,99 @@
+#include "gateway/upstreampicker.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sequoiapier {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{1h};
+
+std::vector<UpstreamRunner> makeRunners(std::size_t count, std::uint32_t slots)
+{
+    std::vector<UpstreamRunner> runners;
+    for (std::size_t i = 0; i < count; ++i)
+        runners.push_back({.name = "r" + std::to_string(i), .slots = slots});
+    return runners;
+}
+
+void run(UpstreamPicker &picker, const std::string &name, UpstreamOutcome outcome, TimePoint now)
+{
+    picker.onStarted(name);
+    picker.onEnded(name, outcome, now);
+}
+
+TEST(UpstreamPicker, LeavingRunnerGetsNothingNew)
+{
+    UpstreamPicker picker({}, 1);
+    picker.setRunners(makeRunners(3, 8));
+    picker.setLeaving("r0", true);
+    run(picker, "r1", UpstreamOutcome::RefusedLeaving, Start);
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_EQ(picker.pick(Start), "r2");
+        picker.onStarted("r2");
+    }
+    EXPECT_FALSE(picker.pick(Start));
+    EXPECT_EQ(picker.pick(Start + 11s), "r1");
+}
+
+TEST(UpstreamPicker, FailingRunnerIsEjectedThenProved)
+{
+    UpstreamPicker picker({.ejectAfter = 2, .maxEjectedPart = 0.5}, 1);
+    picker.setRunners(makeRunners(2, 8));
+    run(picker, "r0", UpstreamOutcome::Failed, Start);
+    EXPECT_FALSE(picker.isEjected("r0", Start));
+    run(picker, "r0", UpstreamOutcome::Failed, Start);
+    EXPECT_TRUE(picker.isEjected("r0", Start));
+    EXPECT_EQ(picker.pick(Start, "r1"), "r1");
+    const TimePoint later = Start + 5s;
+    EXPECT_EQ(picker.pick(later, "r1"), "r0");
+    picker.onStarted("r0");
+    EXPECT_EQ(picker.pick(later, "r1"), "r1") << "one at a time on probation";
+    picker.onEnded("r0", UpstreamOutcome::Failed, later);
+    EXPECT_TRUE(picker.isEjected("r0", later + 9s)) << "twice as long the second time";
+}
+
+TEST(UpstreamPicker, RemovedRunnerIsForgottenAfterItsLastRequest)
+{
+    UpstreamPicker picker({}, 1);
+    picker.setRunners(makeRunners(1, 8));
+    picker.onStarted("r0");
+    picker.setRunners({});
+    EXPECT_FALSE(picker.pick(Start));
+    EXPECT_EQ(picker.size(), 1U);
+    picker.onEnded("r0", UpstreamOutcome::Answered, Start);
+    EXPECT_EQ(picker.size(), 0U);
+}
+
+RC_GTEST_PROP(UpstreamPicker, KeepsWithinSlotsAndEjectedPart, ())
+{
+    const auto count = *rc::gen::inRange<std::size_t>(1, 8);
+    UpstreamPicker picker({.ejectAfter = 1, .maxEjectedPart = 0.4}, 7);
+    picker.setRunners(makeRunners(count, 3));
+    std::vector<std::string> running;
+    TimePoint now = Start;
+    for (int step = 0; step < 100; ++step) {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 500));
+        if (*rc::gen::arbitrary<bool>() || running.empty()) {
+            if (const auto name = picker.pick(now)) {
+                RC_ASSERT(picker.outstanding(*name) < 3U);
+                RC_ASSERT(!picker.isEjected(*name, now));
+                running.emplace_back(*name);
+                picker.onStarted(running.back());
+            }
+        } else {
+            const auto outcome = UpstreamOutcome(*rc::gen::inRange(0, 2));
+            picker.onEnded(running.back(), outcome, now);
+            running.pop_back();
+        }
+        double ejected = 0;
+        for (std::size_t i = 0; i < count; ++i)
+            ejected += picker.isEjected("r" + std::to_string(i), now) ? 1 : 0;
+        RC_ASSERT(ejected <= 0.4 * double(count));
+    }
+}
+
+} // namespace
+} // namespace sequoiapier
