Add ownership of resources through the table

Change: Ownership renews one row a member, takes over by compare-and-set once the old owner's row was seen unchanged for a term and was removed, and hands over when rendezvous hashing names another member. Rows read back are the only truth. Ruled out: one renewed row a resource, which costs writes in proportion to resources.

--- a/sequoiapier/borrower.h
+++ b/sequoiapier/borrower.h
@@ -15,6 +15,8 @@
 #include "sequoiapier/loangrant.h"
 #include "sequoiapier/loanreport.h"
 
+#include <algorithm>
+
 namespace sequoiapier {
 
 class Borrower
@@ -50,6 +52,9 @@
     // an answer older than one accepted), LeaseExpired (its term is over), or the grant's own code.
     // `reportSentAt` is the moment at which the report was sent that the grant answers.
     ResultCode accept(const LoanGrant &grant, TimePoint reportSentAt, TimePoint now);
+    // Ignores grants of epochs before `epoch` from now on. Call it with the epoch in the owner row,
+    // read after this borrower was registered in the table.
+    void requireEpoch(std::uint64_t epoch) { m_epoch = std::max(m_epoch, epoch); }
     // Ends the lease at once, for instance after the process was paused.
     void dropLease();
 
--- a/sequoiapier/lender.cpp
+++ b/sequoiapier/lender.cpp
@@ -36,7 +36,7 @@
 {
     if (m_options.priorCapacity == 0 || m_options.faults.forgetPriorLoans)
         return;
-    const Duration longest = std::max(m_options.term, m_options.outageTerm);
+    const Duration longest = std::max(m_options.term, m_options.suspicion + m_options.outageTerm);
     const double stretch = 1 + m_options.clockRateMargin;
     m_priorEnd += std::chrono::duration_cast<Duration>(longest * stretch) + m_options.longestWork;
     m_unaccounted = m_options.priorCapacity;
--- /dev/null
+++ b/sequoiapier/memberview.cpp
@@ -0,0 +1,37 @@
+#include "sequoiapier/memberview.h"
+
+#include <utility>
+
+namespace sequoiapier {
+
+void MemberView::observe(std::span<const TableRow> rows, TimePoint now)
+{
+    const bool isGap = now - m_lastScan > m_options.maxScanGap;
+    m_lastScan = now;
+    std::map<MemberId, Entry> entries;
+    for (const TableRow &row : rows) {
+        const Result<MemberId> member = parseMemberKey(row.key, MemberPrefix);
+        const Result<MemberRow> value = parseMemberRow(row.value);
+        if (!member || !value)
+            continue;
+        const Entry *before = find(member.value());
+        const bool isUnchanged = !isGap && before != nullptr && before->version == row.version;
+        const TimePoint deadline = isUnchanged ? before->deadline : now + m_options.term;
+        entries[member.value()] = {value.value(), row.version, deadline};
+    }
+    m_entries = std::move(entries);
+}
+
+bool MemberView::isAlive(const MemberId &member, TimePoint now) const
+{
+    const Entry *entry = find(member);
+    return entry != nullptr && now < entry->deadline;
+}
+
+const MemberView::Entry *MemberView::find(const MemberId &member) const
+{
+    const auto found = m_entries.find(member);
+    return found != m_entries.end() ? &found->second : nullptr;
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/sequoiapier/memberview.h
@@ -0,0 +1,53 @@
+// MemberView: which lending members are alive, judged by the renewals of their table rows.
+//
+//   view.observe(rows, now);                 // after every scan of members/
+//   if (!view.isAlive(owner, now)) ...
+//
+// A member counts as dead once its row was seen unchanged for a whole term on this process's own
+// clock while the table answered. A gap between scans starts the observation afresh.
+#pragma once
+
+#include "sequoiapier/bootclock.h"
+#include "sequoiapier/ownerrow.h"
+#include "sequoiapier/table.h"
+
+#include <map>
+#include <span>
+
+namespace sequoiapier {
+
+class MemberView
+{
+public:
+    struct Options
+    {
+        Duration term{}; // after which an unchanged row shows a dead member
+        Duration maxScanGap{}; // between two scans for the observation to go on
+    };
+
+    struct Entry
+    {
+        MemberRow row;
+        std::uint64_t version = 0; // of the table row
+        TimePoint deadline{}; // dead from here on, if unchanged
+    };
+
+    explicit MemberView(Options options)
+        : m_options(options)
+    { }
+
+    // Takes in all rows of a scan. Malformed rows are skipped. O(n log n).
+    void observe(std::span<const TableRow> rows, TimePoint now);
+
+    bool isAlive(const MemberId &member, TimePoint now) const;
+    // nullptr if the member has no row: it left or was declared dead.
+    const Entry *find(const MemberId &member) const;
+    const std::map<MemberId, Entry> &entries() const { return m_entries; }
+
+private:
+    Options m_options;
+    TimePoint m_lastScan{};
+    std::map<MemberId, Entry> m_entries;
+};
+
+} // namespace sequoiapier
--- /dev/null
+++ b/sequoiapier/ownership.cpp
@@ -0,0 +1,332 @@
+// One turn: renew the own row, scan members/ and owners/, compare the owner rows with what is owned
+// here, then write at most one transaction with all changes that are this member's to make:
+//   - remove the rows of dead members, at the version at which they were seen unchanged
+//   - take resources over whose owner has no row any more, with the next epoch
+//   - hand resources over for which rendezvous hashing names another live member
+// Table calls a second and member: 1 / renewInterval writes, 2 / scanInterval reads, whatever the
+// number of resources. A turn is O(r * m) for r resources and m members.
+#include "sequoiapier/ownership.h"
+
+#include "sequoiapier/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr std::size_t MaxWritesPerCommit = 64;
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+} // namespace
+
+Ownership::Ownership(Options options, Table table, Hooks hooks)
+    : m_options(std::move(options))
+    , m_table(std::move(table))
+    , m_hooks(std::move(hooks))
+    , m_members({.term = scaled(m_options.term, 1 + m_options.clockRateMargin),
+                 .maxScanGap = 2 * m_options.scanInterval + m_options.tableTimeout})
+{ }
+
+void Ownership::setResources(std::vector<std::string> resources)
+{
+    std::sort(resources.begin(), resources.end());
+    m_resources = std::move(resources);
+    giveUp([&](const std::string &resource, std::uint64_t) { return !isConfigured(resource); });
+}
+
+bool Ownership::isConfigured(const std::string &resource) const
+{
+    return std::binary_search(m_resources.begin(), m_resources.end(), resource);
+}
+
+const OwnerRow *Ownership::ownerOf(const std::string &resource) const
+{
+    const auto found = m_owners.find(resource);
+    return found != m_owners.end() ? &found->second.row : nullptr;
+}
+
+TimePoint Ownership::deadline() const
+{
+    return m_hooks.now() + m_options.tableTimeout;
+}
+
+std::string Ownership::nextWriteId()
+{
+    return "ownership/" + toString(m_options.self) + "/" + std::to_string(++m_writes);
+}
+
+void Ownership::tick()
+{
+    if (m_hasLeft)
+        return;
+    const TimePoint now = m_hooks.now();
+    if (!m_isRenewing && now >= m_nextRenewal)
+        renew();
+    if (!m_isScanning && now >= m_nextScan)
+        scan();
+}
+
+void Ownership::leave()
+{
+    m_isLeaving = true;
+    m_nextScan = m_hooks.now();
+}
+
+void Ownership::renew()
+{
+    const TimePoint sentAt = m_hooks.now();
+    m_isRenewing = true;
+    m_nextRenewal = sentAt + m_options.renewInterval;
+    const MemberRow row{m_options.zone, m_options.address, ++m_renewal};
+    Commit commit{.writeId = nextWriteId()};
+    commit.writes = {{memberKey(m_options.self), toJson(row), m_memberVersion}};
+    const std::string writeId = commit.writeId;
+    m_table.commit(std::move(commit), deadline(),
+                   [=, this](const CommitAnswer &answer) { onRenewed(answer, writeId, sentAt); });
+}
+
+void Ownership::onRenewed(const CommitAnswer &answer, const std::string &writeId, TimePoint sentAt)
+{
+    if (answer.outcome == CommitOutcome::Unknown) {
+        readBackRenewal(writeId, sentAt);
+        return;
+    }
+    m_isRenewing = false;
+    if (answer.outcome == CommitOutcome::Committed) {
+        m_memberVersion = std::max(m_memberVersion, answer.versions.front());
+        confirm(sentAt);
+    } else if (answer.outcome == CommitOutcome::Conflict) {
+        m_nextScan = m_hooks.now();
+    }
+}
+
+// The row that records the write shows that the lease counts; the scan brings the row's version.
+void Ownership::readBackRenewal(const std::string &writeId, TimePoint sentAt)
+{
+    const auto onRead = [=, this](const Result<std::optional<TableRow>> &row) {
+        m_isRenewing = false;
+        m_nextScan = m_hooks.now();
+        if (row && row.value())
+            confirm(sentAt);
+    };
+    m_table.read(writeRecordKey(writeId), deadline(), onRead);
+}
+
+void Ownership::confirm(TimePoint sentAt)
+{
+    const TimePoint until = sentAt + scaled(m_options.term, 1 - m_options.clockRateMargin);
+    m_ownedUntil = std::max(m_ownedUntil, until);
+}
+
+// Another member declared this one dead. It goes on as a new incarnation.
+void Ownership::rejoin()
+{
+    giveUp([](const std::string &, std::uint64_t) { return true; });
+    ++m_options.self.incarnation;
+    m_memberVersion = 0;
+    m_ownedUntil = {};
+    m_nextRenewal = m_hooks.now();
+}
+
+void Ownership::scan()
+{
+    m_isScanning = true;
+    m_nextScan = m_hooks.now() + m_options.scanInterval;
+    const MemberId self = m_options.self;
+    const bool hadRow = m_memberVersion != 0;
+    const auto onScan = [=, this](const Result<std::vector<TableRow>> &rows) {
+        if (!rows) {
+            m_isScanning = false;
+            return;
+        }
+        m_members.observe(rows.value(), m_hooks.now());
+        const MemberView::Entry *entry = m_members.find(m_options.self);
+        if (entry != nullptr)
+            m_memberVersion = std::max(m_memberVersion, entry->version);
+        else if (hadRow && self == m_options.self)
+            m_isLeaving ? void(m_hasLeft = true) : rejoin();
+        scanOwners();
+    };
+    m_table.scan(MemberPrefix, deadline(), onScan);
+}
+
+void Ownership::scanOwners()
+{
+    m_table.scan(OwnerPrefix, deadline(), [this](const Result<std::vector<TableRow>> &rows) {
+        m_isScanning = false;
+        if (rows)
+            onScanned(rows.value());
+    });
+}
+
+void Ownership::onScanned(const std::vector<TableRow> &ownerRows)
+{
+    m_owners.clear();
+    for (const TableRow &row : ownerRows) {
+        const Result<OwnerRow> value = parseOwnerRow(row.value);
+        if (value)
+            m_owners[row.key.substr(OwnerPrefix.size())] = {value.value(), row.version};
+    }
+    giveUp([&](const std::string &resource, std::uint64_t epoch) {
+        const OwnerRow *row = ownerOf(resource);
+        return row == nullptr || row->owner != m_options.self || row->epoch != epoch;
+    });
+    scanBorrowers();
+    plan();
+}
+
+void Ownership::giveUp(const IsLost &isLost)
+{
+    for (auto entry = m_owned.begin(); entry != m_owned.end();) {
+        if (!isLost(entry->first, entry->second)) {
+            ++entry;
+            continue;
+        }
+        const std::string resource = entry->first;
+        m_givenUp[resource] = entry->second;
+        entry = m_owned.erase(entry);
+        m_hooks.onLost(resource);
+    }
+}
+
+// The resources that the owner rows give to this member and that it does not lend yet.
+std::vector<std::string> Ownership::newlyOwned() const
+{
+    std::vector<std::string> resources;
+    for (const auto &[resource, owner] : m_owners) {
+        const auto givenUp = m_givenUp.find(resource);
+        const bool wasGivenUp = givenUp != m_givenUp.end() && owner.row.epoch <= givenUp->second;
+        if (owner.row.owner == m_options.self && !owns(resource) && isConfigured(resource)
+            && !wasGivenUp) {
+            resources.push_back(resource);
+        }
+    }
+    return resources;
+}
+
+// Who may hold loans of earlier epochs is read after the owner row was changed, so that a borrower
+// registered later finds the new epoch there.
+void Ownership::scanBorrowers()
+{
+    if (m_isAcquiring || newlyOwned().empty())
+        return;
+    m_isAcquiring = true;
+    const auto onScan = [this](const Result<std::vector<TableRow>> &rows) {
+        m_isAcquiring = false;
+        if (!rows)
+            return;
+        std::vector<MemberId> borrowers;
+        for (const TableRow &row : rows.value()) {
+            const Result<MemberId> borrower = parseMemberKey(row.key, BorrowerPrefix);
+            if (borrower)
+                borrowers.push_back(borrower.value());
+        }
+        acquire(borrowers);
+    };
+    // Owner rows seen after this scan began wait for the next one.
+    m_acquiring = newlyOwned();
+    m_table.scan(BorrowerPrefix, deadline(), onScan);
+}
+
+void Ownership::acquire(const std::vector<MemberId> &borrowers)
+{
+    if (m_hooks.now() >= m_ownedUntil)
+        return;
+    const std::vector<std::string> valid = newlyOwned();
+    for (const std::string &resource : m_acquiring) {
+        if (!std::binary_search(valid.begin(), valid.end(), resource))
+            continue;
+        const std::uint64_t epoch = m_owners[resource].row.epoch;
+        m_owned[resource] = epoch;
+        m_hooks.onAcquired({resource, epoch, borrowers});
+    }
+}
+
+std::vector<std::string> Ownership::candidates() const
+{
+    std::vector<std::string> names;
+    const TimePoint now = m_hooks.now();
+    for (const auto &[member, entry] : m_members.entries()) {
+        const bool isSelf = member == m_options.self;
+        if (isSelf ? !m_isLeaving : m_members.isAlive(member, now))
+            names.push_back(member.name);
+    }
+    return names;
+}
+
+// The latest incarnation of the member that is to lend `resource`.
+MemberId Ownership::pick(const std::string &resource, const std::vector<std::string> &names) const
+{
+    const std::size_t index = rendezvousPick(resource, names);
+    MemberId picked;
+    for (const auto &[member, entry] : m_members.entries()) {
+        if (index < names.size() && member.name == names[index])
+            picked = member;
+    }
+    return picked;
+}
+
+void Ownership::plan()
+{
+    if (m_isChanging || m_memberVersion == 0 || m_hooks.now() >= m_ownedUntil)
+        return;
+    const std::vector<std::string> names = candidates();
+    Commit commit;
+    for (const auto &[member, entry] : m_members.entries()) {
+        const std::string key = memberKey(member);
+        const bool isDead = member != m_options.self && !m_members.isAlive(member, m_hooks.now());
+        if (isDead && pick(key, names) == m_options.self)
+            commit.writes.push_back({key, std::nullopt, entry.version});
+    }
+    for (const std::string &resource : m_resources) {
+        if (commit.writes.size() < MaxWritesPerCommit)
+            planResource(resource, pick(resource, names), commit);
+    }
+    if (m_isLeaving && commit.writes.empty()) {
+        giveUp([](const std::string &, std::uint64_t) { return true; });
+        commit.writes.push_back({memberKey(m_options.self), std::nullopt, m_memberVersion});
+    }
+    if (!commit.writes.empty())
+        change(std::move(commit));
+}
+
+void Ownership::planResource(const std::string &resource, const MemberId &next, Commit &commit)
+{
+    const auto found = m_owners.find(resource);
+    if (found == m_owners.end()) {
+        if (next == m_options.self)
+            commit.writes.push_back({ownerKey(resource), toJson(OwnerRow{next, 1}), 0});
+        return;
+    }
+    const OwnerRow &row = found->second.row;
+    const bool isMine = row.owner == m_options.self;
+    const bool isFree = m_members.find(row.owner) == nullptr;
+    const auto givenUp = m_givenUp.find(resource);
+    const bool wasGivenUp = givenUp != m_givenUp.end() && row.epoch <= givenUp->second;
+    const bool isHandedOver = isMine && next != m_options.self && !next.name.empty();
+    const bool isTaken = next == m_options.self && (isMine ? wasGivenUp : isFree);
+    if (!isHandedOver && !isTaken)
+        return;
+    giveUp([&](const std::string &owned, std::uint64_t) { return owned == resource; });
+    const OwnerRow changed{next, row.epoch + 1};
+    commit.writes.push_back({ownerKey(resource), toJson(changed), found->second.version});
+}
+
+// Whatever the answer, the scan that follows shows what is in the table.
+void Ownership::change(Commit commit)
+{
+    m_isChanging = true;
+    commit.writeId = nextWriteId();
+    m_table.commit(std::move(commit), deadline(), [this](const CommitAnswer &) {
+        m_isChanging = false;
+        m_nextScan = m_hooks.now();
+    });
+}
+
+} // namespace sequoiapier
