--- a/sequoiapier/memberview.cpp
+++ b/sequoiapier/memberview.cpp
@@ -10,8 +10,8 @@
     m_lastScan = now;
     std::map<MemberId, Entry> entries;
     for (const TableRow &row : rows) {
-        const Result<MemberId> member = parseMemberKey(row.key, MemberPrefix);
-        const Result<MemberRow> value = parseMemberRow(row.value);
+        const Result<MemberId> member = parseMemberKey(row.key, LenderPrefix);
+        const Result<LenderRow> value = parseLenderRow(row.value);
         if (!member || !value)
             continue;
         const Entry *before = find(member.value());
--- a/sequoiapier/memberview.h
+++ b/sequoiapier/memberview.h
@@ -1,6 +1,6 @@
 // MemberView: which lending members are alive, judged by the renewals of their table rows.
 //
-//   view.observe(rows, now);                 // after every scan of members/
+//   view.observe(rows, now);                 // after every scan of lenders/
 //   if (!view.isAlive(owner, now)) ...
 //
 // A member counts as dead once its row was seen unchanged for a whole term on this process's own
@@ -27,7 +27,7 @@
 
     struct Entry
     {
-        MemberRow row;
+        LenderRow row;
         std::uint64_t version = 0; // of the table row
         TimePoint deadline{}; // dead from here on, if unchanged
     };
--- a/sequoiapier/ownerrow.cpp
+++ b/sequoiapier/ownerrow.cpp
@@ -32,9 +32,9 @@
     return std::string(OwnerPrefix) + std::string(resource);
 }
 
-std::string memberKey(const MemberId &member)
+std::string lenderKey(const MemberId &member)
 {
-    return std::string(MemberPrefix) + toString(member);
+    return std::string(LenderPrefix) + toString(member);
 }
 
 std::string borrowerKey(const MemberId &member)
@@ -49,7 +49,7 @@
     return json.dump();
 }
 
-std::string toJson(const MemberRow &row)
+std::string toJson(const LenderRow &row)
 {
     const Json json{{"zone", row.zone}, {"address", row.address}, {"renewal", row.renewal}};
     return json.dump();
@@ -64,12 +64,12 @@
                     json["epoch"].get<std::uint64_t>()};
 }
 
-Result<MemberRow> parseMemberRow(std::string_view value)
+Result<LenderRow> parseLenderRow(std::string_view value)
 {
     const Json json = Json::parse(value, nullptr, false);
     if (!hasText(json, "zone") || !hasText(json, "address") || !hasNumber(json, "renewal"))
         return malformed("member row");
-    return MemberRow{json["zone"].get<std::string>(), json["address"].get<std::string>(),
+    return LenderRow{json["zone"].get<std::string>(), json["address"].get<std::string>(),
                      json["renewal"].get<std::uint64_t>()};
 }
 
--- a/sequoiapier/ownerrow.h
+++ b/sequoiapier/ownerrow.h
@@ -1,7 +1,7 @@
 // The table rows that say which member lends which resource, and which members there are.
 //
 //   owners/<resource>        who lends the resource, under which epoch
-//   members/<name>@<number>  a process that may lend; rewritten at every renewal
+//   lenders/<name>@<number>  a process that may lend; rewritten at every renewal
 //   borrowers/<name>@<number>  a process that may borrow; written before it first borrows
 #pragma once
 
@@ -15,7 +15,7 @@
 namespace sequoiapier {
 
 inline constexpr std::string_view OwnerPrefix = "owners/";
-inline constexpr std::string_view MemberPrefix = "members/";
+inline constexpr std::string_view LenderPrefix = "lenders/";
 inline constexpr std::string_view BorrowerPrefix = "borrowers/";
 
 struct OwnerRow
@@ -24,7 +24,7 @@
     std::uint64_t epoch = 0; // grows by one with every change of the owner
 };
 
-struct MemberRow
+struct LenderRow
 {
     std::string zone;
     std::string address; // where reports are sent, as the embedder writes it
@@ -32,15 +32,15 @@
 };
 
 std::string ownerKey(std::string_view resource);
-std::string memberKey(const MemberId &member);
+std::string lenderKey(const MemberId &member);
 std::string borrowerKey(const MemberId &member);
 
 std::string toJson(const OwnerRow &row);
-std::string toJson(const MemberRow &row);
+std::string toJson(const LenderRow &row);
 
 // RowMalformed if `value` is not such a row.
 Result<OwnerRow> parseOwnerRow(std::string_view value);
-Result<MemberRow> parseMemberRow(std::string_view value);
+Result<LenderRow> parseLenderRow(std::string_view value);
 // The member in "<prefix><name>@<number>". RowMalformed if `key` is none.
 Result<MemberId> parseMemberKey(std::string_view key, std::string_view prefix);
 
--- a/sequoiapier/ownership.cpp
+++ b/sequoiapier/ownership.cpp
@@ -1,4 +1,4 @@
-// One turn: renew the own row, scan members/ and owners/, compare the owner rows with what is owned
+// One turn: renew the own row, scan lenders/ and owners/, compare the owner rows with what is owned
 // here, then write at most one transaction with all changes that are this member's to make:
 //   - remove the rows of dead members, at the version at which they were seen unchanged
 //   - take resources over whose owner has no row any more, with the next epoch
@@ -83,9 +83,9 @@
     const TimePoint sentAt = m_hooks.now();
     m_isRenewing = true;
     m_nextRenewal = sentAt + m_options.renewInterval;
-    const MemberRow row{m_options.zone, m_options.address, ++m_renewal};
+    const LenderRow row{m_options.zone, m_options.address, ++m_renewal};
     Commit commit{.writeId = nextWriteId()};
-    commit.writes = {{memberKey(m_options.self), toJson(row), m_memberVersion}};
+    commit.writes = {{lenderKey(m_options.self), toJson(row), m_memberVersion}};
     const std::string writeId = commit.writeId;
     m_table.commit(std::move(commit), deadline(),
                    [=, this](const CommitAnswer &answer) { onRenewed(answer, writeId, sentAt); });
@@ -153,7 +153,7 @@
             m_isLeaving ? void(m_hasLeft = true) : rejoin();
         scanOwners();
     };
-    m_table.scan(MemberPrefix, deadline(), onScan);
+    m_table.scan(LenderPrefix, deadline(), onScan);
 }
 
 void Ownership::scanOwners()
@@ -279,7 +279,7 @@
     const std::vector<std::string> names = candidates();
     Commit commit;
     for (const auto &[member, entry] : m_members.entries()) {
-        const std::string key = memberKey(member);
+        const std::string key = lenderKey(member);
         const bool isDead = member != m_options.self && !m_members.isAlive(member, m_hooks.now());
         if (isDead && pick(key, names) == m_options.self)
             commit.writes.push_back({key, std::nullopt, entry.version});
@@ -290,7 +290,7 @@
     }
     if (m_isLeaving && commit.writes.empty()) {
         giveUp([](const std::string &, std::uint64_t) { return true; });
-        commit.writes.push_back({memberKey(m_options.self), std::nullopt, m_memberVersion});
+        commit.writes.push_back({lenderKey(m_options.self), std::nullopt, m_memberVersion});
     }
     if (!commit.writes.empty())
         change(std::move(commit));
--- a/testing/process/badinput_test.cpp
+++ b/testing/process/badinput_test.cpp
@@ -1,5 +1,5 @@
-// What callers and operators send that is not as it must be: each has a numbered answer or an end of
-// its connection, and the gateway serves on.
+// What callers and operators send that is not as it must be: each has a numbered answer or an end
+// of its connection, and the gateway serves on.
 #include "testing/process/oneservicetest.h"
 #include "testing/support/rawconnection.h"
 
@@ -8,15 +8,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds Patience {5'000};
+constexpr milliseconds Patience{5'000};
 
 class BadInput : public OneServiceTest
 {
 protected:
     std::vector<std::string> gatewayFlags() const override
     {
-        return {"--max-body-bytes", "1000", "--max-caller-connections", "8", "--read-timeout-s",
-                "1"};
+        return {"--max-body-bytes", "1000", "--max-caller-connections", "8",
+                "--read-timeout-s", "1"};
     }
 
     std::uint16_t callerPort() { return system().member("gateway-1").workPort; }
@@ -29,11 +29,9 @@
 
 TEST_F(BadInput, OversizeBodyIsRefusedAsNotRun)
 {
-    const HttpAnswer answer
-        = system().work("gateway-1", "prices", "key", std::string(1'001, 'b'));
+    const HttpAnswer answer = system().work("gateway-1", "prices", "key", std::string(1'001, 'b'));
     EXPECT_EQ(answer.response.status, 413);
-    EXPECT_NE(answer.response.body.find("\"code\":114"), std::string::npos)
-        << answer.response.body;
+    EXPECT_NE(answer.response.body.find("\"code\":114"), std::string::npos) << answer.response.body;
     EXPECT_NE(answer.response.body.find("not-run"), std::string::npos);
     expectServing();
 }
--- a/testing/process/oneservicetest.h
+++ b/testing/process/oneservicetest.h
@@ -12,10 +12,10 @@
 {
 protected:
     OneServiceTest()
-        : m_system(std::string(testing::UnitTest::GetInstance()->current_test_info()->test_suite_name())
-                   + "." + testing::UnitTest::GetInstance()->current_test_info()->name())
-    {
-    }
+        : m_system(
+            std::string(testing::UnitTest::GetInstance()->current_test_info()->test_suite_name())
+            + "." + testing::UnitTest::GetInstance()->current_test_info()->name())
+    { }
 
     void SetUp() override
     {
@@ -35,9 +35,8 @@
         Configuration configuration;
         configuration.teams = {{.name = "pricing"}};
         configuration.keys = {{.digest = keyDigest("key"), .team = "pricing"}};
-        configuration.services
-            = {{.name = "prices",
-                .runners = {{"127.0.0.1", m_system.member("runner-1").workPort}}}};
+        configuration.services = {
+            {.name = "prices", .runners = {{"127.0.0.1", m_system.member("runner-1").workPort}}}};
         configuration.queues = {{.name = "prices", .service = "prices"}};
         return configuration;
     }
--- a/testing/support/rawconnection.cpp
+++ b/testing/support/rawconnection.cpp
@@ -1,18 +1,19 @@
 #include "testing/support/rawconnection.h"
 
-#include <algorithm>
 #include <arpa/inet.h>
-#include <array>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
+
 namespace sequoiapier {
 
 RawConnection::RawConnection(std::uint16_t port)
     : m_socket(socket(AF_INET, SOCK_STREAM, 0))
 {
-    sockaddr_in address {};
+    sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
@@ -37,7 +38,7 @@
 {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         deadline - std::chrono::steady_clock::now());
-    pollfd entry {m_socket, POLLIN, 0};
+    pollfd entry{m_socket, POLLIN, 0};
     if (poll(&entry, 1, int(std::max<std::int64_t>(0, left.count()))) <= 0)
         return -1;
     return std::max<long>(0, recv(m_socket, buffer, BufferBytes, 0));
@@ -48,7 +49,7 @@
 {
     const auto deadline = std::chrono::steady_clock::now() + patience;
     std::string received;
-    std::array<char, BufferBytes> buffer {};
+    std::array<char, BufferBytes> buffer{};
     while (received.find(mark) == std::string::npos) {
         const long count = receive(buffer.data(), deadline);
         if (count <= 0)
@@ -61,7 +62,7 @@
 bool RawConnection::waitClosed(std::chrono::milliseconds patience) const
 {
     const auto deadline = std::chrono::steady_clock::now() + patience;
-    std::array<char, BufferBytes> buffer {};
+    std::array<char, BufferBytes> buffer{};
     while (true) {
         const long count = receive(buffer.data(), deadline);
         if (count <= 0)
