--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -1,6 +1,7 @@
 #include "cli/daemon.h"
 
 #include "cli/eventjson.h"
+#include "net/endpoint.h"
 
 #include <prometheus/text_serializer.h>
 
@@ -54,6 +55,15 @@
                       {.min = 64, .max = 1'000'000, .help = "Bound on open file descriptors"});
 }
 
+void addTableSetting(SettingsParser &parser, std::string &endpoint)
+{
+    parser.addText("table", endpoint,
+                   {.isRequired = true,
+                    .isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
+                    .expected = "IP-number:port",
+                    .help = "The platform's table service"});
+}
+
 Daemon::Daemon(const CommonSettings &settings)
     : m_settings(settings)
     , m_loop({.maxDescriptors = unsigned(settings.maxDescriptors)})
--- a/cli/daemon.h
+++ b/cli/daemon.h
@@ -38,6 +38,8 @@
 };
 
 void addCommonSettings(SettingsParser &parser, CommonSettings &settings);
+// The endpoint of the platform's table service, "IP-number:port".
+void addTableSetting(SettingsParser &parser, std::string &endpoint);
 
 class Daemon
 {
--- a/controller/controller.cpp
+++ b/controller/controller.cpp
@@ -25,11 +25,7 @@
     ControllerSettings settings;
     SettingsParser parser("controller", "Serves operators; keeps configuration, hosts and waves.");
     addCommonSettings(parser, settings.common);
-    parser.addText("table", settings.tableEndpoint,
-                   {.isRequired = true,
-                    .isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
-                    .expected = "IP-number:port",
-                    .help = "The platform's table service"});
+    addTableSetting(parser, settings.tableEndpoint);
     const Result<ParseAction> action = parser.parse(args, processEnvironment);
     if (!action) {
         std::cerr << action.error().detail << "\n";
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -16,11 +16,7 @@
     parser.addInteger(
         "read-timeout-s", settings.readTimeoutSeconds,
         {.unit = "s", .min = 1, .max = 300, .help = "Longest time to send a request"});
-    parser.addText("table", settings.tableEndpoint,
-                   {.isRequired = true,
-                    .isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
-                    .expected = "IP-number:port",
-                    .help = "The platform's table service"});
+    addTableSetting(parser, settings.tableEndpoint);
     parser.addInteger("configuration-poll-ms", settings.configurationPollMilliseconds,
                       {.unit = "ms", .min = 50, .max = 5'000, .help = "Interval of table reads"});
     const Result<ParseAction> action = parser.parse(args, processEnvironment);
--- a/net/httpcall.h
+++ b/net/httpcall.h
@@ -22,6 +22,9 @@
     HttpRequest request;
     TimePoint deadline;
     ConnectionUse connectionUse = ConnectionUse::Reuse;
+    // Called immediately before the first byte is written; false ends the call as NotSent. May be
+    // empty.
+    std::function<bool()> maySend;
 };
 
 enum class HttpOutcome : std::uint8_t {
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -171,6 +171,8 @@
 int HttpClient::writeHead(Transaction &transaction, unsigned char **position, unsigned char *end)
 {
     lws *connection = transaction.connection;
+    if (transaction.call.maySend && !transaction.call.maySend())
+        return -1;
     transaction.sent = true;
     const HttpRequest &request = transaction.call.request;
     for (const HttpHeader &header : request.headers) {
--- a/peer/peernode.cpp
+++ b/peer/peernode.cpp
@@ -22,7 +22,7 @@
     return std::to_string((std::uint64_t(device()) << 32) | device());
 }
 
-Endpoint endpointOf(const MemberRow &member)
+Endpoint toEndpoint(const MemberRow &member)
 {
     return {member.address, member.port};
 }
@@ -69,6 +69,15 @@
     return sender;
 }
 
+std::optional<Endpoint> PeerNode::endpointOf(std::string_view member) const
+{
+    for (const MemberRow &row : m_membership.peers("")) {
+        if (row.name == member)
+            return toEndpoint(row);
+    }
+    return std::nullopt;
+}
+
 void PeerNode::observe(const api::PeerSender &sender)
 {
     m_daemon.events().clock().observe(fromWire(sender.time));
@@ -194,7 +203,7 @@
     args.sender = sender();
     args.poll = toWire(poll);
     m_rpcClient.call<api::PeerService_poll_args, api::PeerService_poll_result>(
-        endpointOf(peer), PeerPath, "poll", args, BootClock::now() + PeerDeadline,
+        toEndpoint(peer), PeerPath, "poll", args, BootClock::now() + PeerDeadline,
         [this](const RpcAnswer<api::PeerService_poll_result> &answer) {
             if (!answer.reply)
                 return;
@@ -211,7 +220,7 @@
         args.version = std::int64_t(version);
         args.document = document;
         m_rpcClient.call<api::PeerService_push_args, api::PeerService_push_result>(
-            endpointOf(member), PeerPath, "push", args, BootClock::now() + PeerDeadline,
+            toEndpoint(member), PeerPath, "push", args, BootClock::now() + PeerDeadline,
             [](const RpcAnswer<api::PeerService_push_result> &) {});
     }
 }
--- a/peer/peernode.h
+++ b/peer/peernode.h
@@ -54,6 +54,8 @@
     RpcServer &rpcServer() { return m_rpcServer; }
     RpcClient &rpcClient() { return m_rpcClient; }
     api::PeerSender sender();
+    // Where `member` listens; nullopt if it is not recorded.
+    std::optional<Endpoint> endpointOf(std::string_view member) const;
     // Takes what a message says of its sender: its time and that it is alive.
     void observe(const api::PeerSender &sender);
 
--- a/peer/peerwire.cpp
+++ b/peer/peerwire.cpp
@@ -79,4 +79,55 @@
     return {.digest = notice.digest, .remaining = Duration(notice.remainingMicroseconds)};
 }
 
+api::LoanReportMessage toWire(const LoanReport &report)
+{
+    api::LoanReportMessage wire;
+    wire.resource = report.resource;
+    wire.borrower = report.borrower.name;
+    wire.incarnation = std::int64_t(report.borrower.incarnation);
+    wire.sequence = std::int64_t(report.sequence);
+    wire.epoch = std::int64_t(report.epoch);
+    wire.held = report.held;
+    wire.inUse = report.inUse;
+    wire.wanted = report.wanted;
+    wire.weight = std::int32_t(report.weight);
+    wire.accepted = std::int64_t(report.accepted);
+    return wire;
+}
+
+LoanReport fromWire(const api::LoanReportMessage &report)
+{
+    return {.resource = report.resource,
+            .borrower = {report.borrower, std::uint64_t(report.incarnation)},
+            .sequence = std::uint64_t(report.sequence),
+            .epoch = std::uint64_t(report.epoch),
+            .held = report.held,
+            .inUse = report.inUse,
+            .wanted = report.wanted,
+            .weight = std::uint32_t(report.weight),
+            .accepted = std::uint64_t(report.accepted)};
+}
+
+api::LoanGrantMessage toWire(const LoanGrant &grant)
+{
+    api::LoanGrantMessage wire;
+    wire.resource = grant.resource;
+    wire.sequence = std::int64_t(grant.sequence);
+    wire.epoch = std::int64_t(grant.epoch);
+    wire.amount = grant.amount;
+    wire.termMilliseconds = grant.termMilliseconds;
+    wire.code = std::int32_t(grant.code);
+    return wire;
+}
+
+LoanGrant fromWire(const api::LoanGrantMessage &grant)
+{
+    return {.resource = grant.resource,
+            .sequence = std::uint64_t(grant.sequence),
+            .epoch = std::uint64_t(grant.epoch),
+            .amount = grant.amount,
+            .termMilliseconds = grant.termMilliseconds,
+            .code = ResultCode(grant.code)};
+}
+
 } // namespace sequoiapier
--- a/peer/peerwire.h
+++ b/peer/peerwire.h
@@ -4,6 +4,8 @@
 #include "gen/PeerService.h"
 #include "sequoiapier/configurationmessages.h"
 #include "sequoiapier/event.h"
+#include "sequoiapier/loangrant.h"
+#include "sequoiapier/loanreport.h"
 
 namespace sequoiapier {
 
@@ -19,4 +21,10 @@
 api::WithdrawalMessage toWire(const WithdrawalNotice &notice);
 WithdrawalNotice fromWire(const api::WithdrawalMessage &notice);
 
+api::LoanReportMessage toWire(const LoanReport &report);
+LoanReport fromWire(const api::LoanReportMessage &report);
+
+api::LoanGrantMessage toWire(const LoanGrant &grant);
+LoanGrant fromWire(const api::LoanGrantMessage &grant);
+
 } // namespace sequoiapier
--- /dev/null
+++ b/scheduler/schedulersettings.h
@@ -0,0 +1,22 @@
+// SchedulerSettings: what a scheduler process is started with.
+#pragma once
+
+#include "cli/daemon.h"
+
+#include <optional>
+
+namespace sequoiapier {
+
+struct SchedulerSettings
+{
+    CommonSettings common;
+    std::string tableEndpoint;
+    std::int64_t leaseMilliseconds = 3'000;
+    std::int64_t outageLeaseMilliseconds = 900'000;
+    std::int64_t longestWorkMilliseconds = 60'000;
+};
+
+// InvalidSettings lists every error; nullopt after --help or --version.
+Result<std::optional<SchedulerSettings>> parseSchedulerSettings(std::span<const char *const> args);
+
+} // namespace sequoiapier
