--- /dev/null
+++ b/controller/rowcodec.h
@@ -0,0 +1,36 @@
+// Strict JSON codec of table rows, shared by the row types of this folder.
+//
+//   Result<HostRow> row = detail::parseRow<HostRow>(document, "host row");
+//
+// A row type has to_json() and from_json(). Strictness comes from the round trip: what encodes to
+// another document (unknown or missing member, wrong type, unknown enumerator) is rejected whole.
+#pragma once
+
+#include "sequoiapier/result.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace sequoiapier::detail {
+
+// RowMalformed, naming `kind`, unless `document` is exactly what toJson() writes for some row.
+template<typename Row>
+Result<Row> parseRow(std::string_view document, std::string_view kind)
+{
+    const auto json = nlohmann::json::parse(document, nullptr, false);
+    const Error malformed{ResultCode::RowMalformed, std::string(kind) + " is malformed"};
+    if (json.is_discarded())
+        return malformed;
+    try {
+        Row row = json.get<Row>();
+        if (nlohmann::json(row).dump() != json.dump())
+            return malformed;
+        return row;
+    } catch (const nlohmann::json::exception &) {
+        return malformed;
+    }
+}
+
+} // namespace sequoiapier::detail
--- /dev/null
+++ b/testing/unit/hostrow_test.cpp
@@ -0,0 +1,45 @@
+#include "controller/hostrow.h"
+
+#include <gtest/gtest.h>
+
+namespace sequoiapier {
+namespace {
+
+TEST(HostRow, SurvivesTheRoundTrip)
+{
+    const HostRow row{.host = "h1",
+                      .rack = "r1",
+                      .zone = "a",
+                      .pool = "pricing",
+                      .state = HostState::Draining,
+                      .purpose = HostPurpose::Move,
+                      .epoch = 7,
+                      .targetPool = "spare",
+                      .operationId = "op-1",
+                      .drainDeadline = 99};
+    const Result<HostRow> parsed = parseHostRow(toJson(row));
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(parsed.value(), row);
+}
+
+TEST(HostRow, RejectsWhatIsNotExactlyARow)
+{
+    const std::string good = toJson({.host = "h1", .pool = "p"});
+    ASSERT_TRUE(parseHostRow(good));
+    const auto changed = [&](const std::string &from, const std::string &to) {
+        std::string document = good;
+        return document.replace(document.find(from), from.size(), to);
+    };
+    for (const std::string &bad :
+         {std::string("{"), std::string("[]"), changed("\"epoch\":1", "\"epoch\":-1"),
+          changed("\"epoch\":1", "\"epoch\":\"1\""), changed("\"epoch\":1", "\"epoch\":1,\"x\":0"),
+          changed("\"serving\"", "\"floating\""), changed("\"serving\"", "\"draining\""),
+          changed("\"pool\":\"p\"", "\"pool\":\"\""), changed("\"host\":\"h1\",", "")}) {
+        const Result<HostRow> parsed = parseHostRow(bad);
+        ASSERT_FALSE(parsed) << bad;
+        EXPECT_EQ(parsed.error().code, ResultCode::RowMalformed);
+    }
+}
+
+} // namespace
+} // namespace sequoiapier
