Plan maintenance waves within availability budgets

Waves had no planner. A turn of a wave is one pure decision and one commit: the hosts that go out, the units they take in the budgets of their pool, rack and zone, units given back, losses by accident, and the wave's own state. Who is done stands in the host rows, so a wave of any size is one small row. A commit rewrites the wave's row along with any start, so that nothing goes out after a pause, and the host's row along with any release, so that a stale view frees nothing. Hosts go out by the domain that bounds the end of the wave.

Ruled out: units under leases for waves. A host out for maintenance is not back because a term has passed; the unit ends only when the host serves.

--- /dev/null
+++ b/bench/fleet_bench.cpp
@@ -0,0 +1,270 @@
+// Roll-out time of a maintenance wave against a bound computed with full knowledge of the input:
+// 50 hosts, four to a rack, three zones, two hosts and one rack lost mid-wave.
+#include "bench/support/report.h"
+#include "controller/hostmove.h"
+#include "controller/waveplanner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <random>
+
+namespace sequoiapier {
+namespace {
+
+constexpr int HostCount = 50;
+constexpr std::int64_t TurnSeconds = 5;
+constexpr std::int64_t Reboot = 180; // seconds
+constexpr std::uint32_t MaxOut = 6;
+constexpr double WorstEstimate = 8; // factor by which an estimate may be wrong
+
+struct Loss
+{
+    std::int64_t from = 0;
+    std::int64_t until = 0;
+
+    bool covers(std::int64_t now) const { return now >= from && now < until; }
+};
+
+struct SimulatedHost
+{
+    WaveHost view;
+    std::int64_t drainSeconds = 0;
+    std::int64_t changedAt = 0;
+    Loss loss;
+
+    std::int64_t outSeconds() const { return drainSeconds + Reboot; }
+};
+
+using Estimate = std::function<std::int64_t(const SimulatedHost &, std::mt19937_64 &)>;
+
+struct RollOut
+{
+    std::vector<SimulatedHost> hosts;
+    std::map<std::string, VersionedBudgetRow> budgets;
+    WaveRow wave{.id = "w",
+                 .pools = {"p0", "p1", "p2", "p3", "p4", "spare"},
+                 .startedAt = 1,
+                 .drainTimeout = 3'600,
+                 .maxOut = MaxOut,
+                 .resumesAfterRepair = true};
+    Loss stop; // while the failed rack keeps the wave from starting hosts
+    std::int64_t now = 1;
+    bool isBudgetPassed = false;
+
+    RollOut(std::uint64_t seed, bool hasLosses, const Estimate &estimate)
+    {
+        std::mt19937_64 random(seed);
+        std::lognormal_distribution<double> drain(std::log(240.0), 0.7);
+        for (int i = 0; i < HostCount; ++i) {
+            SimulatedHost host;
+            host.view.row = {.host = "h" + std::to_string(i),
+                             .rack = "r" + std::to_string(i / 4),
+                             .zone = "z" + std::to_string(i / 4 % 3),
+                             .pool = i % 6 == 5 ? "spare" : "p" + std::to_string(i % 6)};
+            host.drainSeconds = std::int64_t(std::min(1'800.0, drain(random)));
+            host.view.expectedOut = estimate(host, random);
+            hosts.push_back(host);
+        }
+        for (const SimulatedHost &host : hosts) {
+            for (const std::string &domain : domainsOf(host.view.row)) {
+                const std::uint32_t limit = domain.starts_with("zone/") ? 4 : 2;
+                budgets[domain] = {{.domain = domain, .limit = limit}, 1};
+            }
+        }
+        if (hasLosses)
+            loseHosts(random);
+    }
+
+    void loseHosts(std::mt19937_64 &random)
+    {
+        std::uniform_int_distribution<std::int64_t> start(300, 1'500);
+        std::uniform_int_distribution<int> any(0, HostCount - 1);
+        for (int i = 0; i < 2; ++i) {
+            const std::int64_t from = start(random);
+            hosts[std::size_t(any(random))].loss = {from, from + 1'200};
+        }
+        const std::int64_t from = start(random);
+        stop = {from, from + 600};
+        const std::string rack = "r" + std::to_string(any(random) / 4);
+        for (SimulatedHost &host : hosts) {
+            if (host.view.row.rack == rack)
+                host.loss = stop;
+        }
+    }
+
+    // One turn of the wave, applied as the commit would be, and one step of every live host.
+    void turn()
+    {
+        std::vector<WaveHost> views;
+        for (SimulatedHost &host : hosts) {
+            host.view.isLost = host.loss.covers(now);
+            views.push_back(host.view);
+        }
+        std::vector<VersionedBudgetRow> rows;
+        for (const auto &[domain, row] : budgets)
+            rows.push_back(row);
+        const WaveTurn next
+            = planWaveTurn({.wave = wave, .version = 1, .hosts = views, .budgets = rows}, now);
+        wave = next.next;
+        for (const RowWrite &write : next.writes)
+            apply(write);
+        for (const std::string &name : next.started)
+            checkBudgets(name);
+        for (SimulatedHost &host : hosts)
+            step(host);
+        now += TurnSeconds;
+    }
+
+    void apply(const RowWrite &write)
+    {
+        if (write.key.starts_with(BudgetKeyPrefix)) {
+            const BudgetRow row = parseBudgetRow(*write.value).value();
+            budgets[row.domain].row = row;
+        } else if (write.key.starts_with(HostKeyPrefix)) {
+            const HostRow row = parseHostRow(*write.value).value();
+            for (SimulatedHost &host : hosts) {
+                if (host.view.row.host == row.host)
+                    change(host, row);
+            }
+        }
+    }
+
+    void change(SimulatedHost &host, const HostRow &row) const
+    {
+        if (row.state != host.view.row.state)
+            host.changedAt = now;
+        host.view.row = row;
+    }
+
+    void step(SimulatedHost &host) const
+    {
+        if (host.loss.covers(now))
+            return;
+        const HostRow &row = host.view.row;
+        const std::int64_t waited = now - host.changedAt;
+        const HostObservation seen{.fencedEpoch = row.epoch,
+                                   .running = waited >= host.drainSeconds ? 0U : 1U,
+                                   .admittedEpoch = row.epoch,
+                                   .maintainedEpoch = waited >= Reboot ? row.epoch : 0};
+        const HostStep next = nextHostStep(row, seen, now);
+        if (next.action == HostAction::ChangeRow)
+            change(host, next.row);
+    }
+
+    void checkBudgets(const std::string &name)
+    {
+        for (const SimulatedHost &host : hosts) {
+            if (host.view.row.host != name)
+                continue;
+            for (const std::string &domain : domainsOf(host.view.row)) {
+                const BudgetRow &row = budgets[domain].row;
+                isBudgetPassed |= row.units.size() > row.limit;
+            }
+        }
+    }
+
+    std::int64_t run()
+    {
+        while (wave.state != WaveState::Finished && now < 100'000)
+            turn();
+        return now;
+    }
+
+    // No plan ends before every domain has had the unit-seconds that its maintenance needs. Units
+    // of lost hosts are not free, and while a failed rack stops the wave, only what was out before
+    // goes on.
+    std::int64_t bound() const
+    {
+        std::int64_t longest = 0;
+        std::map<std::string, std::vector<const SimulatedHost *>> domains;
+        for (const SimulatedHost &host : hosts) {
+            longest = std::max(longest, host.outSeconds());
+            domains["wave"].push_back(&host);
+            for (const std::string &domain : domainsOf(host.view.row))
+                domains[domain].push_back(&host);
+        }
+        std::int64_t bound = longest;
+        for (const auto &[domain, members] : domains) {
+            const std::uint32_t limit = domain == "wave" ? MaxOut : budgets.at(domain).row.limit;
+            bound = std::max(bound, domainBound(members, limit, domain != "wave"));
+        }
+        return bound;
+    }
+
+    std::int64_t domainBound(const std::vector<const SimulatedHost *> &members, std::int64_t limit,
+                             bool countsLosses) const
+    {
+        std::int64_t left = 0;
+        for (const SimulatedHost *host : members)
+            left += host->outSeconds();
+        std::int64_t time = 0;
+        for (; left > 0; ++time) {
+            const auto lost
+                = std::count_if(members.begin(), members.end(),
+                                [&](const SimulatedHost *host) { return host->loss.covers(time); });
+            std::int64_t units = std::max<std::int64_t>(0, limit - (countsLosses ? lost : 0));
+            if (stop.covers(time)) {
+                const auto goingOn
+                    = std::count_if(members.begin(), members.end(), [&](const SimulatedHost *host) {
+                          return host->outSeconds() > time - stop.from;
+                      });
+                units = std::min<std::int64_t>(units, goingOn);
+            }
+            left -= units;
+        }
+        return time;
+    }
+};
+
+void measureRollOut(Report &report, const std::string &label, bool hasLosses,
+                    const Estimate &estimate)
+{
+    constexpr int Runs = 40;
+    double sum = 0;
+    double worst = 0;
+    double seconds = 0;
+    int passedBudgets = 0;
+    for (int seed = 1; seed <= Runs; ++seed) {
+        RollOut rollOut(std::uint64_t(seed), hasLosses, estimate);
+        const double bound = double(rollOut.bound());
+        const double taken = double(rollOut.run());
+        sum += taken / bound;
+        worst = std::max(worst, taken / bound);
+        seconds += taken;
+        passedBudgets += rollOut.isBudgetPassed ? 1 : 0;
+    }
+    report.add(label,
+               {{"rollout_s", seconds / Runs},
+                {"mean_ratio_to_bound", sum / Runs},
+                {"worst_ratio_to_bound", worst},
+                {"runs_past_a_budget", double(passedBudgets)}});
+}
+
+void measureRollOuts(Report &report)
+{
+    const Estimate known
+        = [](const SimulatedHost &host, std::mt19937_64 &) { return host.outSeconds(); };
+    const Estimate wrong = [](const SimulatedHost &host, std::mt19937_64 &random) {
+        std::uniform_real_distribution<double> exponent(-1, 1);
+        return std::int64_t(double(host.outSeconds()) * std::pow(WorstEstimate, exponent(random)));
+    };
+    const Estimate constant
+        = [](const SimulatedHost &, std::mt19937_64 &) { return std::int64_t(420); };
+    measureRollOut(report, "rollout no losses, times known", false, known);
+    measureRollOut(report, "rollout no losses, wrong by up to 8x", false, wrong);
+    measureRollOut(report, "rollout losses, times known", true, known);
+    measureRollOut(report, "rollout losses, one time for all", true, constant);
+    measureRollOut(report, "rollout losses, wrong by up to 8x", true, wrong);
+}
+
+} // namespace
+} // namespace sequoiapier
+
+int main(int argc, char **argv)
+{
+    sequoiapier::Report report("fleet", argc, argv);
+    sequoiapier::measureRollOuts(report);
+    return report.finish();
+}
--- /dev/null
+++ b/controller/waveplanner.cpp
@@ -0,0 +1,342 @@
+// A turn first books what has happened (hosts back, hosts lost, hosts overdue), then judges the
+// wave's state, then fills the budgets that are free. Hosts go out in the order of the domain that
+// bounds the end of the wave: that with the most maintenance time left for each unit of its limit.
+// Within a domain the longest goes first, so that no long one is left alone at the end.
+//
+// A failure domain (rack, zone) has failed when at least half of its hosts, and at least two, are
+// lost by accident. Single losses use up units and do not stop a wave.
+#include "controller/waveplanner.h"
+
+#include "controller/hostmove.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr std::size_t MinFailedHosts = 2;
+constexpr std::size_t FailedPart = 2; // 1 / 2 of the hosts of a domain
+
+class Planner
+{
+public:
+    Planner(const WaveView &view, std::int64_t now)
+        : m_view(view)
+        , m_now(now)
+        , m_budget(view.budgets)
+        , m_pools(view.wave.pools.begin(), view.wave.pools.end())
+        , m_named(view.wave.hosts.begin(), view.wave.hosts.end())
+        , m_skipped(view.wave.skipped.begin(), view.wave.skipped.end())
+    {
+        m_turn.next = view.wave;
+        m_lead = lead();
+    }
+
+    WaveTurn run()
+    {
+        bookUnits();
+        bookStrayUnits();
+        bookOverdue();
+        judgeState();
+        if (m_turn.next.state == WaveState::Running)
+            startHosts();
+        report();
+        collectWrites();
+        return std::move(m_turn);
+    }
+
+private:
+    bool isInScope(const HostRow &row) const
+    {
+        return m_pools.contains(row.pool) || m_named.contains(row.host);
+    }
+
+    bool isOut(const HostRow &row) const { return row.operationId == m_view.wave.id; }
+
+    bool isDone(const HostRow &row) const
+    {
+        const WaveRow &wave = m_view.wave;
+        if (wave.period > 0)
+            return row.maintainedAt + wave.period - m_lead > m_now;
+        return row.maintainedAt >= wave.startedAt;
+    }
+
+    bool isLeft(const WaveHost &host) const
+    {
+        return isInScope(host.row) && !isOut(host.row) && !isDone(host.row)
+            && !m_skipped.contains(host.row.host);
+    }
+
+    // How long before its period ends a host becomes due in a standing wave: twice the time that
+    // the whole wave needs, at most a third of the period.
+    std::int64_t lead() const
+    {
+        std::int64_t work = 0;
+        for (const WaveHost &host : m_view.hosts) {
+            if (isInScope(host.row))
+                work += host.expectedOut;
+        }
+        return std::min(m_view.wave.period / 3, 2 * work / std::int64_t(m_view.wave.maxOut));
+    }
+
+    // Units of this wave's hosts that serve again go back; losses by accident are counted. A write
+    // of the host's row, changed or not, makes sure that it is still as it was read.
+    void bookUnits()
+    {
+        for (const WaveHost &host : m_view.hosts) {
+            const BudgetUnit *unit = m_budget.unitOf(host.row);
+            const bool isServing = host.row.state == HostState::Serving;
+            if (host.isLost && isServing) {
+                if (unit == nullptr || (unit->holder == m_view.wave.id)) {
+                    m_budget.release(host.row);
+                    m_budget.lose(host.row);
+                    change(host, host.row);
+                }
+            } else if (unit != nullptr && isServing
+                       && (unit->isAccident() || unit->holder == m_view.wave.id)) {
+                m_budget.release(host.row);
+                change(host, host.row);
+            }
+        }
+    }
+
+    // Units in the budget of a pool that their host has left.
+    void bookStrayUnits()
+    {
+        std::map<std::string_view, const WaveHost *> byName;
+        for (const WaveHost &host : m_view.hosts)
+            byName[host.row.host] = &host;
+        for (const VersionedBudgetRow &budget : m_view.budgets) {
+            if (!budget.row.domain.starts_with("pool/"))
+                continue;
+            for (const BudgetUnit &unit : budget.row.units) {
+                const auto host = byName.find(unit.host);
+                if (host == byName.end() || "pool/" + host->second->row.pool == budget.row.domain)
+                    continue;
+                m_budget.releaseIn(budget.row.domain, unit.host);
+                change(*host->second, host->second->row);
+            }
+        }
+    }
+
+    void bookOverdue()
+    {
+        for (const WaveHost &host : m_view.hosts) {
+            if (!isOut(host.row) || host.row.state != HostState::Draining)
+                continue;
+            const bool isOverdue = m_now >= host.row.drainDeadline;
+            if (isOverdue)
+                m_turn.progress.overdue.push_back(host.row.host);
+            if (m_view.wave.state == WaveState::Cancelled)
+                undo(host);
+            else if (isOverdue)
+                handleOverdue(host);
+        }
+    }
+
+    void handleOverdue(const WaveHost &host)
+    {
+        WaveRow &next = m_turn.next;
+        if (next.overduePolicy == OverduePolicy::Stop
+            || next.skipped.size() >= WaveRow::MaxSkipped) {
+            if (next.state == WaveState::Running)
+                stop(host.row.host + " did not drain in time");
+        } else if (undo(host)) {
+            next.skipped.push_back(host.row.host);
+            m_skipped.insert(host.row.host);
+        }
+    }
+
+    bool undo(const WaveHost &host)
+    {
+        const Result<HostRow> row = undoDrain(host.row);
+        if (!row || m_changes.size() >= MaxWaveChanges)
+            return false;
+        change(host, row.value());
+        return true;
+    }
+
+    void judgeState()
+    {
+        WaveRow &next = m_turn.next;
+        const std::string failed = failedDomain();
+        if (next.state == WaveState::Running && !failed.empty()) {
+            stop(failed + " has failed");
+        } else if (next.state == WaveState::Stopped && next.resumesAfterRepair && failed.empty()
+                   && next.stopReason.ends_with(" has failed")) {
+            next.state = WaveState::Running;
+            next.stopReason.clear();
+        }
+    }
+
+    void stop(const std::string &reason)
+    {
+        m_turn.next.state = WaveState::Stopped;
+        m_turn.next.stopReason = reason;
+    }
+
+    // The first rack or zone of the wave's hosts that has failed, empty if none has.
+    std::string failedDomain() const
+    {
+        std::map<std::string, std::size_t> sizes;
+        std::set<std::string> ofWave;
+        for (const WaveHost &host : m_view.hosts) {
+            for (const std::string &domain : {"rack/" + host.row.rack, "zone/" + host.row.zone}) {
+                ++sizes[domain];
+                if (isInScope(host.row))
+                    ofWave.insert(domain);
+            }
+        }
+        for (const std::string &domain : ofWave) {
+            const std::size_t lost = m_budget.accidentCount(domain);
+            if (lost >= MinFailedHosts && lost * FailedPart >= sizes[domain])
+                return domain;
+        }
+        return {};
+    }
+
+    // Maintenance time left in each domain for each unit of its limit, in seconds.
+    std::map<std::string, double> domainSeconds() const
+    {
+        std::map<std::string, double> seconds;
+        for (const WaveHost &host : m_view.hosts) {
+            if (!isLeft(host))
+                continue;
+            for (const std::string &domain : domainsOf(host.row)) {
+                const BudgetRow *row = m_budget.find(domain);
+                if (row != nullptr)
+                    seconds[domain] += double(host.expectedOut) / std::max(1U, row->limit);
+            }
+        }
+        return seconds;
+    }
+
+    struct Candidate
+    {
+        const WaveHost *host;
+        double seconds; // of the domain that bounds it
+    };
+
+    std::vector<Candidate> candidates() const
+    {
+        const std::map<std::string, double> seconds = domainSeconds();
+        std::vector<Candidate> found;
+        for (const WaveHost &host : m_view.hosts) {
+            if (!isLeft(host) || host.isLost || host.row.state != HostState::Serving)
+                continue;
+            Candidate candidate{&host, 0};
+            for (const std::string &domain : domainsOf(host.row)) {
+                const auto bound = seconds.find(domain);
+                if (bound != seconds.end())
+                    candidate.seconds = std::max(candidate.seconds, bound->second);
+            }
+            found.push_back(candidate);
+        }
+        return found;
+    }
+
+    bool goesBefore(const Candidate &a, const Candidate &b) const
+    {
+        const bool isStanding = m_view.wave.period > 0;
+        if (isStanding && a.host->row.maintainedAt != b.host->row.maintainedAt)
+            return a.host->row.maintainedAt < b.host->row.maintainedAt;
+        if (a.seconds != b.seconds)
+            return a.seconds > b.seconds;
+        return a.host->expectedOut > b.host->expectedOut;
+    }
+
+    void startHosts()
+    {
+        std::vector<Candidate> waiting = candidates();
+        std::stable_sort(waiting.begin(), waiting.end(),
+                         [this](const auto &a, const auto &b) { return goesBefore(a, b); });
+        std::size_t out = std::size_t(
+            std::count_if(m_view.hosts.begin(), m_view.hosts.end(), [this](const WaveHost &host) {
+                return isOut(host.row) && !host.isLost;
+            }));
+        for (const Candidate &candidate : waiting) {
+            if (out >= m_view.wave.maxOut || m_changes.size() >= MaxWaveChanges)
+                return;
+            out += start(*candidate.host) ? 1 : 0;
+        }
+    }
+
+    bool start(const WaveHost &host)
+    {
+        const Result<HostRow> row
+            = beginMaintenance(host.row, m_view.wave.id, m_now + m_view.wave.drainTimeout);
+        if (!row || !m_budget.take(host.row, m_view.wave.id))
+            return false;
+        change(host, row.value());
+        m_turn.started.push_back(host.row.host);
+        return true;
+    }
+
+    void change(const WaveHost &host, const HostRow &row)
+    {
+        m_changes[host.row.host]
+            = {.key = hostKey(host.row.host), .value = toJson(row), .baseVersion = host.version};
+    }
+
+    void report()
+    {
+        WaveProgress &progress = m_turn.progress;
+        double left = 0;
+        for (const WaveHost &host : m_view.hosts) {
+            if (!isInScope(host.row) && !isOut(host.row))
+                continue;
+            ++progress.total;
+            const bool isWaiting = isLeft(host);
+            progress.out += isOut(host.row) ? 1 : 0;
+            progress.done += !isWaiting && !isOut(host.row) && isDone(host.row) ? 1 : 0;
+            progress.lost += isWaiting && host.isLost ? 1 : 0;
+            left += isWaiting || isOut(host.row) ? double(host.expectedOut) : 0;
+        }
+        progress.skipped = m_turn.next.skipped;
+        double bound = left / m_view.wave.maxOut;
+        for (const auto &[domain, seconds] : domainSeconds())
+            bound = std::max(bound, seconds);
+        progress.expectedEnd = m_now + std::int64_t(std::ceil(bound));
+        progress.isLate = m_view.wave.deadline > 0 && progress.expectedEnd > m_view.wave.deadline;
+        const bool isAllBack = left == 0 && progress.out == 0 && m_turn.started.empty();
+        if (isAllBack && m_view.wave.period == 0 && m_turn.next.state == WaveState::Running)
+            m_turn.next.state = WaveState::Finished;
+    }
+
+    // The wave's row is written along with any start, so that no host goes out after a pause.
+    void collectWrites()
+    {
+        for (const auto &[host, write] : m_changes)
+            m_turn.writes.push_back(write);
+        for (RowWrite &write : m_budget.writes())
+            m_turn.writes.push_back(std::move(write));
+        if (!m_turn.started.empty() || m_turn.next != m_view.wave) {
+            m_turn.writes.push_back({.key = waveKey(m_view.wave.id),
+                                     .value = toJson(m_turn.next),
+                                     .baseVersion = m_view.version});
+        }
+    }
+
+    const WaveView &m_view;
+    std::int64_t m_now;
+    AvailabilityBudget m_budget;
+    std::set<std::string> m_pools;
+    std::set<std::string> m_named;
+    std::set<std::string> m_skipped;
+    std::int64_t m_lead = 0;
+    WaveTurn m_turn;
+    std::map<std::string, RowWrite> m_changes;
+};
+
+} // namespace
+
+WaveTurn planWaveTurn(const WaveView &view, std::int64_t now)
+{
+    return Planner(view, now).run();
+}
+
+} // namespace sequoiapier
