--- a/peer/peernode.cpp
+++ b/peer/peernode.cpp
@@ -22,7 +22,7 @@
     return std::to_string((std::uint64_t(device()) << 32) | device());
 }
 
-Endpoint endpointOf(const MemberRow &member)
+Endpoint toEndpoint(const MemberRow &member)
 {
     return {member.address, member.port};
 }
@@ -69,6 +69,15 @@
     return sender;
 }
 
+std::optional<Endpoint> PeerNode::endpointOf(std::string_view member) const
+{
+    for (const MemberRow &row : m_membership.peers("")) {
+        if (row.name == member)
+            return toEndpoint(row);
+    }
+    return std::nullopt;
+}
+
 void PeerNode::observe(const api::PeerSender &sender)
 {
     m_daemon.events().clock().observe(fromWire(sender.time));
@@ -79,27 +88,27 @@
 {
     const CommonSettings &settings = m_daemon.settings();
     const std::string key = std::string(MemberPrefix) + settings.name;
-    m_table.read(
-        key, BootClock::now() + TableDeadline, [this](Result<std::optional<TableRow>> row) {
-            if (!row) {
-                m_registerTimer.startAt(BootClock::now() + RegisterRetryInterval);
-                return;
-            }
-            const CommonSettings &settings = m_daemon.settings();
-            const MemberRegistration registration
-                = registerMember({.name = settings.name,
-                                  .role = m_options.role,
-                                  .zone = settings.zone,
-                                  .address = settings.address,
-                                  .port = std::uint16_t(settings.port)},
-                                 row.value());
-            m_table.commit({.writeId = "register/" + settings.name + "/" + randomId(),
-                            .writes = {registration.write}},
-                           BootClock::now() + TableDeadline,
-                           [this, registration](const CommitAnswer &answer) {
-                               onRegistered(registration, answer);
-                           });
-        });
+    m_table.read(key, BootClock::now() + TableDeadline,
+                 [this](Result<std::optional<TableRow>> row) {
+                     if (!row) {
+                         m_registerTimer.startAt(BootClock::now() + RegisterRetryInterval);
+                         return;
+                     }
+                     const CommonSettings &settings = m_daemon.settings();
+                     const MemberRegistration registration
+                         = registerMember({.name = settings.name,
+                                           .role = m_options.role,
+                                           .zone = settings.zone,
+                                           .address = settings.address,
+                                           .port = std::uint16_t(settings.port)},
+                                          row.value());
+                     m_table.commit({.writeId = "register/" + settings.name + "/" + randomId(),
+                                     .writes = {registration.write}},
+                                    BootClock::now() + TableDeadline,
+                                    [this, registration](const CommitAnswer &answer) {
+                                        onRegistered(registration, answer);
+                                    });
+                 });
 }
 
 void PeerNode::onRegistered(const MemberRegistration &registration, const CommitAnswer &answer)
@@ -113,9 +122,9 @@
 void PeerNode::join(std::uint64_t incarnation)
 {
     m_incarnation = incarnation;
-    ConfigurationFollower::Options options {.name = m_daemon.settings().name,
-                                            .incarnation = incarnation,
-                                            .isVoter = m_options.role == "gateway"};
+    ConfigurationFollower::Options options{.name = m_daemon.settings().name,
+                                           .incarnation = incarnation,
+                                           .isVoter = m_options.role == "gateway"};
     m_follower = std::make_unique<ConfigurationFollower>(std::move(options), followerHooks());
     m_daemon.report("member.joined", {.subject = m_options.role, .epoch = incarnation});
     if (m_hooks.joined)
@@ -171,9 +180,9 @@
 {
     const TimePoint now = BootClock::now();
     const std::string &self = m_daemon.settings().name;
-    const ConfigurationPoll poll {.token = now.time_since_epoch().count(),
-                                  .incarnation = m_incarnation,
-                                  .version = m_follower->configuration().version};
+    const ConfigurationPoll poll{.token = now.time_since_epoch().count(),
+                                 .incarnation = m_incarnation,
+                                 .version = m_follower->configuration().version};
     for (const MemberRow &member : m_membership.peers("")) {
         if (self < member.name || !m_membership.isAlive(member.name, now))
             sendPoll(member, poll);
@@ -194,7 +203,7 @@
     args.sender = sender();
     args.poll = toWire(poll);
     m_rpcClient.call<api::PeerService_poll_args, api::PeerService_poll_result>(
-        endpointOf(peer), PeerPath, "poll", args, BootClock::now() + PeerDeadline,
+        toEndpoint(peer), PeerPath, "poll", args, BootClock::now() + PeerDeadline,
         [this](const RpcAnswer<api::PeerService_poll_result> &answer) {
             if (!answer.reply)
                 return;
@@ -211,7 +220,7 @@
         args.version = std::int64_t(version);
         args.document = document;
         m_rpcClient.call<api::PeerService_push_args, api::PeerService_push_result>(
-            endpointOf(member), PeerPath, "push", args, BootClock::now() + PeerDeadline,
+            toEndpoint(member), PeerPath, "push", args, BootClock::now() + PeerDeadline,
             [](const RpcAnswer<api::PeerService_push_result> &) {});
     }
 }
