--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -33,6 +33,8 @@
 {
     lws_vhost *vhost = nullptr;
     std::string endpoint; // that its idle connection, if any, leads to
+    bool isClosing = false; // its last connection was given up and closes in the next turn
+    bool isReusable = false; // its connection may serve another call
     std::unique_ptr<Transaction> transaction;
 };
 
@@ -115,7 +117,10 @@
         callback({.outcome = HttpOutcome::NotSent});
         return;
     }
-    const bool reuse = call.connectionUse == ConnectionUse::Reuse;
+    // A call must not be queued on a connection that is being closed.
+    const bool reuse = call.connectionUse == ConnectionUse::Reuse && !lane->isClosing;
+    lane->isClosing = false;
+    lane->isReusable = reuse;
     lane->endpoint = endpoint;
     lane->transaction
         = std::make_unique<Transaction>(*this, *lane, std::move(call), std::move(callback));
@@ -154,10 +159,10 @@
     const std::unique_ptr<Transaction> owned = std::move(lane.transaction);
     owned->timer.cancel();
     --m_activeCount;
-    const bool keep
-        = outcome == HttpOutcome::Answered && owned->call.connectionUse == ConnectionUse::Reuse;
+    const bool keep = outcome == HttpOutcome::Answered && lane.isReusable;
     if (owned->connection != nullptr) {
         lws_set_opaque_user_data(owned->connection, nullptr);
+        lane.isClosing = !keep;
         if (!keep)
             lws_set_timeout(owned->connection, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
     }
