--- a/api/peer.thrift
+++ b/api/peer.thrift
@@ -64,6 +64,7 @@
   4: i64 amount
   5: i64 termMilliseconds
   6: i32 code
+  7: string borrower  // of the report it answers
 }
 
 struct LendAnswer {
--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -15,7 +15,8 @@
 bool startSystem(LocalSystem &system)
 {
     if (!system.startTable() || !system.startRunner("runner-1", {"--slots", "64"})
-        || !system.startController("controller-1") || !system.startGateway("gateway-1")) {
+        || !system.startController("controller-1") || !system.startScheduler("scheduler-1")
+        || !system.startGateway("gateway-1")) {
         return false;
     }
     Configuration configuration;
--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -69,7 +69,9 @@
     , m_loop({.maxDescriptors = unsigned(settings.maxDescriptors)})
     , m_logger(loggerOptions(settings))
     , m_events({.process = settings.name, .zone = settings.zone}, wallClock)
-    , m_httpClient(m_loop, {.maxConnections = std::size_t(settings.maxDescriptors) / 2})
+    , m_httpClient(m_loop,
+                   {.maxConnections = std::size_t(settings.maxDescriptors) / 2,
+                    .keptHeaders = {"x-run-state", "x-runner-state", "content-type"}})
     , m_admin(m_loop,
               {.address = settings.address,
                .port = std::uint16_t(settings.port),
--- /dev/null
+++ b/gateway/dispatcher.cpp
@@ -0,0 +1,488 @@
+// Every change that can let a request start (arrival, grant, end of an attempt, tick) calls
+// dispatch() for its service, which starts requests until a queue, a runner or a unit is lacking.
+// Cost of a start: O(log n) in the queue plus O(teams) for the units.
+#include "gateway/dispatcher.h"
+
+#include "gateway/refusal.h"
+#include "peer/lendableresources.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(20);
+constexpr std::uint32_t RetryAfterSeconds = 1;
+constexpr unsigned MaxAttempts = 8;
+constexpr int StatusServerError = 500;
+constexpr int StatusUnavailable = 503;
+
+bool isRunnerRefusal(const HttpResponse &response)
+{
+    return response.status == StatusUnavailable
+        && headerValue(response.headers, "x-run-state") == "not-run";
+}
+
+UpstreamOutcome upstreamOutcome(const HttpAnswer &answer)
+{
+    if (answer.outcome != HttpOutcome::Answered)
+        return UpstreamOutcome::Failed;
+    if (isRunnerRefusal(answer.response)) {
+        const bool isBusy = headerValue(answer.response.headers, "x-runner-state") == "busy";
+        return isBusy ? UpstreamOutcome::RefusedBusy : UpstreamOutcome::RefusedLeaving;
+    }
+    return answer.response.status >= StatusServerError ? UpstreamOutcome::Failed
+                                                       : UpstreamOutcome::Answered;
+}
+
+RequestEvent requestEvent(const HttpAnswer &answer)
+{
+    switch (answer.outcome) {
+    case HttpOutcome::NotSent:
+        return RequestEvent::ConnectionRefused;
+    case HttpOutcome::Lost:
+        return answer.response.status != 0 ? RequestEvent::PartialAnswer
+                                           : RequestEvent::ConnectionLost;
+    case HttpOutcome::Answered:
+        break;
+    }
+    return isRunnerRefusal(answer.response) ? RequestEvent::RunnerRefused : RequestEvent::Answered;
+}
+
+prometheus::Gauge &makeGauge(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(Daemon &daemon, PeerNode &node, Options options)
+    : m_daemon(daemon)
+    , m_options(options)
+    , m_loans(daemon, node,
+              {.demand = [this](const LoanKey &key) { return demand(key); },
+               .onGranted =
+                   [this](const LoanKey &) {
+                       for (auto &[name, lane] : m_lanes)
+                           dispatch(lane);
+                   }})
+    , m_tickTimer(daemon.loop(), [this] { tick(); })
+    , m_drainTimer(daemon.loop(),
+                   [this] {
+                       std::vector<std::uint64_t> ids;
+                       for (const auto &[id, held] : m_held)
+                           ids.push_back(id);
+                       for (const std::uint64_t id : ids)
+                           onEvent(id, RequestEvent::ShutdownForced, nullptr);
+                       if (m_drained)
+                           std::exchange(m_drained, nullptr)();
+                   })
+    , m_requests(prometheus::BuildCounter()
+                     .Name("sequoiapier_requests_total")
+                     .Help("Callers' requests by result code")
+                     .Register(daemon.metrics()))
+    , m_queuedGauge(makeGauge(daemon.metrics(), "sequoiapier_requests_queued",
+                              "Requests waiting for a runner"))
+    , m_heldGauge(makeGauge(daemon.metrics(), "sequoiapier_requests_held",
+                            "Requests held, those whose late end is awaited included"))
+{
+}
+
+void Dispatcher::start()
+{
+    m_loans.start();
+    tick();
+}
+
+void Dispatcher::configure(const Configuration &configuration)
+{
+    std::set<LoanKey> keys;
+    m_ceilings.clear();
+    for (const TeamConfig &team : configuration.teams) {
+        if (team.ceiling > 0) {
+            m_ceilings[team.name] = team.ceiling;
+            keys.insert({ceilingResource(team.name), ""});
+        }
+    }
+    for (const ServiceConfig &service : configuration.services) {
+        ServiceLane &lane = m_lanes.try_emplace(service.name, m_options.seed).first->second;
+        lane.config = service;
+        std::vector<UpstreamRunner> runners;
+        for (const RunnerConfig &runner : service.runners)
+            runners.push_back({.name = toString(Endpoint {runner.address, runner.port}),
+                               .slots = service.slotsPerRunner,
+                               .connections = service.connectionsPerRunner});
+        lane.picker.setRunners(runners);
+        keys.insert({slotResource(service.name), ""});
+        for (const TeamConfig &team : configuration.teams)
+            keys.insert({slotResource(service.name), team.name});
+    }
+    for (const QueueConfig &queue : configuration.queues) {
+        ServiceLane &lane = m_lanes.at(queue.service);
+        const TeamQueues::Options options {.maxCount = queue.maxQueued};
+        TeamQueues &queues = lane.queues.try_emplace(queue.name, options).first->second;
+        for (const TeamConfig &team : configuration.teams)
+            queues.setWeight(team.name, team.share);
+    }
+    m_loans.setLoans(keys);
+}
+
+void Dispatcher::submit(std::shared_ptr<HttpExchange> exchange, CallerRequest request,
+                        const QueueConfig &queue, std::string team)
+{
+    const std::uint64_t id = m_nextId++;
+    HeldRequest held {.exchange = std::move(exchange),
+                      .service = queue.service,
+                      .state = RequestState(
+                          {.isIdempotent = request.isIdempotent, .maxAttempts = MaxAttempts})};
+    held.queued = {.id = id,
+                   .team = std::move(team),
+                   .arrival = BootClock::now(),
+                   .deadline = request.deadline,
+                   .isUrgent = request.isUrgent,
+                   .bytes = held.exchange->request().body.size()};
+    held.request = std::move(request);
+    held.deadlineTimer = std::make_unique<Timer>(m_daemon.loop(), [this, id] { onDeadline(id); });
+    held.deadlineTimer->startAt(held.request.deadline);
+    held.exchange->onClosed([this, id] { onEvent(id, RequestEvent::CallerGone, nullptr); });
+    m_held.emplace(id, std::move(held));
+    enqueue(id);
+}
+
+void Dispatcher::enqueue(std::uint64_t id)
+{
+    HeldRequest &held = m_held.at(id);
+    ServiceLane &lane = m_lanes.at(held.service);
+    const Result<void> pushed
+        = lane.queues.at(held.request.queue).push(held.queued, BootClock::now());
+    if (!pushed)
+        apply(id, held.state.onRefused(pushed.error().code), nullptr);
+    dispatch(lane);
+}
+
+void Dispatcher::dispatch(ServiceLane &lane)
+{
+    const TimePoint now = BootClock::now();
+    refuseOverdue(lane, now);
+    while (dispatchOne(lane, now)) { }
+}
+
+bool Dispatcher::dispatchOne(ServiceLane &lane, TimePoint now)
+{
+    TeamQueues *queues = nextQueue(lane);
+    if (queues == nullptr || !lane.picker.pick(now))
+        return false;
+    const std::optional<QueuedRequest> next = queues->pop(
+        now, [&](std::string_view team) { return mayStart(lane, team, now); });
+    refuseOverdue(lane, now);
+    if (!next)
+        return false;
+    m_held.at(next->id).queued = *next;
+    startAttempt(lane, next->id, now);
+    return true;
+}
+
+// The queue after the one served last that has work.
+TeamQueues *Dispatcher::nextQueue(ServiceLane &lane)
+{
+    auto queue = lane.queues.upper_bound(lane.lastQueue);
+    for (std::size_t i = 0; i < lane.queues.size(); ++i, ++queue) {
+        if (queue == lane.queues.end())
+            queue = lane.queues.begin();
+        if (queue->second.count() > 0) {
+            lane.lastQueue = queue->first;
+            return &queue->second;
+        }
+    }
+    return nullptr;
+}
+
+// A loan with a free unit: the team's own, or one of a team with nothing waiting here.
+std::optional<LoanKey> Dispatcher::findSlot(const ServiceLane &lane, std::string_view team,
+                                            TimePoint now)
+{
+    const std::string resource = slotResource(lane.config.name);
+    const LoanKey own {resource, std::string(team)};
+    const Borrower *borrower = m_loans.find(own);
+    if (borrower != nullptr && borrower->available(now) > 0)
+        return own;
+    return m_loans.findIdle(resource, now, [&](std::string_view other) {
+        return std::any_of(lane.queues.begin(), lane.queues.end(),
+                           [&](const auto &queue) { return queue.second.count(other) > 0; });
+    });
+}
+
+bool Dispatcher::mayStart(const ServiceLane &lane, std::string_view team, TimePoint now)
+{
+    if (!findSlot(lane, team, now)) {
+        m_loans.onDemandChanged({slotResource(lane.config.name), std::string(team)});
+        return false;
+    }
+    if (!m_ceilings.contains(team))
+        return true;
+    const LoanKey ceiling {ceilingResource(team), ""};
+    const Borrower *borrower = m_loans.find(ceiling);
+    if (borrower != nullptr && borrower->available(now) > 0)
+        return true;
+    m_loans.onDemandChanged(ceiling);
+    return false;
+}
+
+void Dispatcher::startAttempt(ServiceLane &lane, std::uint64_t id, TimePoint now)
+{
+    HeldRequest &held = m_held.at(id);
+    held.slot = findSlot(lane, held.queued.team, now);
+    m_loans.find(*held.slot)->tryAcquire(now);
+    if (m_ceilings.contains(held.queued.team)) {
+        held.ceiling = LoanKey {ceilingResource(held.queued.team), ""};
+        m_loans.find(*held.ceiling)->tryAcquire(now);
+    }
+    held.runner = *lane.picker.pick(now, held.avoid);
+    held.startedAt = now;
+    held.state.onStarted();
+    lane.picker.onStarted(held.runner);
+    m_daemon.httpClient().call(makeCall(id, held, lane), [this, id](HttpAnswer answer) {
+        onAttemptEnded(id, std::move(answer));
+    });
+}
+
+HttpCall Dispatcher::makeCall(std::uint64_t id, const HeldRequest &held, const ServiceLane &lane)
+{
+    const Endpoint endpoint = parseEndpoint(held.runner).value();
+    const TimePoint now = BootClock::now();
+    HttpCall call {.address = endpoint.address, .port = endpoint.port};
+    // The connection is kept past the request's deadline, since only its end frees the slot.
+    call.deadline = std::max(held.request.deadline, now + m_options.longestWork);
+    call.connectionUse
+        = held.request.isIdempotent ? ConnectionUse::ReuseProved : ConnectionUse::Fresh;
+    call.maySend = [this, id] { return onBytesLeaving(id); };
+    call.request = {.method = "POST", .path = "/work", .body = held.exchange->request().body};
+    call.request.headers
+        = {{"x-deadline-ms", std::to_string(remainingMilliseconds(held.request.deadline, now))},
+           {"x-service", lane.config.name}};
+    if (!held.request.requestId.empty())
+        call.request.headers.push_back({"x-request-id", held.request.requestId});
+    return call;
+}
+
+// The last look before a byte is written: the leases must still stand.
+bool Dispatcher::onBytesLeaving(std::uint64_t id)
+{
+    const auto found = m_held.find(id);
+    if (found == m_held.end())
+        return false;
+    HeldRequest &held = found->second;
+    const TimePoint now = BootClock::now();
+    for (const std::optional<LoanKey> &key : {held.slot, held.ceiling}) {
+        const Borrower *borrower = key ? m_loans.find(*key) : nullptr;
+        if (key && (borrower == nullptr || !borrower->isLeased(now)))
+            return false;
+    }
+    return held.state.onBytesLeft();
+}
+
+void Dispatcher::onAttemptEnded(std::uint64_t id, HttpAnswer answer)
+{
+    HeldRequest &held = m_held.at(id);
+    ServiceLane &lane = m_lanes.at(held.service);
+    const TimePoint now = BootClock::now();
+    const UpstreamOutcome outcome = upstreamOutcome(answer);
+    lane.picker.onEnded(held.runner, outcome, now);
+    TeamQueues &queues = lane.queues.at(held.request.queue);
+    if (answer.outcome == HttpOutcome::Answered && !isRunnerRefusal(answer.response)) {
+        queues.onFinished(held.queued, now - held.startedAt, now);
+        lane.retryBudget.onSuccess();
+    } else if (answer.outcome != HttpOutcome::Lost) {
+        queues.onNotRun(held.queued);
+    }
+    held.avoid = held.runner;
+    onEvent(id, requestEvent(answer), &answer.response);
+    dispatch(lane);
+}
+
+void Dispatcher::onDeadline(std::uint64_t id)
+{
+    HeldRequest &held = m_held.at(id);
+    if (held.state.phase() == RequestPhase::Queued)
+        m_lanes.at(held.service).queues.at(held.request.queue).remove(id);
+    onEvent(id, RequestEvent::DeadlinePassed, nullptr);
+}
+
+void Dispatcher::onEvent(std::uint64_t id, RequestEvent event, HttpResponse *response)
+{
+    const auto found = m_held.find(id);
+    if (found == m_held.end())
+        return;
+    HeldRequest &held = found->second;
+    const bool wasQueued = held.state.phase() == RequestPhase::Queued;
+    const RequestStep step = held.state.onEvent(event);
+    if (wasQueued && step.action == RequestAction::Finish)
+        m_lanes.at(held.service).queues.at(held.request.queue).remove(id);
+    apply(id, step, response);
+}
+
+void Dispatcher::apply(std::uint64_t id, RequestStep step, HttpResponse *response)
+{
+    HeldRequest &held = m_held.at(id);
+    settleUnits(held, step.unit);
+    switch (step.action) {
+    case RequestAction::Retry:
+        retry(id);
+        return;
+    case RequestAction::Finish:
+        finish(held, step.code, response);
+        break;
+    case RequestAction::DropLate:
+        count(ResultCode::OutcomeUnknown);
+        break;
+    case RequestAction::None:
+        break;
+    }
+    forgetIfDone(id);
+}
+
+void Dispatcher::retry(std::uint64_t id)
+{
+    HeldRequest &held = m_held.at(id);
+    ServiceLane &lane = m_lanes.at(held.service);
+    const bool needsBudget = held.state.mayHaveRun();
+    if (needsBudget && !lane.retryBudget.tryTake(BootClock::now())) {
+        apply(id, held.state.onRefused(ResultCode::RetryBudgetEmpty), nullptr);
+        return;
+    }
+    enqueue(id);
+}
+
+void Dispatcher::finish(HeldRequest &held, ResultCode code, HttpResponse *response)
+{
+    held.deadlineTimer->cancel();
+    if (code == ResultCode::Ok && response != nullptr) {
+        count(code);
+        response->headers.push_back({"x-run-state", std::string(toString(RunState::Ran))});
+        held.exchange->reply(std::move(*response));
+        return;
+    }
+    refuse(*held.exchange, {code, std::string(resultInfo(code).meaning)});
+}
+
+void Dispatcher::refuse(HttpExchange &exchange, const Error &error)
+{
+    count(error.code);
+    exchange.reply(refusalResponse(error, RetryAfterSeconds));
+}
+
+void Dispatcher::settleUnits(HeldRequest &held, UnitUse use)
+{
+    const TimePoint now = BootClock::now();
+    if (use == UnitUse::Return)
+        releaseUnits(held, now);
+    else if (use == UnitUse::ReturnAtLongest)
+        releaseUnits(held, now + m_options.longestWork);
+}
+
+void Dispatcher::releaseUnits(HeldRequest &held, TimePoint due)
+{
+    const TimePoint now = BootClock::now();
+    for (std::optional<LoanKey> *key : {&held.slot, &held.ceiling}) {
+        if (!*key)
+            continue;
+        if (due <= now)
+            release(**key, now);
+        else
+            m_lateReleases.push_back({due, **key});
+        key->reset();
+    }
+}
+
+void Dispatcher::release(const LoanKey &key, TimePoint now)
+{
+    Borrower *borrower = m_loans.find(key);
+    if (borrower != nullptr)
+        borrower->release(now);
+}
+
+void Dispatcher::releaseLate()
+{
+    const TimePoint now = BootClock::now();
+    while (!m_lateReleases.empty() && m_lateReleases.front().due <= now) {
+        release(m_lateReleases.front().key, now);
+        m_lateReleases.pop_front();
+    }
+}
+
+void Dispatcher::forgetIfDone(std::uint64_t id)
+{
+    const HeldRequest &held = m_held.at(id);
+    if (held.state.phase() != RequestPhase::Finished || held.slot)
+        return;
+    m_held.erase(id);
+    if (m_held.empty() && m_drained)
+        std::exchange(m_drained, nullptr)();
+}
+
+void Dispatcher::refuseOverdue(ServiceLane &lane, TimePoint now)
+{
+    for (auto &[name, queues] : lane.queues) {
+        for (const RefusedRequest &refused : queues.takeRefused(now)) {
+            const std::uint64_t id = refused.request.id;
+            apply(id, m_held.at(id).state.onRefused(refused.code), nullptr);
+        }
+    }
+}
+
+void Dispatcher::tick()
+{
+    releaseLate();
+    std::size_t queued = 0;
+    for (auto &[name, lane] : m_lanes) {
+        dispatch(lane);
+        for (const auto &[queue, queues] : lane.queues)
+            queued += queues.count();
+    }
+    m_queuedGauge.Set(double(queued));
+    m_heldGauge.Set(double(m_held.size()));
+    m_tickTimer.startAt(BootClock::now() + TickInterval);
+}
+
+std::int64_t Dispatcher::demand(const LoanKey &key)
+{
+    const Borrower *borrower = m_loans.find(key);
+    std::int64_t units = borrower != nullptr ? borrower->inUse() : 0;
+    const bool isSlot = isSlotResource(key.resource);
+    for (const auto &[service, lane] : m_lanes) {
+        if (isSlot && slotResource(service) != key.resource)
+            continue;
+        for (const auto &[name, queues] : lane.queues) {
+            for (const TeamQueues::Waiting &waiting : queues.waiting()) {
+                const bool counts = isSlot ? waiting.team == key.team
+                                           : ceilingResource(waiting.team) == key.resource;
+                units += counts ? std::int64_t(waiting.count) : 0;
+            }
+        }
+    }
+    return units;
+}
+
+void Dispatcher::drain(TimePoint deadline, std::function<void()> done)
+{
+    m_drained = [this, done = std::move(done)] {
+        m_loans.setLoans({});
+        done();
+    };
+    if (m_held.empty())
+        std::exchange(m_drained, nullptr)();
+    else
+        m_drainTimer.startAt(deadline);
+}
+
+void Dispatcher::count(ResultCode code)
+{
+    prometheus::Counter *&counter = m_counters[code];
+    if (counter == nullptr)
+        counter = &m_requests.Add({{"code", std::string(resultInfo(code).name)}});
+    counter->Increment();
+}
+
+} // namespace sequoiapier
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -3,26 +3,17 @@
 #include "cli/command.h"
 #include "gateway/refusal.h"
 
-#include <prometheus/family.h>
-
 #include <iostream>
+#include <random>
 #include <utility>
 
 namespace sequoiapier {
 
 namespace {
 
-constexpr Duration TableDeadline = std::chrono::seconds(2);
-constexpr std::uint32_t RetryAfterSeconds = 1;
-
-prometheus::Counter &requestCounter(prometheus::Registry &registry, const char *outcome)
-{
-    return prometheus::BuildCounter()
-        .Name("sequoiapier_requests_total")
-        .Help("Callers' requests by outcome")
-        .Register(registry)
-        .Add({{"outcome", outcome}});
-}
+// Part of the drain time left for answers after held requests are given up.
+constexpr Duration AnswerTime = std::chrono::milliseconds(500);
+constexpr Duration LastAnswerTime = std::chrono::milliseconds(50);
 
 HttpServer::Options serverOptions(const GatewaySettings &settings)
 {
@@ -40,127 +31,90 @@
 Gateway::Gateway(Daemon &daemon, const GatewaySettings &settings)
     : m_daemon(daemon)
     , m_settings(settings)
-    , m_remoteTable(daemon.httpClient(), {parseEndpoint(settings.tableEndpoint).value()})
-    , m_table(m_remoteTable.hooks())
-    , m_pollTimer(daemon.loop(), [this] { pollConfiguration(); })
+    , m_node(daemon, {.role = "gateway", .table = parseEndpoint(settings.tableEndpoint).value()},
+             {.apply = [this](const Configuration &c) { applyConfiguration(c); },
+              .joined = [this] { m_dispatcher.start(); }})
+    , m_dispatcher(daemon, m_node,
+                   {.longestWork = std::chrono::milliseconds(settings.longestWorkMilliseconds),
+                    .seed = std::random_device()()})
     , m_server(daemon.loop(), serverOptions(settings),
                [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
-    , m_answered(requestCounter(daemon.metrics(), "answered"))
-    , m_refused(requestCounter(daemon.metrics(), "refused"))
-{
-    pollConfiguration();
-}
-
-void Gateway::pollConfiguration()
 {
-    m_table.read(ConfigurationKey, BootClock::now() + TableDeadline,
-                 [this](const Result<std::optional<TableRow>> &row) {
-                     if (row && row.value())
-                         applyConfiguration(*row.value());
-                     m_pollTimer.startAt(
-                         BootClock::now()
-                         + std::chrono::milliseconds(m_settings.configurationPollMilliseconds));
-                 });
+    m_node.start();
 }
 
-void Gateway::applyConfiguration(const TableRow &row)
+void Gateway::applyConfiguration(const Configuration &configuration)
 {
-    if (row.version <= m_configuration.version)
-        return;
-    Result<Configuration> parsed = parseConfiguration(row.value, row.version);
-    if (!parsed) {
-        m_daemon.report("configuration.rejected",
-                        {.epoch = row.version, .detail = parsed.error().detail});
-        return;
-    }
-    m_configuration = std::move(parsed.value());
-    m_daemon.report("configuration.applied", {.epoch = row.version});
+    m_dispatcher.configure(configuration);
     m_daemon.setReady(true);
 }
 
 void Gateway::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     if (m_daemon.isDraining()) {
-        refuse(*exchange, {ResultCode::ShuttingDown, "this gateway is draining"});
+        m_dispatcher.refuse(*exchange, {ResultCode::ShuttingDown, "this gateway is draining"});
         return;
     }
-    const Result<CallerRequest> request = parseCallerRequest(exchange->request(), BootClock::now());
+    Result<CallerRequest> request = parseCallerRequest(exchange->request(), BootClock::now());
     if (!request) {
-        refuse(*exchange, request.error());
+        m_dispatcher.refuse(*exchange, request.error());
         return;
     }
-    const Result<const ServiceConfig *> service = admit(request.value());
-    if (!service) {
-        refuse(*exchange, service.error());
+    const Result<Admission> admission = admit(request.value());
+    if (!admission) {
+        m_dispatcher.refuse(*exchange, admission.error());
         return;
     }
-    send(exchange, request.value(), *service.value());
+    m_dispatcher.submit(exchange, std::move(request.value()), *admission.value().queue,
+                        admission.value().team);
 }
 
-Result<const ServiceConfig *> Gateway::admit(const CallerRequest &request) const
+Result<Gateway::Admission> Gateway::admit(const CallerRequest &request)
 {
-    if (m_configuration.version == 0)
-        return Error{ResultCode::ConfigurationStale, "no configuration has been read yet"};
-    const QueueConfig *queue = m_configuration.findQueue(request.queue);
+    if (!m_node.hasJoined() || !m_node.follower().isConfirmed(BootClock::now())) {
+        return Error{ResultCode::ConfigurationStale,
+                     "the configuration could not be confirmed lately"};
+    }
+    const QueueConfig *queue = m_node.follower().configuration().findQueue(request.queue);
     if (queue == nullptr)
         return Error{ResultCode::QueueUnknown, "no queue '" + request.queue + "'"};
-    if (!queue->isOpen) {
-        if (request.key.empty())
-            return Error{ResultCode::KeyMissing, "queue '" + queue->name + "' needs a key"};
-        if (m_configuration.findKey(keyDigest(request.key)) == nullptr)
-            return Error{ResultCode::KeyRejected, "the key is unknown or withdrawn"};
+    const auto left = request.deadline - BootClock::now();
+    if (left > std::chrono::milliseconds(m_settings.longestWorkMilliseconds)) {
+        return Error{ResultCode::RequestMalformed,
+                     "x-deadline-ms is longer than the longest work, "
+                         + std::to_string(m_settings.longestWorkMilliseconds) + " ms"};
     }
-    const ServiceConfig *service = m_configuration.findService(queue->service);
-    if (service == nullptr || service->runners.empty())
-        return Error{ResultCode::NoUpstream, "service '" + queue->service + "' has no runner"};
-    return service;
-}
-
-void Gateway::send(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request,
-                   const ServiceConfig &service)
-{
-    const RunnerConfig &runner = service.runners[m_nextRunner++ % service.runners.size()];
-    HttpCall call{.address = runner.address, .port = runner.port, .deadline = request.deadline};
-    call.connectionUse = request.isIdempotent ? ConnectionUse::Reuse : ConnectionUse::Fresh;
-    call.request = {.method = "POST", .path = "/work", .body = exchange->request().body};
-    const auto left = remainingMilliseconds(request.deadline, BootClock::now());
-    call.request.headers
-        = {{"x-deadline-ms", std::to_string(left)}, {"x-request-id", request.requestId}};
-    ++m_inFlight;
-    m_daemon.httpClient().call(std::move(call), [this, exchange](HttpAnswer answer) {
-        if (answer.outcome == HttpOutcome::Answered) {
-            m_answered.Increment();
-            answer.response.headers.push_back({"x-run-state", "ran"});
-            exchange->reply(std::move(answer.response));
-        } else if (answer.outcome == HttpOutcome::NotSent) {
-            refuse(*exchange, {ResultCode::NoUpstream, "no connection to a runner"});
-        } else if (answer.timedOut) {
-            refuse(*exchange, {ResultCode::OutcomeUnknown, "no answer by the deadline"});
-        } else {
-            refuse(*exchange, {ResultCode::UpstreamLost, "the connection was lost"});
-        }
-        finishOne();
-    });
+    Result<std::string> team = findTeam(request, *queue);
+    if (!team)
+        return team.error();
+    return Admission{queue, std::move(team.value())};
 }
 
-void Gateway::refuse(HttpExchange &exchange, const Error &error)
+// On an open queue a request without a key is of no team.
+Result<std::string> Gateway::findTeam(const CallerRequest &request, const QueueConfig &queue)
 {
-    m_refused.Increment();
-    exchange.reply(refusalResponse(error, RetryAfterSeconds));
-}
-
-void Gateway::finishOne()
-{
-    --m_inFlight;
-    if (m_inFlight == 0 && m_drained)
-        m_drained();
+    if (request.key.empty()) {
+        if (queue.isOpen)
+            return std::string();
+        return Error{ResultCode::KeyMissing, "queue '" + queue.name + "' needs a key"};
+    }
+    ConfigurationFollower &follower = m_node.follower();
+    const std::string digest = keyDigest(request.key);
+    const KeyConfig *key = follower.configuration().findKey(digest);
+    if (key == nullptr || follower.isDenied(digest, BootClock::now()))
+        return Error{ResultCode::KeyRejected, "the key is unknown or withdrawn"};
+    return key->team;
 }
 
 void Gateway::drain(std::function<void()> done)
 {
-    m_drained = std::move(done);
-    if (m_inFlight == 0)
-        m_drained();
+    const auto drainTime = std::chrono::milliseconds(m_settings.common.drainMilliseconds);
+    const TimePoint deadline = BootClock::now() + std::max<Duration>(drainTime - AnswerTime, {});
+    m_dispatcher.drain(deadline, [this, done = std::move(done)] {
+        // One more turn of the loop lets the last answers go out.
+        m_lastTurn = std::make_unique<Timer>(m_daemon.loop(), done);
+        m_lastTurn->startAt(BootClock::now() + LastAnswerTime);
+    });
 }
 
 int runGateway(CommandArgs args)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,12 +1,10 @@
-// Gateway: takes callers' requests, sends each to one runner and answers once.
+// Gateway: admits callers' requests by the configuration in force and hands them to the dispatcher.
 #pragma once
 
 #include "gateway/callerrequest.h"
+#include "gateway/dispatcher.h"
 #include "gateway/gatewaysettings.h"
-#include "platform/remotetable.h"
-#include "sequoiapier/configuration.h"
-
-#include <prometheus/counter.h>
+#include "peer/peernode.h"
 
 #include <memory>
 
@@ -22,27 +20,23 @@
     void drain(std::function<void()> done);
 
 private:
-    void pollConfiguration();
-    void applyConfiguration(const TableRow &row);
+    struct Admission
+    {
+        const QueueConfig *queue = nullptr;
+        std::string team; // empty on an open queue without a key
+    };
+
+    void applyConfiguration(const Configuration &configuration);
     void handle(const std::shared_ptr<HttpExchange> &exchange);
-    Result<const ServiceConfig *> admit(const CallerRequest &request) const;
-    void send(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request,
-              const ServiceConfig &service);
-    void refuse(HttpExchange &exchange, const Error &error);
-    void finishOne();
+    Result<Admission> admit(const CallerRequest &request);
+    Result<std::string> findTeam(const CallerRequest &request, const QueueConfig &queue);
 
     Daemon &m_daemon;
     GatewaySettings m_settings;
-    RemoteTable m_remoteTable;
-    Table m_table;
-    Configuration m_configuration;
-    Timer m_pollTimer;
+    PeerNode m_node;
+    Dispatcher m_dispatcher;
     HttpServer m_server;
-    std::size_t m_inFlight = 0;
-    std::size_t m_nextRunner = 0;
-    std::function<void()> m_drained;
-    prometheus::Counter &m_answered;
-    prometheus::Counter &m_refused;
+    std::unique_ptr<Timer> m_lastTurn;
 };
 
 } // namespace sequoiapier
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -17,8 +17,12 @@
         "read-timeout-s", settings.readTimeoutSeconds,
         {.unit = "s", .min = 1, .max = 300, .help = "Longest time to send a request"});
     addTableSetting(parser, settings.tableEndpoint);
-    parser.addInteger("configuration-poll-ms", settings.configurationPollMilliseconds,
-                      {.unit = "ms", .min = 50, .max = 5'000, .help = "Interval of table reads"});
+    parser.addInteger("longest-work-ms", settings.longestWorkMilliseconds,
+                      {.unit = "ms",
+                       .min = 100,
+                       .max = 86'400'000,
+                       .help = "Longest deadline; work without a shown end is taken to have ended "
+                               "after this"});
     const Result<ParseAction> action = parser.parse(args, processEnvironment);
     if (!action)
         return action.error();
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -16,7 +16,7 @@
     std::int64_t maxCallerConnections = 1024;
     std::int64_t readTimeoutSeconds = 10;
     std::string tableEndpoint;
-    std::int64_t configurationPollMilliseconds = 1'000;
+    std::int64_t longestWorkMilliseconds = 60'000;
 };
 
 // InvalidSettings lists every error; nullopt after --help or --version.
--- /dev/null
+++ b/gateway/heldrequest.h
@@ -0,0 +1,34 @@
+// HeldRequest: one caller's request for as long as the gateway has anything to do with it.
+//
+// It outlives its answer when the deadline passes while a runner may still work on it: its units
+// stay taken until the end of that work is shown.
+#pragma once
+
+#include "gateway/callerrequest.h"
+#include "gateway/loanclient.h"
+#include "gateway/queuedrequest.h"
+#include "gateway/requeststate.h"
+#include "net/httpexchange.h"
+#include "net/timer.h"
+
+#include <memory>
+#include <optional>
+
+namespace sequoiapier {
+
+struct HeldRequest
+{
+    std::shared_ptr<HttpExchange> exchange;
+    CallerRequest request;
+    QueuedRequest queued;
+    std::string service;
+    RequestState state;
+    std::unique_ptr<Timer> deadlineTimer;
+    std::string runner; // of the current attempt
+    std::string avoid; // runner of the failed attempt
+    TimePoint startedAt; // of the current attempt
+    std::optional<LoanKey> slot; // that the current attempt holds a unit of
+    std::optional<LoanKey> ceiling;
+};
+
+} // namespace sequoiapier
--- a/gateway/loanclient.cpp
+++ b/gateway/loanclient.cpp
@@ -1,5 +1,7 @@
 #include "gateway/loanclient.h"
 
+#include "peer/lendableresources.h"
+
 #include <utility>
 
 namespace sequoiapier {
@@ -45,18 +47,18 @@
 void LoanClient::recordBorrower()
 {
     const std::string key = borrowerKey(m_node.self());
-    m_node.table().commit(
-        {.writeId = "borrower/" + toString(m_node.self()),
-         .writes = {{.key = key, .value = "{}", .baseVersion = 0}}},
-        BootClock::now() + TableDeadline, [this](const CommitAnswer &answer) {
-            // The incarnation is this process's alone, so a conflict is its own earlier write.
-            m_isRecorded = answer.outcome == CommitOutcome::Committed
-                || answer.outcome == CommitOutcome::Conflict;
-            if (m_isRecorded)
-                flush();
-            else
-                m_recordTimer.startAt(BootClock::now() + RetryInterval);
-        });
+    m_node.table().commit({.writeId = "borrower/" + toString(m_node.self()),
+                           .writes = {{.key = key, .value = "{}", .baseVersion = 0}}},
+                          BootClock::now() + TableDeadline, [this](const CommitAnswer &answer) {
+                              // The incarnation is this process's alone, so a conflict is its own
+                              // earlier write.
+                              m_isRecorded = answer.outcome == CommitOutcome::Committed
+                                  || answer.outcome == CommitOutcome::Conflict;
+                              if (m_isRecorded)
+                                  flush();
+                              else
+                                  m_recordTimer.startAt(BootClock::now() + RetryInterval);
+                          });
 }
 
 void LoanClient::scanOwners()
@@ -84,28 +86,44 @@
         flush();
 }
 
-void LoanClient::setResources(const std::vector<std::string> &names)
+void LoanClient::setLoans(const std::set<LoanKey> &keys)
 {
-    const std::set<std::string, std::less<>> wanted(names.begin(), names.end());
     std::erase_if(m_loans, [&](const auto &entry) {
-        return !wanted.contains(entry.first) && entry.second.borrower.inUse() == 0;
+        return !keys.contains(entry.first) && entry.second.borrower.inUse() == 0;
     });
-    for (const std::string &name : names) {
-        if (!m_loans.contains(name))
-            m_loans.emplace(name, Loan {Borrower({.resource = name, .self = m_node.self()})});
+    for (const LoanKey &key : keys) {
+        MemberId self = m_node.self();
+        if (!key.team.empty())
+            self.name = teamBorrowerName(self.name, key.team);
+        if (!m_loans.contains(key))
+            m_loans.emplace(key, Loan{Borrower({.resource = key.resource, .self = self})});
     }
     flush();
 }
 
-Borrower *LoanClient::find(std::string_view resource)
+Borrower *LoanClient::find(const LoanKey &key)
 {
-    const auto found = m_loans.find(resource);
+    const auto found = m_loans.find(key);
     return found != m_loans.end() ? &found->second.borrower : nullptr;
 }
 
-void LoanClient::onDemandChanged(std::string_view resource)
+std::optional<LoanKey>
+LoanClient::findIdle(std::string_view resource, TimePoint now,
+                     const std::function<bool(std::string_view team)> &needsIt) const
+{
+    const LoanKey first{std::string(resource), ""};
+    for (auto loan = m_loans.lower_bound(first); loan != m_loans.end(); ++loan) {
+        if (loan->first.resource != resource)
+            break;
+        if (loan->second.borrower.available(now) > 0 && !needsIt(loan->first.team))
+            return loan->first;
+    }
+    return std::nullopt;
+}
+
+void LoanClient::onDemandChanged(const LoanKey &key)
 {
-    const auto found = m_loans.find(resource);
+    const auto found = m_loans.find(key);
     if (found == m_loans.end())
         return;
     found->second.isUrgent = true;
@@ -124,19 +142,19 @@
 {
     if (!m_isRecorded)
         return;
-    std::map<std::string, std::vector<std::string>> byOwner;
-    for (const auto &[name, loan] : m_loans) {
-        const auto owner = m_owners.find(name);
+    std::map<std::string, std::vector<LoanKey>> byOwner;
+    for (const auto &[key, loan] : m_loans) {
+        const auto owner = m_owners.find(key.resource);
         if (owner != m_owners.end() && (loan.isUrgent || !onlyUrgent))
-            byOwner[owner->second].push_back(name);
+            byOwner[owner->second].push_back(key);
     }
-    for (const auto &[owner, resources] : byOwner) {
+    for (const auto &[owner, keys] : byOwner) {
         if (!m_asked.contains(owner))
-            send(owner, resources);
+            send(owner, keys);
     }
 }
 
-void LoanClient::send(const std::string &owner, const std::vector<std::string> &resources)
+void LoanClient::send(const std::string &owner, const std::vector<LoanKey> &keys)
 {
     const std::optional<Endpoint> endpoint = m_node.endpointOf(owner);
     if (!endpoint)
@@ -144,10 +162,10 @@
     const TimePoint sentAt = BootClock::now();
     api::PeerService_lend_args args;
     args.sender = m_node.sender();
-    for (const std::string &resource : resources) {
-        Loan &loan = m_loans.at(resource);
+    for (const LoanKey &key : keys) {
+        Loan &loan = m_loans.at(key);
         loan.isUrgent = false;
-        args.reports.push_back(toWire(loan.borrower.makeReport(m_hooks.demand(resource), sentAt)));
+        args.reports.push_back(toWire(loan.borrower.makeReport(m_hooks.demand(key), sentAt)));
     }
     m_asked.insert(owner);
     m_node.rpcClient().call<api::PeerService_lend_args, api::PeerService_lend_result>(
@@ -164,14 +182,15 @@
     m_node.observe(answer.sender);
     const TimePoint now = BootClock::now();
     for (const api::LoanGrantMessage &message : answer.grants) {
-        Borrower *borrower = find(message.resource);
+        const LoanKey key{message.resource, teamOfBorrower(message.borrower)};
+        Borrower *borrower = find(key);
         if (borrower == nullptr)
             continue;
         borrower->accept(fromWire(message), sentAt, now);
         if (borrower->available(now) > 0)
-            m_hooks.onGranted(message.resource);
-        if (m_hooks.demand(message.resource) > borrower->held())
-            onDemandChanged(message.resource);
+            m_hooks.onGranted(key);
+        if (m_hooks.demand(key) > borrower->held())
+            onDemandChanged(key);
     }
 }
 
--- a/gateway/loanclient.h
+++ b/gateway/loanclient.h
@@ -2,9 +2,12 @@
 //
 //   LoanClient loans(daemon, node, {.demand = ..., .onGranted = ...});
 //   loans.start();                                  // once the node has joined
-//   loans.setResources(names);
-//   if (loans.borrower("slots/pricing").tryAcquire(now)) ...
-//   loans.onDemandChanged("slots/pricing");         // work waits and no unit is free
+//   loans.setLoans({{"slots/pricing", "depot"}, {"ceiling/depot", ""}});
+//   if (loans.find(key)->tryAcquire(now)) ...
+//   loans.onDemandChanged(key);                     // work waits and no unit is free
+//
+// A gateway borrows runner slots for each team apart, as the borrower "<gateway>#<team>", so that
+// the lender can share them among teams wherever their callers arrive.
 //
 // Reports go to each owner every ReportInterval, one message for all its resources, and as soon as
 // ShortReportInterval after more units are wanted. The gateway records itself as a borrower in the
@@ -20,25 +23,37 @@
 
 namespace sequoiapier {
 
+struct LoanKey
+{
+    std::string resource;
+    std::string team; // empty where units are not lent by team
+
+    auto operator<=>(const LoanKey &) const = default;
+};
+
 class LoanClient
 {
 public:
     struct Hooks
     {
         // Units wanted of a resource, with those in use.
-        std::function<std::int64_t(std::string_view resource)> demand;
+        std::function<std::int64_t(const LoanKey &)> demand;
         // Units may have become free.
-        std::function<void(std::string_view resource)> onGranted;
+        std::function<void(const LoanKey &)> onGranted;
     };
 
     LoanClient(Daemon &daemon, PeerNode &node, Hooks hooks);
 
     void start();
-    // Starts to borrow `names`; others that have nothing in use are dropped.
-    void setResources(const std::vector<std::string> &names);
-    // nullptr if the resource was never set.
-    Borrower *find(std::string_view resource);
-    void onDemandChanged(std::string_view resource);
+    // Starts to borrow under `keys`; other loans with nothing in use are dropped.
+    void setLoans(const std::set<LoanKey> &keys);
+    // nullptr if the loan was never set.
+    Borrower *find(const LoanKey &key);
+    // A loan of `resource` with a free unit whose team does not need it; nullopt if there is none.
+    std::optional<LoanKey>
+    findIdle(std::string_view resource, TimePoint now,
+             const std::function<bool(std::string_view team)> &needsIt) const;
+    void onDemandChanged(const LoanKey &key);
     // Reports at once, for instance with no demand at shutdown.
     void flush();
 
@@ -53,7 +68,7 @@
     void scanOwners();
     void onOwners(const std::vector<TableRow> &rows);
     void sendReports(bool onlyUrgent);
-    void send(const std::string &owner, const std::vector<std::string> &resources);
+    void send(const std::string &owner, const std::vector<LoanKey> &keys);
     void onGrants(const api::LendAnswer &answer, TimePoint sentAt);
     void dropLeases();
 
@@ -61,7 +76,7 @@
     PeerNode &m_node;
     Hooks m_hooks;
     bool m_isRecorded = false;
-    std::map<std::string, Loan, std::less<>> m_loans;
+    std::map<LoanKey, Loan> m_loans;
     std::map<std::string, std::string, std::less<>> m_owners; // owning member by resource
     std::set<std::string> m_asked; // owners with a message on its way
     Timer m_recordTimer;
--- /dev/null
+++ b/gateway/servicelane.h
@@ -0,0 +1,29 @@
+// ServiceLane: what a gateway keeps for one service: its runners, retry budget and queues.
+#pragma once
+
+#include "gateway/retrybudget.h"
+#include "gateway/teamqueues.h"
+#include "gateway/upstreampicker.h"
+#include "sequoiapier/configuration.h"
+
+#include <map>
+#include <string>
+
+namespace sequoiapier {
+
+struct ServiceLane
+{
+    ServiceLane(std::uint64_t seed)
+        : picker({}, seed)
+        , retryBudget({})
+    {
+    }
+
+    ServiceConfig config;
+    UpstreamPicker picker;
+    RetryBudget retryBudget;
+    std::map<std::string, TeamQueues, std::less<>> queues; // by queue name
+    std::string lastQueue; // served last; queues take turns
+};
+
+} // namespace sequoiapier
--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -1207,6 +1207,10 @@
 void LoanGrantMessage::__set_code(const int32_t val) {
   this->code = val;
 }
+
+void LoanGrantMessage::__set_borrower(const std::string& val) {
+  this->borrower = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoanGrantMessage& obj)
 {
   obj.printTo(out);
@@ -1283,6 +1287,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->borrower);
+          this->__isset.borrower = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1324,6 +1336,10 @@
   xfer += oprot->writeI32(this->code);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("borrower", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->borrower);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1337,6 +1353,7 @@
   swap(a.amount, b.amount);
   swap(a.termMilliseconds, b.termMilliseconds);
   swap(a.code, b.code);
+  swap(a.borrower, b.borrower);
   swap(a.__isset, b.__isset);
 }
 
@@ -1347,6 +1364,7 @@
   amount = other20.amount;
   termMilliseconds = other20.termMilliseconds;
   code = other20.code;
+  borrower = other20.borrower;
   __isset = other20.__isset;
 }
 LoanGrantMessage& LoanGrantMessage::operator=(const LoanGrantMessage& other21) {
@@ -1356,6 +1374,7 @@
   amount = other21.amount;
   termMilliseconds = other21.termMilliseconds;
   code = other21.code;
+  borrower = other21.borrower;
   __isset = other21.__isset;
   return *this;
 }
@@ -1368,6 +1387,7 @@
   out << ", " << "amount=" << to_string(amount);
   out << ", " << "termMilliseconds=" << to_string(termMilliseconds);
   out << ", " << "code=" << to_string(code);
+  out << ", " << "borrower=" << to_string(borrower);
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -514,13 +514,14 @@
 std::ostream& operator<<(std::ostream& out, const LoanReportMessage& obj);
 
 typedef struct _LoanGrantMessage__isset {
-  _LoanGrantMessage__isset() : resource(false), sequence(false), epoch(false), amount(false), termMilliseconds(false), code(false) {}
+  _LoanGrantMessage__isset() : resource(false), sequence(false), epoch(false), amount(false), termMilliseconds(false), code(false), borrower(false) {}
   bool resource :1;
   bool sequence :1;
   bool epoch :1;
   bool amount :1;
   bool termMilliseconds :1;
   bool code :1;
+  bool borrower :1;
 } _LoanGrantMessage__isset;
 
 class LoanGrantMessage : public virtual ::apache::thrift::TBase {
@@ -534,7 +535,8 @@
                      epoch(0),
                      amount(0),
                      termMilliseconds(0),
-                     code(0) {
+                     code(0),
+                     borrower() {
   }
 
   virtual ~LoanGrantMessage() noexcept;
@@ -544,6 +546,7 @@
   int64_t amount;
   int64_t termMilliseconds;
   int32_t code;
+  std::string borrower;
 
   _LoanGrantMessage__isset __isset;
 
@@ -559,6 +562,8 @@
 
   void __set_code(const int32_t val);
 
+  void __set_borrower(const std::string& val);
+
   bool operator == (const LoanGrantMessage & rhs) const
   {
     if (!(resource == rhs.resource))
@@ -573,6 +578,8 @@
       return false;
     if (!(code == rhs.code))
       return false;
+    if (!(borrower == rhs.borrower))
+      return false;
     return true;
   }
   bool operator != (const LoanGrantMessage &rhs) const {
--- /dev/null
+++ b/net/headercopy.h
@@ -0,0 +1,13 @@
+// Reads a header of the message that a libwebsockets connection has just received.
+#pragma once
+
+#include <string>
+
+struct lws;
+
+namespace sequoiapier {
+
+// The value of the header `name` (lower case), or an empty string.
+std::string copyHeader(lws *connection, const std::string &name);
+
+} // namespace sequoiapier
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -2,6 +2,7 @@
 // nothing that arrives later on the connection can reach another caller.
 #include "net/httpclient.h"
 
+#include "net/headercopy.h"
 #include "net/timer.h"
 
 #include <libwebsockets.h>
@@ -33,6 +34,7 @@
 {
     lws_vhost *vhost = nullptr;
     std::string endpoint; // that its idle connection, if any, leads to
+    TimePoint provedUntil;
     std::unique_ptr<Transaction> transaction;
 };
 
@@ -76,16 +78,23 @@
     }
 }
 
+// The lane used last, which is the one most likely to be proved alive.
+HttpClient::Lane *HttpClient::takeIdleLane(const std::string &endpoint, ConnectionUse use)
+{
+    const auto idle = m_idleLanes.find(endpoint);
+    if (use == ConnectionUse::Fresh || idle == m_idleLanes.end() || idle->second.empty())
+        return nullptr;
+    Lane *lane = idle->second.back();
+    if (use == ConnectionUse::ReuseProved && lane->provedUntil < BootClock::now())
+        return nullptr;
+    idle->second.pop_back();
+    return lane;
+}
+
 HttpClient::Lane *HttpClient::takeLane(const std::string &endpoint, ConnectionUse use)
 {
-    if (use == ConnectionUse::Reuse) {
-        const auto idle = m_idleLanes.find(endpoint);
-        if (idle != m_idleLanes.end() && !idle->second.empty()) {
-            Lane *lane = idle->second.back();
-            idle->second.pop_back();
-            return lane;
-        }
-    }
+    if (Lane *idle = takeIdleLane(endpoint, use))
+        return idle;
     if (!m_freeLanes.empty()) {
         Lane *lane = m_freeLanes.back();
         m_freeLanes.pop_back();
@@ -115,7 +124,7 @@
         callback({.outcome = HttpOutcome::NotSent});
         return;
     }
-    const bool reuse = call.connectionUse == ConnectionUse::Reuse;
+    const bool reuse = call.connectionUse != ConnectionUse::Fresh;
     lane->endpoint = endpoint;
     lane->transaction
         = std::make_unique<Transaction>(*this, *lane, std::move(call), std::move(callback));
@@ -161,6 +170,7 @@
         if (!keep)
             lws_set_timeout(owned->connection, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
     }
+    lane.provedUntil = BootClock::now() + ProofTime;
     if (keep)
         m_idleLanes[lane.endpoint].push_back(&lane);
     else
@@ -196,6 +206,15 @@
     return 0;
 }
 
+void HttpClient::readHeaders(Transaction &transaction) const
+{
+    for (const std::string &name : m_options.keptHeaders) {
+        std::string value = copyHeader(transaction.connection, name);
+        if (!value.empty())
+            transaction.response.headers.push_back({name, std::move(value)});
+    }
+}
+
 int HttpClient::writeBody(Transaction &transaction)
 {
     std::string &body = transaction.call.request.body;
@@ -235,6 +254,7 @@
         return client.writeBody(*transaction);
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
         transaction->response.status = int(lws_http_client_http_response(connection));
+        client.readHeaders(*transaction);
         return 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP: {
         char *data = reinterpret_cast<char *>(client.m_buffer.data()) + LWS_PRE;
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -30,8 +30,12 @@
         std::size_t maxResponseBytes = 4 * 1024 * 1024;
         std::uint16_t idleSeconds = 5;
         unsigned connectTimeoutSeconds = 2;
+        std::vector<std::string> keptHeaders; // of responses, lower case; others are dropped
     };
 
+    // How long after an answer a connection counts as proved alive.
+    static constexpr Duration ProofTime = std::chrono::seconds(1);
+
     HttpClient(Loop &loop, Options options);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
@@ -48,9 +52,11 @@
 
 private:
     Lane *takeLane(const std::string &endpoint, ConnectionUse use);
+    Lane *takeIdleLane(const std::string &endpoint, ConnectionUse use);
     void finish(Transaction &transaction, HttpOutcome outcome, bool timedOut);
     int writeHead(Transaction &transaction, unsigned char **position, unsigned char *end);
     int writeBody(Transaction &transaction);
+    void readHeaders(Transaction &transaction) const;
 
     Loop &m_loop;
     Options m_options;
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -2,6 +2,8 @@
 // until its response is written; head and body go out in one write.
 #include "net/httpserver.h"
 
+#include "net/headercopy.h"
+
 #include <libwebsockets.h>
 
 #include <algorithm>
@@ -44,30 +46,6 @@
     }
 }
 
-std::string copyKnownHeader(lws *connection, lws_token_indexes token)
-{
-    const int length = lws_hdr_total_length(connection, token);
-    if (length <= 0)
-        return {};
-    std::string value(std::size_t(length) + 1, '\0');
-    const int copied = lws_hdr_copy(connection, value.data(), length + 1, token);
-    value.resize(std::size_t(std::max(copied, 0)));
-    return value;
-}
-
-std::string copyCustomHeader(lws *connection, const std::string &name)
-{
-    const std::string withColon = name + ":";
-    const int length = lws_hdr_custom_length(connection, withColon.c_str(), int(withColon.size()));
-    if (length <= 0)
-        return {};
-    std::string value(std::size_t(length) + 1, '\0');
-    const int copied = lws_hdr_custom_copy(connection, value.data(), length + 1, withColon.c_str(),
-                                           int(withColon.size()));
-    value.resize(std::size_t(std::max(copied, 0)));
-    return value;
-}
-
 } // namespace
 
 void HttpExchange::reply(HttpResponse response)
@@ -151,7 +129,7 @@
     request.method = methodName(lws_http_get_uri_and_method(connection, &uri, &uriLength));
     request.path = path;
     readHeaders(connection, request);
-    const std::string lengthText = copyKnownHeader(connection, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+    const std::string lengthText = copyHeader(connection, "content-length");
     if (lws_hdr_total_length(connection, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0) {
         refuse(*exchange, {ResultCode::RequestMalformed, "a content-length is required"});
         return 0;
@@ -183,17 +161,8 @@
 
 void HttpServer::readHeaders(lws *connection, HttpRequest &request) const
 {
-    static const std::array<std::pair<std::string_view, lws_token_indexes>, 4> Known{{
-        {"authorization", WSI_TOKEN_HTTP_AUTHORIZATION},
-        {"content-type", WSI_TOKEN_HTTP_CONTENT_TYPE},
-        {"accept", WSI_TOKEN_HTTP_ACCEPT},
-        {"retry-after", WSI_TOKEN_HTTP_RETRY_AFTER},
-    }};
     for (const std::string &name : m_options.keptHeaders) {
-        const auto known = std::find_if(Known.begin(), Known.end(),
-                                        [&](const auto &entry) { return entry.first == name; });
-        std::string value = known != Known.end() ? copyKnownHeader(connection, known->second)
-                                                 : copyCustomHeader(connection, name);
+        std::string value = copyHeader(connection, name);
         if (!value.empty())
             request.headers.push_back({name, std::move(value)});
     }
--- a/peer/lendableresources.cpp
+++ b/peer/lendableresources.cpp
@@ -2,9 +2,20 @@
 
 namespace sequoiapier {
 
+namespace {
+
+constexpr std::string_view SlotPrefix = "slots/";
+
+} // namespace
+
 std::string slotResource(std::string_view service)
 {
-    return "slots/" + std::string(service);
+    return std::string(SlotPrefix) + std::string(service);
+}
+
+bool isSlotResource(std::string_view resource)
+{
+    return resource.starts_with(SlotPrefix);
 }
 
 std::string ceilingResource(std::string_view team)
@@ -12,11 +23,23 @@
     return "ceiling/" + std::string(team);
 }
 
+std::string teamBorrowerName(std::string_view member, std::string_view team)
+{
+    return std::string(member) + "#" + std::string(team);
+}
+
+std::string teamOfBorrower(std::string_view borrower)
+{
+    const auto mark = borrower.find('#');
+    return mark == std::string_view::npos ? std::string() : std::string(borrower.substr(mark + 1));
+}
+
 std::vector<LendableResource> lendableResources(const Configuration &configuration)
 {
     std::vector<LendableResource> resources;
     for (const ServiceConfig &service : configuration.services) {
-        const auto slots = std::int64_t(service.slotsPerRunner) * std::int64_t(service.runners.size());
+        const auto slots
+            = std::int64_t(service.slotsPerRunner) * std::int64_t(service.runners.size());
         resources.push_back({slotResource(service.name), slots});
     }
     for (const TeamConfig &team : configuration.teams) {
--- a/peer/lendableresources.h
+++ b/peer/lendableresources.h
@@ -18,8 +18,13 @@
 };
 
 std::string slotResource(std::string_view service); // "slots/<service>"
+bool isSlotResource(std::string_view resource);
 std::string ceilingResource(std::string_view team); // "ceiling/<team>"
 
+// The name under which `member` borrows for `team`, and back; empty if it borrows for no team.
+std::string teamBorrowerName(std::string_view member, std::string_view team);
+std::string teamOfBorrower(std::string_view borrower);
+
 std::vector<LendableResource> lendableResources(const Configuration &configuration);
 
 } // namespace sequoiapier
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -26,8 +26,10 @@
             m_node.observe(args.sender);
             api::PeerService_lend_result result;
             result.success.sender = m_node.sender();
-            for (const api::LoanReportMessage &report : args.reports)
+            for (const api::LoanReportMessage &report : args.reports) {
                 result.success.grants.push_back(toWire(lend(fromWire(report))));
+                result.success.grants.back().borrower = report.borrower;
+            }
             result.__isset.success = true;
             answer(result);
         });
@@ -52,6 +54,9 @@
 void Scheduler::applyConfiguration(const Configuration &configuration)
 {
     m_capacities.clear();
+    m_shares.clear();
+    for (const TeamConfig &team : configuration.teams)
+        m_shares[team.name] = team.share;
     std::vector<std::string> names;
     for (const LendableResource &resource : lendableResources(configuration)) {
         m_capacities[resource.name] = resource.capacity;
@@ -91,7 +96,7 @@
                             .longestWork = milliseconds(m_settings.longestWorkMilliseconds)};
     if (resource.epoch > 1) {
         options.priorCapacity = capacity;
-        options.priorBorrowers = resource.borrowers;
+        options.priorBorrowers = teamBorrowers(resource);
     }
     m_lenders.erase(resource.name);
     m_lenders.emplace(resource.name, Lender(std::move(options), BootClock::now()));
@@ -104,15 +109,32 @@
     m_daemon.report("ownership.lost", {.subject = resource});
 }
 
-LoanGrant Scheduler::lend(const LoanReport &report)
+// Gateways borrow slots for each team apart, and once for work of no team.
+std::vector<MemberId> Scheduler::teamBorrowers(const OwnedResource &resource) const
+{
+    std::vector<MemberId> borrowers = resource.borrowers;
+    if (!isSlotResource(resource.name))
+        return borrowers;
+    for (const MemberId &gateway : resource.borrowers) {
+        for (const auto &[team, share] : m_shares)
+            borrowers.push_back({teamBorrowerName(gateway.name, team), gateway.incarnation});
+    }
+    return borrowers;
+}
+
+LoanGrant Scheduler::lend(LoanReport report)
 {
     const auto lender = m_lenders.find(report.resource);
     if (lender == m_lenders.end()) {
         return {
             .resource = report.resource, .sequence = report.sequence, .code = ResultCode::NotOwner};
     }
+    const TimePoint now = BootClock::now();
+    const auto share = m_shares.find(teamOfBorrower(report.borrower.name));
+    report.weight = m_demands[report.resource].weight(
+        report, share != m_shares.end() ? share->second : 1, now);
     lender->second.setOwnedUntil(m_ownership->ownedUntil());
-    return lender->second.report(report, BootClock::now());
+    return lender->second.report(report, now);
 }
 
 void Scheduler::drain(std::function<void()> done)
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -4,6 +4,7 @@
 #include "peer/lendableresources.h"
 #include "peer/peernode.h"
 #include "scheduler/schedulersettings.h"
+#include "scheduler/teamdemand.h"
 #include "sequoiapier/lender.h"
 #include "sequoiapier/ownership.h"
 
@@ -26,13 +27,16 @@
     void tick();
     void startLender(const OwnedResource &resource);
     void stopLender(const std::string &resource);
-    LoanGrant lend(const LoanReport &report);
+    LoanGrant lend(LoanReport report);
+    std::vector<MemberId> teamBorrowers(const OwnedResource &resource) const;
 
     Daemon &m_daemon;
     SchedulerSettings m_settings;
     PeerNode m_node;
     std::unique_ptr<Ownership> m_ownership;
     std::map<std::string, std::int64_t> m_capacities;
+    std::map<std::string, std::uint32_t, std::less<>> m_shares; // by team
+    std::map<std::string, TeamDemand, std::less<>> m_demands; // by resource
     std::map<std::string, Lender, std::less<>> m_lenders;
     std::function<void()> m_drained;
     Timer m_tickTimer;
--- a/testing/process/oneservicetest.h
+++ b/testing/process/oneservicetest.h
@@ -22,6 +22,7 @@
         ASSERT_TRUE(m_system.startTable());
         ASSERT_TRUE(m_system.startRunner("runner-1"));
         ASSERT_TRUE(m_system.startController("controller-1"));
+        ASSERT_TRUE(m_system.startScheduler("scheduler-1"));
         ASSERT_TRUE(m_system.startGateway("gateway-1", gatewayFlags()));
         ASSERT_EQ(m_system.applyConfiguration(toJson(configuration()), 0, "first"), 0)
             << m_system.output();
--- a/testing/standin/runnerstandin.cpp
+++ b/testing/standin/runnerstandin.cpp
@@ -39,7 +39,10 @@
 {
     if (m_faults.leaving || m_faults.outage || m_running >= m_settings.slots) {
         ++m_refused;
-        exchange->reply({.status = StatusUnavailable, .headers = {{"x-run-state", "not-run"}}});
+        const bool isBusy = !m_faults.leaving && !m_faults.outage;
+        exchange->reply({.status = StatusUnavailable,
+                         .headers = {{"x-run-state", "not-run"},
+                                     {"x-runner-state", isBusy ? "busy" : "leaving"}}});
         return;
     }
     const std::vector<HttpHeader> &headers = exchange->request().headers;
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -94,9 +94,8 @@
 bool LocalSystem::startGateway(const std::string &name, const std::vector<std::string> &flags)
 {
     const std::uint16_t port = freePort();
-    std::vector<std::string> words{SEQUOIAPIER_BINARY,        "gateway",
-                                   "--caller-port",           std::to_string(port),
-                                   "--configuration-poll-ms", "100"};
+    std::vector<std::string> words{SEQUOIAPIER_BINARY, "gateway", "--caller-port",
+                                   std::to_string(port)};
     for (const std::string &flag : tableFlags())
         words.push_back(flag);
     words.insert(words.end(), flags.begin(), flags.end());
@@ -106,6 +105,8 @@
 bool LocalSystem::startScheduler(const std::string &name, const std::vector<std::string> &flags)
 {
     std::vector<std::string> words{SEQUOIAPIER_BINARY, "scheduler"};
+    for (const std::string &flag : tableFlags())
+        words.push_back(flag);
     words.insert(words.end(), flags.begin(), flags.end());
     return start(name, std::move(words), 0);
 }
