Test lending under faults on the real classes, and fix what it found

Cause: the protocol had no proof, and a borrower that had read the new owner's epoch before its first report was taken to hold nothing of the old loans, so its units stayed out of use until the old terms ended. Change: LendingWorld drives lenders, borrowers, ownership, table and network under virtual time; random steps check that work in use and units that could be taken never exceed the capacity. A lender adopts a borrower once, with all that it holds.

--- a/sequoiapier/lender.cpp
+++ b/sequoiapier/lender.cpp
@@ -89,7 +89,7 @@
 LoanGrant Lender::report(const LoanReport &report, TimePoint now)
 {
     if (report.resource == m_options.resource && report.epoch > m_options.epoch)
-        m_isSuperseded = true;
+        m_isSuperseded = !m_options.faults.ignoreEpoch;
     tick(now);
     LoanGrant refusal{.resource = report.resource, .sequence = report.sequence};
     refusal.epoch = m_options.epoch;
@@ -114,22 +114,26 @@
     record.last = report;
     record.grant = {};
     record.isLimited = false;
-    if (record.isAdopted)
-        return;
-    if (report.epoch == m_options.epoch)
-        adopt(record);
-    else
-        record.priorUnits = std::max(report.held, report.inUse);
+    if (report.epoch == m_options.epoch && !isAdopted(report.borrower))
+        adopt(report);
+}
+
+bool Lender::isAdopted(const MemberId &borrower) const
+{
+    return m_unaccounted == 0 || m_adopted.contains(borrower);
 }
 
-// The borrower ignores grants of earlier lenders by now: its part of their loans is known.
-void Lender::adopt(Record &record)
+// The borrower ignores grants of earlier lenders by now, and this one has granted it no more than
+// it held: what it holds is its part of the earlier loans.
+void Lender::adopt(const LoanReport &report)
 {
-    record.isAdopted = true;
-    const std::int64_t units = std::max(record.last.held, record.last.inUse);
-    m_unaccounted = std::max<std::int64_t>(0, m_unaccounted - std::min(units, record.priorUnits));
-    if (m_awaited.erase(record.last.borrower) > 0 && m_awaited.empty())
+    const std::int64_t units = std::max(report.held, report.inUse);
+    m_unaccounted = std::max<std::int64_t>(0, m_unaccounted - units);
+    m_adopted.insert(report.borrower);
+    if (m_awaited.erase(report.borrower) > 0 && m_awaited.empty())
         m_unaccounted = 0;
+    if (m_unaccounted == 0)
+        m_adopted.clear();
 }
 
 std::int64_t Lender::shareOf(const Record &record, TimePoint now) const
@@ -166,8 +170,8 @@
     const std::int64_t bound = m_options.capacity - othersLent;
     std::int64_t amount = std::min(shareOf(record, now), std::max(bound, report.held));
     // Until it is adopted its loan stays as it is, so that its part of the old loans stays known.
-    if (!record.isAdopted && m_unaccounted > 0)
-        amount = std::max(amount, report.held);
+    if (!isAdopted(report.borrower))
+        amount = report.held;
     LoanGrant grant{.resource = report.resource, .sequence = report.sequence};
     grant.epoch = m_options.epoch;
     grant.amount = std::max<std::int64_t>(0, amount);
@@ -193,6 +197,8 @@
         return;
     if (m_unaccounted > 0 && now >= m_priorEnd)
         m_unaccounted = 0;
+    if (m_unaccounted == 0)
+        m_adopted.clear();
     std::erase_if(m_records, [&](const auto &entry) {
         const Record &record = entry.second;
         return now >= record.loanEnd + m_options.longestWork
--- a/sequoiapier/lender.h
+++ b/sequoiapier/lender.h
@@ -39,6 +39,7 @@
         bool forgetPriorLoans = false; // lends before the old terms end
         bool reclaimUnshown = false; // counts a reduced loan as returned when the grant is made
         bool reclaimWhenNotOwner = false; // reclaims by time after ownedUntil
+        bool ignoreEpoch = false; // lends on after a report of a later epoch
     };
 
     struct Options
@@ -91,7 +92,8 @@
     Duration leaseTerm(TimePoint now) const;
     ResultCode check(const LoanReport &report, TimePoint now) const;
     void takeIn(Record &record, const LoanReport &report);
-    void adopt(Record &record);
+    void adopt(const LoanReport &report);
+    bool isAdopted(const MemberId &borrower) const;
     std::int64_t shareOf(const Record &record, TimePoint now) const;
     LoanGrant makeGrant(Record &record, TimePoint now);
     bool mayReclaim(TimePoint now) const;
@@ -101,6 +103,7 @@
     TimePoint m_priorEnd;
     std::int64_t m_unaccounted = 0;
     std::set<MemberId> m_awaited;
+    std::set<MemberId> m_adopted; // their part is off m_unaccounted; empty once that is 0
     bool m_isSuperseded = false;
     std::map<MemberId, Record> m_records;
 };
--- a/sequoiapier/loanrecord.h
+++ b/sequoiapier/loanrecord.h
@@ -17,8 +17,6 @@
     TimePoint loanEnd{}; // no lease of this borrower reaches past it
     std::int64_t limit = 0; // most units in use, when less than lent is shown to be
     bool isLimited = false;
-    bool isAdopted = false; // holds loans of this lender's epoch only
-    std::int64_t priorUnits = 0; // lent by an earlier lender, as last reported under its epoch
     double averageDemand = 0; // units
     TimePoint reportedAt{};
 
--- /dev/null
+++ b/testing/support/lendingworld.cpp
@@ -0,0 +1,337 @@
+#include "testing/support/lendingworld.h"
+
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr std::chrono::milliseconds LenderTick{100};
+constexpr std::chrono::milliseconds WorkTick{20};
+constexpr std::chrono::milliseconds OwnerReadInterval{500};
+constexpr std::chrono::milliseconds TableTimeout{800};
+constexpr double MaxDrift = 0.005; // of a borrower's clock; half the margin of the classes
+
+std::string lenderName(std::size_t index)
+{
+    return "scheduler-" + std::to_string(index);
+}
+
+} // namespace
+
+LendingWorld::LendingWorld(Options options, std::uint64_t seed)
+    : m_options(options)
+    , m_random(seed)
+{
+    m_lenders.resize(std::size_t(options.lenders));
+    m_borrowers.resize(std::size_t(options.borrowers));
+    for (std::size_t i = 0; i < m_lenders.size(); ++i)
+        startLender(i);
+    for (std::size_t i = 0; i < m_borrowers.size(); ++i)
+        startBorrower(i);
+}
+
+void LendingWorld::enqueue(const std::shared_ptr<Turns> &turns, std::function<void()> turn)
+{
+    if (!turns->isAlive)
+        return;
+    if (turns->isPaused)
+        turns->waiting.push_back(std::move(turn));
+    else
+        turn();
+}
+
+void LendingWorld::every(const std::shared_ptr<Turns> &turns, Duration interval,
+                         const std::function<void()> &action)
+{
+    if (!turns->isAlive)
+        return;
+    if (!turns->isPaused)
+        action();
+    m_time.after(interval, [=, this] { every(turns, interval, action); });
+}
+
+void LendingWorld::send(const std::shared_ptr<Turns> &receiver,
+                        const std::function<void()> &deliver)
+{
+    std::uniform_real_distribution<double> part(0, 1);
+    std::uniform_int_distribution<Duration::rep> delay(m_network.minDelay.count(),
+                                                       m_network.maxDelay.count());
+    const int copies = part(m_random) < m_network.repeatPart ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        ++m_messages;
+        if (part(m_random) < m_network.dropPart)
+            continue;
+        m_time.after(Duration(delay(m_random)), [=, this] { enqueue(receiver, deliver); });
+    }
+}
+
+void LendingWorld::setPaused(Turns &turns, bool paused)
+{
+    turns.isPaused = paused;
+    while (!turns.isPaused && !turns.waiting.empty()) {
+        const std::function<void()> turn = std::move(turns.waiting.front());
+        turns.waiting.pop_front();
+        turn();
+    }
+}
+
+void LendingWorld::startLender(std::size_t index)
+{
+    auto process = std::make_unique<LenderProcess>();
+    LenderProcess *self = process.get();
+    self->name = lenderName(index);
+    self->turns = std::make_shared<Turns>();
+    Ownership::Options options{.self = {self->name, m_nextIncarnation += 1'000}};
+    options.term = m_options.ownershipTerm;
+    options.tableTimeout = TableTimeout;
+    Table table = m_table.hooks(self->name);
+    // Answers of the table wait while the process is paused.
+    const auto turns = self->turns;
+    Table guarded;
+    guarded.scan = [=, this](std::string_view prefix, TimePoint deadline, auto callback) {
+        table.scan(prefix, deadline,
+                   [=, this](auto rows) { enqueue(turns, [=] { callback(rows); }); });
+    };
+    guarded.read = [=, this](std::string_view key, TimePoint deadline, auto callback) {
+        table.read(key, deadline, [=, this](auto row) { enqueue(turns, [=] { callback(row); }); });
+    };
+    guarded.commit = [=, this](Commit commit, TimePoint deadline, auto callback) {
+        table.commit(std::move(commit), deadline,
+                     [=, this](auto answer) { enqueue(turns, [=] { callback(answer); }); });
+    };
+    Ownership::Hooks hooks{.now = [this] { return m_time.now(); }};
+    hooks.onAcquired = [=, this](const OwnedResource &owned) { onAcquired(*self, owned); };
+    hooks.onLost = [=](const std::string &resource) { self->lenders.erase(resource); };
+    self->ownership = std::make_unique<Ownership>(options, guarded, hooks);
+    std::vector<std::string> resources;
+    for (int i = 0; i < m_options.resources; ++i)
+        resources.push_back(resourceName(i));
+    self->ownership->setResources(std::move(resources));
+    m_lenders[index] = std::move(process);
+    every(turns, LenderTick, [=, this] {
+        self->ownership->tick();
+        for (auto &[resource, lender] : self->lenders) {
+            lender.setOwnedUntil(self->ownership->ownedUntil());
+            lender.tick(m_time.now());
+        }
+    });
+}
+
+void LendingWorld::onAcquired(LenderProcess &process, const OwnedResource &resource)
+{
+    Lender::Options options{.resource = resource.name, .capacity = m_options.capacity};
+    options.epoch = resource.epoch;
+    options.term = m_options.term;
+    options.outageTerm = m_options.outageTerm;
+    options.suspicion = m_options.ownershipTerm / 3;
+    options.longestWork = m_options.longestWork;
+    options.priorCapacity = resource.epoch > 1 ? m_options.capacity : 0;
+    options.priorBorrowers = resource.borrowers;
+    options.faults = m_options.lenderFaults;
+    Lender lender(options, m_time.now());
+    lender.setOwnedUntil(process.ownership->ownedUntil());
+    process.lenders.emplace(resource.name, std::move(lender));
+}
+
+void LendingWorld::startBorrower(std::size_t index)
+{
+    std::uniform_real_distribution<double> drift(-MaxDrift, MaxDrift);
+    auto process = std::make_unique<BorrowerProcess>();
+    BorrowerProcess *self = process.get();
+    self->self = {"gateway-" + std::to_string(index), ++m_nextIncarnation};
+    self->turns = std::make_shared<Turns>();
+    self->table = m_table.hooks(self->self.name);
+    self->clockRate = 1 + drift(m_random);
+    for (int i = 0; i < m_options.resources; ++i) {
+        Borrower::Options options{.resource = resourceName(i), .self = self->self};
+        options.faults = m_options.borrowerFaults;
+        self->loans.emplace(resourceName(i), Loan{Borrower(options), {}});
+        self->loans.at(resourceName(i)).floor = m_options.floor;
+    }
+    m_borrowers[index] = std::move(process);
+    every(self->turns, OwnerReadInterval, [=, this] { readOwners(*self); });
+    every(self->turns, m_options.reportInterval, [=, this] { report(*self); });
+    every(self->turns, WorkTick, [=, this] { startWork(*self); });
+}
+
+// Registers first, then reads the epochs, so that no lender of an earlier epoch is believed.
+void LendingWorld::readOwners(BorrowerProcess &process)
+{
+    BorrowerProcess *self = &process;
+    const TimePoint deadline = m_time.now() + TableTimeout;
+    if (!process.isRegistered) {
+        Commit commit{.writeId = "register/" + toString(process.self)};
+        commit.writeId += "/" + std::to_string(++m_nextIncarnation);
+        commit.writes = {{borrowerKey(process.self), "{}", 0}};
+        process.table.commit(std::move(commit), deadline, [=](const CommitAnswer &answer) {
+            // A conflict shows that an earlier attempt took effect.
+            self->isRegistered = self->isRegistered || answer.outcome == CommitOutcome::Committed
+                || answer.outcome == CommitOutcome::Conflict;
+        });
+        return;
+    }
+    process.table.scan(OwnerPrefix, deadline, [=](const Result<std::vector<TableRow>> &rows) {
+        if (!rows)
+            return;
+        self->isReady = true;
+        for (const TableRow &row : rows.value()) {
+            const std::string resource = row.key.substr(OwnerPrefix.size());
+            const OwnerRow owner = parseOwnerRow(row.value).value();
+            self->owners[resource] = owner;
+            self->loans.at(resource).borrower.requireEpoch(owner.epoch);
+        }
+    });
+}
+
+TimePoint LendingWorld::localNow(const BorrowerProcess &process) const
+{
+    const Duration since = m_time.now().time_since_epoch();
+    return TimePoint(std::chrono::duration_cast<Duration>(since * process.clockRate));
+}
+
+void LendingWorld::report(BorrowerProcess &process)
+{
+    if (!process.isReady)
+        return;
+    for (auto &[resource, loan] : process.loans) {
+        const auto owner = process.owners.find(resource);
+        if (owner == process.owners.end())
+            continue;
+        const LoanReport report = loan.borrower.makeReport(loan.demand, localNow(process));
+        loan.sentAt[report.sequence] = localNow(process);
+        sendReport(process, report, owner->second.owner.name);
+    }
+}
+
+void LendingWorld::sendReport(BorrowerProcess &process, const LoanReport &report,
+                              const std::string &owner)
+{
+    std::uniform_real_distribution<double> part(0, 1);
+    std::uniform_int_distribution<std::size_t> any(0, m_lenders.size() - 1);
+    const bool isMisrouted = part(m_random) < m_network.misroutePart;
+    const std::string name = isMisrouted ? m_lenders[any(m_random)]->name : owner;
+    for (auto &lender : m_lenders) {
+        if (lender->name != name || m_network.cutLinks.contains({process.self.name, name}))
+            continue;
+        send(lender->turns,
+             [=, this, &process, target = lender.get()] { answer(*target, process, report); });
+    }
+}
+
+void LendingWorld::answer(LenderProcess &process, BorrowerProcess &borrower,
+                          const LoanReport &report)
+{
+    const auto found = process.lenders.find(report.resource);
+    if (found == process.lenders.end())
+        return;
+    Lender &lender = found->second;
+    lender.setOwnedUntil(process.ownership->ownedUntil());
+    if (!m_options.lendsOn && !lender.isOwner(m_time.now()))
+        return;
+    const LoanGrant grant = lender.report(report, m_time.now());
+    send(borrower.turns, [=, this, &borrower] {
+        Loan &loan = borrower.loans.at(grant.resource);
+        const TimePoint now = localNow(borrower);
+        loan.borrower.accept(grant, loan.sentAt[grant.sequence], now);
+        checkCapacity(grant.resource);
+        startWork(borrower);
+    });
+}
+
+void LendingWorld::startWork(BorrowerProcess &process)
+{
+    for (auto &[resource, loan] : process.loans) {
+        while (loan.running < loan.demand) {
+            const TimePoint now = localNow(process);
+            const bool isOnFloor = loan.floorInUse < loan.floor;
+            if (!isOnFloor && !loan.borrower.tryAcquire(now))
+                break;
+            startUnit(process, resource, loan, isOnFloor);
+        }
+    }
+}
+
+void LendingWorld::startUnit(BorrowerProcess &process, const std::string &resource, Loan &loan,
+                             bool isOnFloor)
+{
+    std::uniform_int_distribution<Duration::rep> length(m_options.minWork.count(),
+                                                        m_options.maxWork.count());
+    ++loan.running;
+    loan.floorInUse += isOnFloor ? 1 : 0;
+    checkCapacity(resource);
+    m_time.after(Duration(length(m_random)), [=, this, &process, &loan] {
+        --loan.running;
+        enqueue(process.turns, [=, this, &process, &loan] {
+            if (isOnFloor)
+                --loan.floorInUse;
+            else
+                loan.borrower.release(localNow(process));
+            startWork(process);
+        });
+    });
+}
+
+void LendingWorld::setDemand(int borrower, int resource, std::int64_t units)
+{
+    m_borrowers[std::size_t(borrower)]->loans.at(resourceName(resource)).demand = units;
+}
+
+void LendingWorld::killLender(int index)
+{
+    lender(index).turns->isAlive = false;
+}
+
+void LendingWorld::restartLender(int index)
+{
+    killLender(index);
+    m_deadLenders.push_back(std::move(m_lenders[std::size_t(index)]));
+    startLender(std::size_t(index));
+}
+
+void LendingWorld::killBorrower(int index)
+{
+    borrower(index).turns->isAlive = false;
+}
+
+void LendingWorld::restartBorrower(int index)
+{
+    killBorrower(index);
+    m_deadBorrowers.push_back(std::move(m_borrowers[std::size_t(index)]));
+    startBorrower(std::size_t(index));
+}
+
+std::int64_t LendingWorld::running(const std::string &resource) const
+{
+    std::int64_t units = 0;
+    for (const auto *processes : {&m_borrowers, &m_deadBorrowers}) {
+        for (const auto &process : *processes)
+            units += process->loans.at(resource).running;
+    }
+    return units;
+}
+
+std::int64_t LendingWorld::leased(const std::string &resource) const
+{
+    std::int64_t units = 0;
+    for (const auto &process : m_borrowers) {
+        const Borrower &borrower = process->loans.at(resource).borrower;
+        if (process->turns->isAlive && borrower.isLeased(localNow(*process)))
+            units += borrower.held();
+    }
+    return units;
+}
+
+void LendingWorld::checkCapacity(const std::string &resource)
+{
+    std::int64_t units = running(resource);
+    for (const auto &process : m_borrowers) {
+        if (process->turns->isAlive)
+            units += process->loans.at(resource).borrower.available(localNow(*process));
+    }
+    const std::int64_t floors = m_options.floor * m_options.borrowers;
+    if (units > m_options.capacity + floors && m_overload.empty())
+        m_overload = resource + ": " + std::to_string(units) + " units may run at once";
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/testing/support/lendingworld.h
@@ -0,0 +1,158 @@
+// LendingWorld: the real lending classes of several lenders and borrowers under virtual time, with
+// a table and a network that fail on demand.
+//
+//   LendingWorld world({.lenders = 2, .borrowers = 3, .resources = 1}, seed);
+//   world.network().dropPart = 0.2;
+//   world.run(std::chrono::seconds(5));
+//   EXPECT_TRUE(world.overload().empty()) << world.overload();
+//
+// After every event the units in use and those that could be taken at that moment are counted for
+// each resource; overload() tells of the first time that they exceeded the capacity.
+#pragma once
+
+#include "sequoiapier/borrower.h"
+#include "sequoiapier/lender.h"
+#include "sequoiapier/ownership.h"
+#include "testing/support/faketable.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace sequoiapier {
+
+struct NetworkFaults
+{
+    double dropPart = 0;
+    double repeatPart = 0;
+    Duration minDelay = std::chrono::microseconds(500);
+    Duration maxDelay = std::chrono::milliseconds(1);
+    double misroutePart = 0; // reports sent to any lender, as with a stale directory
+    std::set<std::pair<std::string, std::string>> cutLinks = {}; // borrower, lender
+};
+
+// What a process does on its one thread. A paused process does it when it resumes.
+struct Turns
+{
+    bool isAlive = true;
+    bool isPaused = false;
+    std::deque<std::function<void()>> waiting = {};
+};
+
+struct LenderProcess
+{
+    std::string name;
+    std::shared_ptr<Turns> turns;
+    std::unique_ptr<Ownership> ownership;
+    std::map<std::string, Lender> lenders;
+};
+
+struct Loan
+{
+    Borrower borrower;
+    std::map<std::uint64_t, TimePoint> sentAt;
+    std::int64_t running = 0; // units at the upstream, also after the borrower's end
+    std::int64_t demand = 0;
+    std::int64_t floor = 0; // units used without any loan
+    std::int64_t floorInUse = 0;
+};
+
+struct BorrowerProcess
+{
+    MemberId self;
+    std::shared_ptr<Turns> turns;
+    Table table;
+    double clockRate = 1;
+    bool isRegistered = false;
+    bool isReady = false; // has read the owner rows since it was registered
+    std::map<std::string, OwnerRow> owners;
+    std::map<std::string, Loan> loans;
+};
+
+class LendingWorld
+{
+public:
+    struct Options
+    {
+        int lenders = 2;
+        int borrowers = 3;
+        int resources = 1;
+        std::int64_t capacity = 12; // units of each resource
+        std::int64_t floor = 0; // units of each borrower and resource besides the capacity lent
+        Duration term = std::chrono::seconds(3);
+        Duration ownershipTerm = std::chrono::seconds(3);
+        Duration outageTerm = std::chrono::minutes(15);
+        Duration longestWork = std::chrono::seconds(2);
+        Duration minWork = std::chrono::milliseconds(20);
+        Duration maxWork = std::chrono::milliseconds(200);
+        Duration reportInterval = std::chrono::milliseconds(100);
+        bool lendsOn = true; // past ownedUntil; otherwise reports are left unanswered
+        Lender::Faults lenderFaults = {};
+        Borrower::Faults borrowerFaults = {};
+    };
+
+    LendingWorld(Options options, std::uint64_t seed);
+
+    void run(Duration duration) { m_time.runUntil(m_time.now() + duration); }
+
+    void setDemand(int borrower, int resource, std::int64_t units);
+    void setPaused(Turns &turns, bool paused);
+    void killLender(int index);
+    void restartLender(int index);
+    void killBorrower(int index);
+    void restartBorrower(int index);
+
+    VirtualTime &time() { return m_time; }
+    FakeTable &table() { return m_table; }
+    NetworkFaults &network() { return m_network; }
+    LenderProcess &lender(int index) { return *m_lenders[std::size_t(index)]; }
+    BorrowerProcess &borrower(int index) { return *m_borrowers[std::size_t(index)]; }
+    static std::string resourceName(int index) { return "slots/" + std::to_string(index); }
+
+    // Units of `resource` with work running.
+    std::int64_t running(const std::string &resource) const;
+    // Units that live borrowers hold under a lease.
+    std::int64_t leased(const std::string &resource) const;
+    // The first excess over a capacity; empty if there was none.
+    const std::string &overload() const { return m_overload; }
+    std::uint64_t messageCount() const { return m_messages; }
+
+private:
+    void startLender(std::size_t index);
+    void startBorrower(std::size_t index);
+    void enqueue(const std::shared_ptr<Turns> &turns, std::function<void()> turn);
+    void every(const std::shared_ptr<Turns> &turns, Duration interval,
+               const std::function<void()> &action);
+    void send(const std::shared_ptr<Turns> &receiver, const std::function<void()> &deliver);
+
+    void onAcquired(LenderProcess &process, const OwnedResource &resource);
+    void answer(LenderProcess &process, BorrowerProcess &borrower, const LoanReport &report);
+    void registerBorrower(BorrowerProcess &process);
+    void readOwners(BorrowerProcess &process);
+    void report(BorrowerProcess &process);
+    void sendReport(BorrowerProcess &process, const LoanReport &report, const std::string &owner);
+    void startWork(BorrowerProcess &process);
+    void startUnit(BorrowerProcess &process, const std::string &resource, Loan &loan,
+                   bool isOnFloor);
+    TimePoint localNow(const BorrowerProcess &process) const;
+    void checkCapacity(const std::string &resource);
+
+    Options m_options;
+    VirtualTime m_time;
+    FakeTable m_table{m_time};
+    NetworkFaults m_network;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<LenderProcess>> m_lenders;
+    std::vector<std::unique_ptr<BorrowerProcess>> m_borrowers;
+    std::vector<std::unique_ptr<LenderProcess>> m_deadLenders;
+    std::vector<std::unique_ptr<BorrowerProcess>> m_deadBorrowers;
+    std::uint64_t m_nextIncarnation = 1;
+    std::uint64_t m_messages = 0;
+    std::string m_overload;
+};
+
+} // namespace sequoiapier
