Measure closeness to share, and keep a team's lead when its weight changes

Weights follow the units lent to a gateway and change ten times a second. A team with a small weight for one round had its start tag moved so far that it starved for seconds after. setWeight() now keeps the slot time that the team is ahead of its share.

--- /dev/null
+++ b/bench/teamqueues_bench.cpp
@@ -0,0 +1,318 @@
+// Closeness to share and start of urgent work when all is full: queue disciplines on one gateway,
+// and ways of lending slots to eight gateways whose callers are spread unevenly.
+#include "bench/support/gatewaymodel.h"
+#include "bench/support/report.h"
+#include "bench/support/svgchart.h"
+#include "sequoiapier/maxminshare.h"
+
+#include <algorithm>
+#include <memory>
+#include <random>
+
+namespace {
+
+using namespace sequoiapier;
+using namespace std::chrono_literals;
+
+constexpr std::size_t SlotCount = 80;
+constexpr Duration SampleTime = 10ms;
+constexpr Duration LendTime = 100ms;
+constexpr Duration WindowTime = 10s;
+constexpr Duration WarmUp = 5s;
+constexpr Duration RunLength = 65s;
+constexpr double Overload = 3; // offered slot time per capacity
+
+struct BenchTeam
+{
+    std::string name;
+    std::uint32_t weight = 1;
+    Duration meanRun = 100ms;
+};
+
+enum class Lending { None, Fixed, ByDemand, ByTeamDemand };
+
+struct Scenario
+{
+    std::string label;
+    std::vector<BenchTeam> teams;
+    bool isFifo = false; // all teams in one queue
+    bool learnsRunTimes = true;
+    bool flagsUrgent = true;
+    std::size_t gateways = 1;
+    Lending lending = Lending::None;
+};
+
+class FairnessRun
+{
+public:
+    explicit FairnessRun(const Scenario &scenario)
+        : m_scenario(scenario)
+        , m_used(scenario.teams.size())
+    {
+        for (std::size_t i = 0; i < scenario.gateways; ++i)
+            addGateway();
+        m_end = m_time.now() + RunLength;
+        for (std::size_t team = 0; team < scenario.teams.size(); ++team)
+            scheduleArrival(team);
+        scheduleUrgent();
+        if (scenario.lending == Lending::ByDemand || scenario.lending == Lending::ByTeamDemand)
+            repeat(m_time, LendTime, m_end, [this] { lend(); });
+        m_windowFrom = m_time.now() + WarmUp;
+        repeat(m_time, SampleTime, m_end, [this] { sample(); });
+        m_time.runUntil(m_end);
+    }
+
+    double worstShare() const { return m_worstShare; }
+    double worstUrgentSeconds() const { return m_worstUrgent; }
+    double busyPart() const
+    {
+        return m_totalUsed
+            / (double(SlotCount) * std::chrono::duration<double>(RunLength - WarmUp).count());
+    }
+
+private:
+    void addGateway()
+    {
+        GatewayModel::Options options{.slots = SlotCount / m_scenario.gateways,
+                                      .learnsRunTimes = m_scenario.learnsRunTimes};
+        GatewayModel::Hooks hooks;
+        hooks.runTime = [this](const QueuedRequest &request) { return drawRun(request); };
+        hooks.ended = [](const QueuedRequest &, TimePoint) {};
+        hooks.refused = [](const RefusedRequest &) {};
+        m_gateways.push_back(std::make_unique<GatewayModel>(m_time, options, hooks));
+        if (m_scenario.isFifo)
+            return;
+        for (const BenchTeam &team : m_scenario.teams)
+            m_gateways.back()->queues().setWeight(team.name, team.weight);
+    }
+
+    std::size_t teamOf(const QueuedRequest &request) const
+    {
+        return std::size_t(request.id % m_scenario.teams.size());
+    }
+
+    Duration drawRun(const QueuedRequest &request)
+    {
+        const std::size_t team = teamOf(request);
+        ++m_running.at(team);
+        if (request.isUrgent || m_marked.contains(request.id)) {
+            const std::chrono::duration<double> waited = m_time.now() - request.arrival;
+            m_worstUrgent = std::max(m_worstUrgent, waited.count());
+        }
+        std::exponential_distribution<double> draw(
+            1.0 / double(m_scenario.teams[team].meanRun.count()));
+        const Duration run(std::int64_t(draw(m_random)) + 1);
+        m_time.after(run, [this, team] { --m_running.at(team); });
+        return run;
+    }
+
+    // Most of a team's callers come to one gateway.
+    GatewayModel &gatewayFor(std::size_t team)
+    {
+        std::uniform_int_distribution<std::size_t> any(0, m_gateways.size() - 1);
+        std::bernoulli_distribution isAtHome(0.7);
+        return *m_gateways[isAtHome(m_random) ? team % m_gateways.size() : any(m_random)];
+    }
+
+    void submit(std::size_t team, bool isMarked)
+    {
+        QueuedRequest request;
+        request.id = m_nextId++ * m_scenario.teams.size() + team;
+        request.team = m_scenario.isFifo ? "" : m_scenario.teams[team].name;
+        request.arrival = m_time.now();
+        request.deadline = m_time.now() + 10s;
+        request.isUrgent = isMarked && m_scenario.flagsUrgent;
+        if (isMarked)
+            m_marked.insert(request.id);
+        gatewayFor(team).submit(std::move(request));
+    }
+
+    // Each team offers Overload times an equal part of the slots.
+    void scheduleArrival(std::size_t team)
+    {
+        const double meanRun = double(m_scenario.teams[team].meanRun.count());
+        const double slots = Overload * double(SlotCount) / double(m_scenario.teams.size());
+        std::exponential_distribution<double> draw(slots / meanRun);
+        m_time.after(Duration(std::int64_t(draw(m_random)) + 1), [this, team] {
+            submit(team, false);
+            scheduleArrival(team);
+        });
+    }
+
+    void scheduleUrgent()
+    {
+        repeat(m_time, 500ms, m_end, [this] { submit(m_scenario.teams.size() - 1, true); });
+    }
+
+    std::vector<std::int64_t> demandOf(const std::string &team)
+    {
+        std::vector<std::int64_t> wanted;
+        for (const auto &gateway : m_gateways)
+            wanted.push_back(std::int64_t(gateway->queues().count(team) + gateway->running(team)));
+        return wanted;
+    }
+
+    static std::int64_t sum(const std::vector<std::int64_t> &values)
+    {
+        std::int64_t total = 0;
+        for (const std::int64_t value : values)
+            total += value;
+        return total;
+    }
+
+    void lend()
+    {
+        if (m_scenario.lending == Lending::ByTeamDemand)
+            lendByTeam();
+        else
+            lendByGateway();
+        for (const auto &gateway : m_gateways)
+            gateway->poll();
+    }
+
+    // One demand a gateway; the gateway shares by the configured weights.
+    void lendByGateway()
+    {
+        std::vector<ShareDemand> demands(m_gateways.size());
+        for (const BenchTeam &team : m_scenario.teams) {
+            const auto wanted = demandOf(team.name);
+            for (std::size_t i = 0; i < wanted.size(); ++i)
+                demands[i].wanted += wanted[i];
+        }
+        const auto lent = maxMinShare(SlotCount, demands);
+        for (std::size_t i = 0; i < m_gateways.size(); ++i)
+            m_gateways[i]->setSlots(std::size_t(lent[i]));
+    }
+
+    // Shares of teams first, each then split over the gateways in proportion to demand. A gateway's
+    // slots are its parts of all teams, and the parts are its weights.
+    void lendByTeam()
+    {
+        std::vector<std::vector<std::int64_t>> wanted;
+        std::vector<ShareDemand> teamDemands;
+        for (const BenchTeam &team : m_scenario.teams) {
+            wanted.push_back(demandOf(team.name));
+            teamDemands.push_back({.wanted = sum(wanted.back()), .weight = team.weight});
+        }
+        const auto teamShares = maxMinShare(SlotCount, teamDemands);
+        std::vector<ShareDemand> parts(m_gateways.size(), {.wanted = SlotCount, .weight = 0});
+        for (std::size_t team = 0; team < wanted.size(); ++team) {
+            const double gateways = double(m_gateways.size());
+            const double perWanted
+                = double(teamShares[team]) / (double(sum(wanted[team])) + gateways);
+            for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+                const double part = double(wanted[team][i] + 1) * perWanted;
+                parts[i].weight += std::uint32_t(1000 * part);
+                m_gateways[i]->queues().setWeight(m_scenario.teams[team].name, part);
+            }
+        }
+        const auto slots = maxMinShare(SlotCount, parts);
+        for (std::size_t i = 0; i < m_gateways.size(); ++i)
+            m_gateways[i]->setSlots(std::size_t(slots[i]));
+    }
+
+    void sample()
+    {
+        if (m_time.now() <= m_windowFrom)
+            return;
+        const double seconds = std::chrono::duration<double>(SampleTime).count();
+        for (std::size_t team = 0; team < m_used.size(); ++team)
+            m_used[team] += double(m_running[team]) * seconds;
+        if (m_time.now() < m_windowFrom + WindowTime)
+            return;
+        closeWindow();
+        m_windowFrom = m_time.now();
+    }
+
+    void closeWindow()
+    {
+        double weights = 0;
+        for (const BenchTeam &team : m_scenario.teams)
+            weights += team.weight;
+        for (std::size_t team = 0; team < m_used.size(); ++team) {
+            const double share = double(SlotCount)
+                * std::chrono::duration<double>(WindowTime).count() * m_scenario.teams[team].weight
+                / weights;
+            m_worstShare = std::min(m_worstShare, m_used[team] / share);
+            m_totalUsed += m_used[team];
+            m_used[team] = 0;
+        }
+    }
+
+    Scenario m_scenario;
+    VirtualTime m_time;
+    std::mt19937_64 m_random{20261204};
+    std::vector<std::unique_ptr<GatewayModel>> m_gateways;
+    std::set<std::uint64_t> m_marked;
+    std::array<std::size_t, 16> m_running{};
+    std::vector<double> m_used;
+    TimePoint m_windowFrom;
+    TimePoint m_end;
+    std::uint64_t m_nextId = 0;
+    double m_worstShare = 1e9;
+    double m_worstUrgent = 0;
+    double m_totalUsed = 0;
+};
+
+// Two large teams and four small ones; `isUneven`: run times from 25 ms to 400 ms.
+std::vector<BenchTeam> sixTeams(bool isUneven)
+{
+    std::vector<BenchTeam> teams{{"t0", 2}, {"t1", 2}, {"t2", 1}, {"t3", 1}, {"t4", 1}, {"t5", 1}};
+    if (isUneven) {
+        teams[0].meanRun = 25ms;
+        teams[1].meanRun = 200ms;
+        teams[2].meanRun = 50ms;
+        teams[3].meanRun = 400ms;
+    }
+    return teams;
+}
+
+std::vector<Scenario> scenarios()
+{
+    const auto even = sixTeams(false);
+    const auto uneven = sixTeams(true);
+    return {
+        {.label = "1 gateway, first in first out, equal runs", .teams = even, .isFifo = true},
+        {.label = "1 gateway, first in first out", .teams = uneven, .isFifo = true},
+        {.label = "1 gateway, fair by starts", .teams = uneven, .learnsRunTimes = false},
+        {.label = "1 gateway, fair by slot time, equal runs", .teams = even},
+        {.label = "1 gateway, fair by slot time", .teams = uneven},
+        {.label = "1 gateway, fair by slot time, no urgent lane",
+         .teams = uneven,
+         .flagsUrgent = false},
+        {.label = "8 gateways, fixed slots",
+         .teams = uneven,
+         .gateways = 8,
+         .lending = Lending::Fixed},
+        {.label = "8 gateways, slots by demand",
+         .teams = uneven,
+         .gateways = 8,
+         .lending = Lending::ByDemand},
+        {.label = "8 gateways, slots by team and demand",
+         .teams = uneven,
+         .gateways = 8,
+         .lending = Lending::ByTeamDemand},
+    };
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Report report("teamqueues", argc, argv);
+    ChartSeries series{.name = "least part of share in 10 s"};
+    for (const Scenario &scenario : scenarios()) {
+        const FairnessRun run(scenario);
+        report.add(scenario.label,
+                   {{"worst_share_pct", 100 * run.worstShare()},
+                    {"busy_pct", 100 * run.busyPart()},
+                    {"worst_urgent_start_s", run.worstUrgentSeconds()}});
+        series.points.push_back({double(series.points.size() + 1), 100 * run.worstShare()});
+    }
+    writeSvgChart(report.outputPath("teamqueues.svg"),
+                  {.title = "Closeness to share, all full",
+                   .xLabel = "row of the table",
+                   .yLabel = "worst team and window (%)"},
+                  std::vector{series});
+    return report.finish();
+}
--- a/gateway/teamqueues.cpp
+++ b/gateway/teamqueues.cpp
@@ -62,13 +62,16 @@
         m_teams.erase(idle);
 }
 
+// The slot time that the team is ahead of its share stays the same.
 void TeamQueues::setWeight(std::string_view team, double weight)
 {
     Team *found = findOrAddTeam(team);
     if (found == nullptr)
         return;
+    const double before = found->weight;
     unrank(*found);
     found->weight = std::max(weight, SmallestWeight);
+    found->startTag = m_virtualTime + (found->startTag - m_virtualTime) * before / found->weight;
     rank(*found);
 }
 
