Leave a change unknown while no gateway is known to have taken it

Cause: without a push hook a change counted as settled, also where gateways may vouch for an older version in a table outage.

--- a/controller/operatorchange.cpp
+++ b/controller/operatorchange.cpp
@@ -163,11 +163,7 @@
 
 void OperatorChange::settle(const CommittedVersion &committed, std::uint64_t version)
 {
-    if (!m_hooks.push) {
-        answer(ResultCode::Committed, "", version);
-        return;
-    }
-    m_hooks.push(committed, [self = shared_from_this(), version](bool isSettled) {
+    const auto onPushed = [self = shared_from_this(), version](bool isSettled) {
         if (isSettled) {
             self->answer(ResultCode::Committed, "", version);
             return;
@@ -175,7 +171,11 @@
         self->answer(ResultCode::CommitUnknown,
                      "it is in the table, but fewer than half of the gateways have taken it yet",
                      version);
-    });
+    };
+    if (m_hooks.push)
+        m_hooks.push(committed, onPushed);
+    else
+        onPushed(committed.maxGateways == 0);
 }
 
 void OperatorChange::recordRefusal(ResultCode code, std::uint64_t version,
--- a/controller/operatorchange.h
+++ b/controller/operatorchange.h
@@ -54,7 +54,7 @@
         // Tells peers, before the commit, of keys that are about to be withdrawn; may be empty.
         std::function<void(std::span<const std::string> digests)> announce;
         // Pushes the version and calls `done` with whether it is settled (see PushRound); without
-        // the hook it counts as settled.
+        // the hook it is settled if maxGateways is 0.
         std::function<void(const CommittedVersion &, std::function<void(bool)> done)> push;
         Duration tableDeadline = std::chrono::seconds(2); // of one table call
     };
--- a/testing/unit/operatorchange_test.cpp
+++ b/testing/unit/operatorchange_test.cpp
@@ -132,6 +132,20 @@
     EXPECT_EQ(repeated.version, operators.row()->version);
 }
 
+TEST(OperatorChange, WithoutPushesABoundOnGatewaysLeavesTheAnswerUnknown)
+{
+    Operators operators;
+    ChangeOutcome outcome;
+    const auto build = [](const Configuration *) -> Result<Configuration> {
+        return Configuration{.maxGateways = 3};
+    };
+    OperatorChange::run(operators.m_hooks, {"bound", 0, true, build},
+                        [&](const ChangeOutcome &given) { outcome = given; });
+    operators.m_time.runUntil(operators.m_time.now() + 5s);
+    EXPECT_EQ(outcome.code, ResultCode::CommitUnknown);
+    EXPECT_EQ(outcome.version, operators.row()->version);
+}
+
 TEST(OperatorChange, WithdrawalIsAnnouncedBeforeTheCommit)
 {
     Operators operators;
