--- a/sequoiapier/borrower.h
+++ b/sequoiapier/borrower.h
@@ -46,6 +46,9 @@
     // Gives back units whose work is shown to have ended.
     void release(TimePoint now, std::int64_t units = 1);
 
+    // For a borrower that lends its units on: all that it has lent counts as in use.
+    void setInUse(std::int64_t units) { m_inUse = units; }
+
     // The next report. `wanted` is the demand in units, with those in use.
     LoanReport makeReport(std::int64_t wanted, TimePoint now);
     // Ok, or why the grant was ignored: NotFound (other resource), EpochStale (an earlier epoch, or
--- a/testing/support/lendingworld.cpp
+++ b/testing/support/lendingworld.cpp
@@ -96,8 +96,8 @@
     guarded.read = [=, this](std::string_view key, TimePoint deadline, auto callback) {
         table.read(key, deadline, [=, this](auto row) { enqueue(turns, [=] { callback(row); }); });
     };
-    guarded.commit = [=, this](Commit commit, TimePoint deadline, auto callback) {
-        table.commit(std::move(commit), deadline,
+    guarded.commit = [=, this](const Commit &commit, TimePoint deadline, auto callback) {
+        table.commit(commit, deadline,
                      [=, this](auto answer) { enqueue(turns, [=] { callback(answer); }); });
     };
     Ownership::Hooks hooks{.now = [this] { return m_time.now(); }};
@@ -105,6 +105,7 @@
     hooks.onLost = [=](const std::string &resource) { self->lenders.erase(resource); };
     self->ownership = std::make_unique<Ownership>(options, guarded, hooks);
     std::vector<std::string> resources;
+    resources.reserve(std::size_t(m_options.resources));
     for (int i = 0; i < m_options.resources; ++i)
         resources.push_back(resourceName(i));
     self->ownership->setResources(std::move(resources));
--- /dev/null
+++ b/testing/unit/ownership_test.cpp
@@ -0,0 +1,161 @@
+#include "testing/support/lendingworld.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace sequoiapier {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+LendingWorld makeWorld(int lenders, int resources, int borrowers = 0)
+{
+    return LendingWorld({.lenders = lenders, .borrowers = borrowers, .resources = resources}, 1);
+}
+
+// Index of the only lender that owns `resource` now, -1 if none does, -2 if several do.
+int ownerOf(LendingWorld &world, int lenders, const std::string &resource)
+{
+    int owner = -1;
+    for (int i = 0; i < lenders; ++i) {
+        const LenderProcess &process = world.lender(i);
+        const bool isOwner = process.turns->isAlive && process.ownership->owns(resource)
+            && world.time().now() < process.ownership->ownedUntil();
+        if (isOwner)
+            owner = owner == -1 ? i : -2;
+    }
+    return owner;
+}
+
+bool hasOwners(LendingWorld &world, int lenders, int resources)
+{
+    for (int i = 0; i < resources; ++i) {
+        if (ownerOf(world, lenders, LendingWorld::resourceName(i)) < 0)
+            return false;
+    }
+    return true;
+}
+
+// Runs until every resource has one owner; the time that it took.
+Duration runUntilOwned(LendingWorld &world, int lenders, int resources)
+{
+    const TimePoint start = world.time().now();
+    while (!hasOwners(world, lenders, resources) && world.time().now() < start + seconds(30))
+        world.run(milliseconds(10));
+    return world.time().now() - start;
+}
+
+TEST(Ownership, EveryResourceHasOneOwnerAndEveryMemberAPart)
+{
+    LendingWorld world = makeWorld(3, 60);
+    EXPECT_LT(runUntilOwned(world, 3, 60), seconds(3));
+    world.run(seconds(10));
+    EXPECT_TRUE(hasOwners(world, 3, 60));
+    for (int i = 0; i < 3; ++i)
+        EXPECT_GT(world.lender(i).ownership->ownedCount(), 0u);
+}
+
+TEST(Ownership, WritesDoNotGrowWithResources)
+{
+    constexpr int Resources = 1'000;
+    LendingWorld world = makeWorld(3, Resources);
+    runUntilOwned(world, 3, Resources);
+    world.run(seconds(10));
+    const std::uint64_t before = world.table().commitCount();
+    world.run(seconds(10));
+    EXPECT_LE(world.table().commitCount() - before, 33u);
+}
+
+TEST(Ownership, DeadOwnerIsReplacedAfterItsTermAndNotBefore)
+{
+    LendingWorld world = makeWorld(3, 30);
+    runUntilOwned(world, 3, 30);
+    world.run(seconds(5));
+    const TimePoint until = world.lender(0).ownership->ownedUntil();
+    const std::size_t before = world.lender(1).ownership->ownedCount();
+    world.killLender(0);
+    while (world.time().now() < until) {
+        EXPECT_EQ(world.lender(1).ownership->ownedCount(), before);
+        world.run(milliseconds(10));
+    }
+    EXPECT_LT(runUntilOwned(world, 3, 30), seconds(3));
+}
+
+TEST(Ownership, LostAnswersLeaveOneOwner)
+{
+    for (int lost = 1; lost < 12; ++lost) {
+        LendingWorld world = makeWorld(3, 10);
+        world.table().loseNextAnswers(lost);
+        EXPECT_LT(runUntilOwned(world, 3, 10), seconds(20)) << lost;
+        world.killLender(1);
+        world.run(seconds(3));
+        world.table().loseNextAnswers(lost);
+        EXPECT_LT(runUntilOwned(world, 3, 10), seconds(20)) << lost;
+    }
+}
+
+TEST(Ownership, LongOutageChangesNoOwner)
+{
+    LendingWorld world = makeWorld(3, 10);
+    runUntilOwned(world, 3, 10);
+    world.run(seconds(5));
+    std::vector<OwnerRow> before(10);
+    for (int i = 0; i < 10; ++i)
+        before[std::size_t(i)] = *world.lender(0).ownership->ownerOf(LendingWorld::resourceName(i));
+    world.table().setOutage(true);
+    world.run(std::chrono::minutes(10));
+    EXPECT_FALSE(hasOwners(world, 3, 10));
+    world.table().setOutage(false);
+    EXPECT_LT(runUntilOwned(world, 3, 10), seconds(3));
+    for (int i = 0; i < 10; ++i) {
+        const OwnerRow *after = world.lender(0).ownership->ownerOf(LendingWorld::resourceName(i));
+        EXPECT_EQ(after->epoch, before[std::size_t(i)].epoch);
+        EXPECT_EQ(after->owner, before[std::size_t(i)].owner);
+    }
+}
+
+TEST(Ownership, LeavingHandsOverWithinTheTerm)
+{
+    LendingWorld world = makeWorld(3, 30);
+    runUntilOwned(world, 3, 30);
+    world.run(seconds(5));
+    world.lender(2).ownership->leave();
+    world.run(milliseconds(1'500));
+    EXPECT_TRUE(world.lender(2).ownership->hasLeft());
+    EXPECT_EQ(world.lender(2).ownership->ownedCount(), 0u);
+    EXPECT_LT(runUntilOwned(world, 3, 30), seconds(1));
+}
+
+TEST(Ownership, PausedMemberComesBackAsAnother)
+{
+    LendingWorld world = makeWorld(3, 30);
+    runUntilOwned(world, 3, 30);
+    const std::uint64_t incarnation = world.lender(0).ownership->self().incarnation;
+    world.setPaused(*world.lender(0).turns, true);
+    world.run(seconds(30));
+    EXPECT_TRUE(hasOwners(world, 3, 30));
+    world.setPaused(*world.lender(0).turns, false);
+    world.run(seconds(5));
+    EXPECT_TRUE(hasOwners(world, 3, 30));
+    EXPECT_GT(world.lender(0).ownership->self().incarnation, incarnation);
+    EXPECT_GT(world.lender(0).ownership->ownedCount(), 0u);
+}
+
+TEST(Ownership, AllMembersReplacedOneAfterAnother)
+{
+    LendingWorld world = makeWorld(4, 12, 2);
+    runUntilOwned(world, 4, 12);
+    for (int i = 0; i < 4; ++i) {
+        world.restartLender(i);
+        world.run(seconds(15));
+        EXPECT_TRUE(hasOwners(world, 4, 12)) << i;
+    }
+    EXPECT_EQ(world.overload(), "");
+    for (int i = 0; i < 12; ++i)
+        EXPECT_EQ(world.leased(LendingWorld::resourceName(i)), 12) << i;
+}
+
+} // namespace
+} // namespace sequoiapier
