--- a/net/httpcall.h
+++ b/net/httpcall.h
@@ -13,6 +13,7 @@
 enum class ConnectionUse : std::uint8_t {
     Fresh, // a new connection, proved alive by its handshake
     Reuse, // an idle one to the same endpoint if there is one
+    ReuseProved, // as Reuse, but only one that carried an answer within HttpClient's ProofTime
 };
 
 struct HttpCall
@@ -22,6 +23,9 @@
     HttpRequest request;
     TimePoint deadline;
     ConnectionUse connectionUse = ConnectionUse::Reuse;
+    // Called immediately before the first byte is written; false ends the call as NotSent. May be
+    // empty.
+    std::function<bool()> maySend;
 };
 
 enum class HttpOutcome : std::uint8_t {
@@ -34,7 +38,7 @@
 {
     HttpOutcome outcome = HttpOutcome::NotSent;
     bool timedOut = false;
-    HttpResponse response;
+    HttpResponse response{.status = 0}; // complete only if Answered
 };
 
 using HttpCallback = std::function<void(HttpAnswer)>;
