--- a/testing/unit/lender_test.cpp
+++ b/testing/unit/lender_test.cpp
@@ -38,12 +38,19 @@
     return units;
 }
 
-TEST(Lender, UnitsMoveOnceTheirReturnIsShown)
+// Borrower `a` holds all units; `b` has not reported yet.
+struct FullLender
 {
-    Lender lender(lenderOptions(), Start);
+    Lender lender{lenderOptions(), Start};
     Borrower a = makeBorrower(GatewayA);
     Borrower b = makeBorrower(GatewayB);
-    exchange(a, lender, 10, Start);
+
+    FullLender() { exchange(a, lender, 10, Start); }
+};
+
+TEST(Lender, UnitsMoveOnceTheirReturnIsShown)
+{
+    auto [lender, a, b] = FullLender();
     EXPECT_EQ(a.held(), 10);
     exchange(b, lender, 10, Start);
     EXPECT_EQ(b.held(), 0);
@@ -58,10 +65,7 @@
 
 TEST(Lender, UnitsInUseStayWithTheBorrowerUntilReleased)
 {
-    Lender lender(lenderOptions(), Start);
-    Borrower a = makeBorrower(GatewayA);
-    Borrower b = makeBorrower(GatewayB);
-    exchange(a, lender, 10, Start);
+    auto [lender, a, b] = FullLender();
     EXPECT_EQ(acquireAll(a, Start), 10);
     for (int i = 0; i < 3; ++i) {
         exchange(b, lender, 10, Start);
@@ -150,6 +154,22 @@
     EXPECT_EQ(third.unaccounted(), 0);
 }
 
+TEST(Lender, SuccessorKeepsTheLoanOfABorrowerThatKnewItsEpochAlready)
+{
+    Lender::Options options = lenderOptions();
+    Lender first(options, Start);
+    Borrower a = makeBorrower(GatewayA);
+    exchange(a, first, 6, Start);
+    options.epoch = 2;
+    options.priorCapacity = 10;
+    options.priorBorrowers = {GatewayA, GatewayB};
+    Lender second(options, Start);
+    a.requireEpoch(2);
+    exchange(a, second, 6, Start);
+    EXPECT_EQ(a.held(), 10);
+    EXPECT_EQ(second.lent(), 10);
+}
+
 TEST(Lender, LendsOnPastItsOwnershipForTheOutageTermOnly)
 {
     Lender::Options options = lenderOptions();
