--- a/bench/teamqueues_bench.cpp
+++ b/bench/teamqueues_bench.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::size_t SlotCount = 80;
 constexpr Duration SampleTime = 10ms;
-constexpr Duration LendTime = 100ms;
+constexpr std::uint64_t SeedCount = 3;
 constexpr Duration WindowTime = 10s;
 constexpr Duration WarmUp = 5s;
 constexpr Duration RunLength = 65s;
@@ -38,15 +38,18 @@
     bool isFifo = false; // all teams in one queue
     bool learnsRunTimes = true;
     bool flagsUrgent = true;
+    double startCharge = TeamQueues::Options().startCharge;
     std::size_t gateways = 1;
     Lending lending = Lending::None;
+    Duration lendTime = 100ms;
 };
 
 class FairnessRun
 {
 public:
-    explicit FairnessRun(const Scenario &scenario)
+    FairnessRun(const Scenario &scenario, std::uint64_t seed)
         : m_scenario(scenario)
+        , m_random(seed)
         , m_used(scenario.teams.size())
     {
         for (std::size_t i = 0; i < scenario.gateways; ++i)
@@ -56,7 +59,7 @@
             scheduleArrival(team);
         scheduleUrgent();
         if (scenario.lending == Lending::ByDemand || scenario.lending == Lending::ByTeamDemand)
-            repeat(m_time, LendTime, m_end, [this] { lend(); });
+            repeat(m_time, scenario.lendTime, m_end, [this] { lend(); });
         m_windowFrom = m_time.now() + WarmUp;
         repeat(m_time, SampleTime, m_end, [this] { sample(); });
         m_time.runUntil(m_end);
@@ -73,7 +76,8 @@
 private:
     void addGateway()
     {
-        GatewayModel::Options options{.slots = SlotCount / m_scenario.gateways,
+        GatewayModel::Options options{.queues = {.startCharge = m_scenario.startCharge},
+                                      .slots = SlotCount / m_scenario.gateways,
                                       .learnsRunTimes = m_scenario.learnsRunTimes};
         GatewayModel::Hooks hooks;
         hooks.runTime = [this](const QueuedRequest &request) { return drawRun(request); };
@@ -271,15 +275,13 @@
 {
     const auto even = sixTeams(false);
     const auto uneven = sixTeams(true);
-    return {
+    std::vector<Scenario> all{
         {.label = "1 gateway, first in first out, equal runs", .teams = even, .isFifo = true},
         {.label = "1 gateway, first in first out", .teams = uneven, .isFifo = true},
         {.label = "1 gateway, fair by starts", .teams = uneven, .learnsRunTimes = false},
         {.label = "1 gateway, fair by slot time, equal runs", .teams = even},
         {.label = "1 gateway, fair by slot time", .teams = uneven},
-        {.label = "1 gateway, fair by slot time, no urgent lane",
-         .teams = uneven,
-         .flagsUrgent = false},
+        {.label = "1 gateway, no urgent lane", .teams = uneven, .flagsUrgent = false},
         {.label = "8 gateways, fixed slots",
          .teams = uneven,
          .gateways = 8,
@@ -288,11 +290,25 @@
          .teams = uneven,
          .gateways = 8,
          .lending = Lending::ByDemand},
-        {.label = "8 gateways, slots by team and demand",
-         .teams = uneven,
-         .gateways = 8,
-         .lending = Lending::ByTeamDemand},
     };
+    const Scenario byTeam{.label = "8 gateways, slots by team and demand",
+                          .teams = uneven,
+                          .gateways = 8,
+                          .lending = Lending::ByTeamDemand};
+    for (const double charge : {1.0, 2.0, 4.0, 8.0}) {
+        for (const Scenario &base : {all[4], byTeam}) {
+            all.push_back(base);
+            all.back().startCharge = charge;
+            all.back().label += ", charge " + std::to_string(int(charge));
+        }
+    }
+    for (const Duration lendTime :
+         {Duration(50ms), Duration(100ms), Duration(250ms), Duration(1s)}) {
+        all.push_back(byTeam);
+        all.back().lendTime = lendTime;
+        all.back().label += ", every " + std::to_string(lendTime.count() / 1000) + " ms";
+    }
+    return all;
 }
 
 } // namespace
@@ -302,12 +318,20 @@
     Report report("teamqueues", argc, argv);
     ChartSeries series{.name = "least part of share in 10 s"};
     for (const Scenario &scenario : scenarios()) {
-        const FairnessRun run(scenario);
+        double share = 1;
+        double busy = 0;
+        double urgent = 0;
+        for (std::uint64_t seed = 1; seed <= SeedCount; ++seed) {
+            const FairnessRun run(scenario, seed);
+            share = std::min(share, run.worstShare());
+            busy += run.busyPart() / double(SeedCount);
+            urgent = std::max(urgent, run.worstUrgentSeconds());
+        }
         report.add(scenario.label,
-                   {{"worst_share_pct", 100 * run.worstShare()},
-                    {"busy_pct", 100 * run.busyPart()},
-                    {"worst_urgent_start_s", run.worstUrgentSeconds()}});
-        series.points.push_back({double(series.points.size() + 1), 100 * run.worstShare()});
+                   {{"worst_share_pct", 100 * share},
+                    {"busy_pct", 100 * busy},
+                    {"worst_urgent_start_s", urgent}});
+        series.points.push_back({double(series.points.size() + 1), 100 * share});
     }
     writeSvgChart(report.outputPath("teamqueues.svg"),
                   {.title = "Closeness to share, all full",
--- a/gateway/retrybudget.h
+++ b/gateway/retrybudget.h
@@ -18,7 +18,7 @@
 public:
     struct Options
     {
-        double perSuccess = 0.1; // retries earned by one success
+        double perSuccess = 0.2; // retries earned by one success
         double perSecond = 1; // retries earned by time
         double maxSaved = 20; // retries; also what it starts with
     };
--- a/gateway/teamqueues.cpp
+++ b/gateway/teamqueues.cpp
@@ -83,11 +83,16 @@
     return std::max(count, bytes) / team.weight;
 }
 
+Duration TeamQueues::startCharge(const Team &team) const
+{
+    return Duration(std::int64_t(m_options.startCharge * microseconds(team.runTime.mean())));
+}
+
 // Virtual time from which the team's urgent work goes first. Two charges are the least advance, as
 // a team with a steady backlog is up to one ahead.
 double TeamQueues::urgentRank(const Team &team) const
 {
-    const Duration advance = std::max(m_options.urgentAdvance, 2 * team.runTime.mean());
+    const Duration advance = std::max(m_options.urgentAdvance, 2 * startCharge(team));
     return team.startTag - microseconds(advance) / team.weight;
 }
 
@@ -270,7 +275,7 @@
 {
     const std::size_t lane = team.lanes[UrgentLane].requests.empty() ? 0 : UrgentLane;
     QueuedRequest request = extract(m_index.find(team.lanes[lane].requests.front().id));
-    request.charged = team.runTime.mean();
+    request.charged = startCharge(team);
     unrank(team);
     team.startTag += microseconds(request.charged) / team.weight;
     rank(team);
--- a/gateway/teamqueues.h
+++ b/gateway/teamqueues.h
@@ -48,11 +48,14 @@
         std::size_t maxUrgentCount = 64;
         std::size_t maxUrgentBytes = 8 * 1024 * 1024;
         std::size_t maxTeams = 256;
+        // Mean run times charged for a run until it ends. More keeps the teams' running counts
+        // closer to their shares, less evens out past run times sooner.
+        double startCharge = 2;
         Duration urgentAdvance = std::chrono::seconds(2); // slot time
         // A team whose queue has not been empty for overloadAfter is overloaded: its requests that
         // waited longer than overloadDelay are shed until its queue is empty once. Urgent ones
         // are left out of this.
-        Duration overloadAfter = std::chrono::seconds(2);
+        Duration overloadAfter = std::chrono::seconds(5);
         Duration overloadDelay = std::chrono::milliseconds(200);
         // Refuses what can't finish by its deadline, judged by learned run times.
         bool refusesEarly = true;
@@ -155,6 +158,7 @@
     Team *findOrAddTeam(std::string_view name);
     void forgetIdleTeam();
     double load(const Team &team, std::size_t lane) const;
+    Duration startCharge(const Team &team) const;
     double urgentRank(const Team &team) const;
     void unrank(Team &team);
     void rank(Team &team);
--- a/gateway/upstreampicker.cpp
+++ b/gateway/upstreampicker.cpp
@@ -1,6 +1,5 @@
-// Two random draws balance nearly as well as a look at all runners, and gateways that don't know
-// each other's load don't all run to the one idle runner. When neither draw takes work, all runners
-// are looked at: O(n), with n about 10.
+// LeastOfAll looks at every runner: O(n), with n about 10. LeastOfTwo draws two at random and looks
+// at all only if neither takes work: expected O(1).
 #include "gateway/upstreampicker.h"
 
 #include <algorithm>
@@ -67,6 +66,15 @@
     return runner.outstanding < std::min(runner.limits.slots, runner.limits.connections);
 }
 
+UpstreamPicker::Runner *UpstreamPicker::lessBusy(Runner *first, Runner *second)
+{
+    if (first == nullptr)
+        return second;
+    const double firstPart = busyPart(first->outstanding, first->limits.slots);
+    const double secondPart = busyPart(second->outstanding, second->limits.slots);
+    return secondPart < firstPart ? second : first;
+}
+
 UpstreamPicker::Runner *UpstreamPicker::pickInTurn(TimePoint now, std::string_view avoid)
 {
     for (std::size_t i = 0; i < m_named.size(); ++i) {
@@ -85,26 +93,24 @@
     Runner *best = nullptr;
     for (int i = 0; i < 2; ++i) {
         Runner *runner = m_named[draw(m_random)];
-        if (!takesWork(*runner, now) || runner->limits.name == avoid)
-            continue;
-        if (best == nullptr
-            || busyPart(runner->outstanding, runner->limits.slots)
-                < busyPart(best->outstanding, best->limits.slots))
-            best = runner;
+        if (takesWork(*runner, now) && runner->limits.name != avoid)
+            best = lessBusy(best, runner);
     }
     return best != nullptr ? best : pickLeastOfAll(now, avoid);
 }
 
+// Starts anywhere, so that equally busy runners get equal parts.
 UpstreamPicker::Runner *UpstreamPicker::pickLeastOfAll(TimePoint now, std::string_view avoid)
 {
+    if (m_named.empty())
+        return nullptr;
+    std::uniform_int_distribution<std::size_t> draw(0, m_named.size() - 1);
+    const std::size_t from = draw(m_random);
     Runner *best = nullptr;
-    for (Runner *runner : m_named) {
-        if (!takesWork(*runner, now) || runner->limits.name == avoid)
-            continue;
-        if (best == nullptr
-            || busyPart(runner->outstanding, runner->limits.slots)
-                < busyPart(best->outstanding, best->limits.slots))
-            best = runner;
+    for (std::size_t i = 0; i < m_named.size(); ++i) {
+        Runner *runner = m_named[(from + i) % m_named.size()];
+        if (takesWork(*runner, now) && runner->limits.name != avoid)
+            best = lessBusy(best, runner);
     }
     return best;
 }
--- a/gateway/upstreampicker.h
+++ b/gateway/upstreampicker.h
@@ -8,11 +8,12 @@
 //       picker.onEnded(*runner, UpstreamOutcome::Answered, now);
 //   }
 //
-// A pick takes the less busy of two runners drawn at random among those that take work and have a
-// free slot. A runner gets nothing new while it is leaving (the live list or its own refusals say
-// so) or ejected (it failed ejectAfter times in a row). No more than maxEjectedPart of the runners
-// is ejected at once. After its time an ejected runner is on probation: one request at a time until
-// probationSuccesses of them are answered. Memory: about 200 bytes a runner.
+// A pick takes the least busy runner among those that take work and have a free slot, or with
+// LeastOfTwo the less busy of two drawn at random. A runner gets nothing new while it is leaving
+// (the live list or its own refusals say so) or ejected (it failed ejectAfter times in a row). No
+// more than maxEjectedPart of the runners is ejected at once. After its time an ejected runner is
+// on probation: one request at a time until probationSuccesses of them are answered. Memory: about
+// 200 bytes a runner.
 #pragma once
 
 #include "sequoiapier/bootclock.h"
@@ -50,8 +51,8 @@
 
     struct Options
     {
-        Choice choice = Choice::LeastOfTwo;
-        unsigned ejectAfter = 5; // failures in a row; 0: never
+        Choice choice = Choice::LeastOfAll;
+        unsigned ejectAfter = 3; // failures in a row; 0: never
         double maxEjectedPart = 0.3;
         Duration ejectTime = std::chrono::seconds(5); // doubled for each ejection in a row
         Duration maxEjectTime = std::chrono::minutes(1);
@@ -96,6 +97,7 @@
     Runner *pickInTurn(TimePoint now, std::string_view avoid);
     Runner *pickLeastOfTwo(TimePoint now, std::string_view avoid);
     Runner *pickLeastOfAll(TimePoint now, std::string_view avoid);
+    static Runner *lessBusy(Runner *first, Runner *second);
     Runner *choose(TimePoint now, std::string_view avoid);
     Runner *find(std::string_view name);
     const Runner *find(std::string_view name) const;
--- a/testing/unit/teamqueues_test.cpp
+++ b/testing/unit/teamqueues_test.cpp
@@ -80,7 +80,7 @@
             chosen = first(*best, false);
         QueuedRequest request = *chosen;
         waiting.erase(chosen);
-        request.charged = best->runTime.mean();
+        request.charged = charge(*best);
         best->tag += double(request.charged.count()) / best->weight;
         return request;
     }
@@ -100,9 +100,11 @@
         });
     }
 
+    static Duration charge(const Team &team) { return 2 * team.runTime.mean(); }
+
     double urgentRank(const Team &team) const
     {
-        const Duration advance = std::max(m_urgentAdvance, 2 * team.runTime.mean());
+        const Duration advance = std::max(m_urgentAdvance, 2 * charge(team));
         return team.tag - double(advance.count()) / team.weight;
     }
 
@@ -114,7 +116,8 @@
 void compareSequence(unsigned code, unsigned length)
 {
     constexpr Duration Advance = 30ms;
-    TeamQueues queues({.urgentAdvance = Advance, .overloadAfter = 1h, .refusesEarly = false});
+    TeamQueues queues(
+        {.startCharge = 2, .urgentAdvance = Advance, .overloadAfter = 1h, .refusesEarly = false});
     NaiveQueues naive(Advance);
     naive.teams = {{"a", 1}, {"b", 3}};
     for (const NaiveQueues::Team &team : naive.teams)
