--- /dev/null
+++ b/gateway/loanclient.cpp
@@ -0,0 +1,204 @@
+#include "gateway/loanclient.h"
+
+#include "peer/lendableresources.h"
+
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr const char *PeerPath = "/peer";
+constexpr Duration TableDeadline = std::chrono::seconds(2);
+constexpr Duration LendDeadline = std::chrono::milliseconds(500);
+constexpr Duration RetryInterval = std::chrono::milliseconds(500);
+constexpr Duration OwnerScanInterval = std::chrono::seconds(1);
+constexpr Duration ReportInterval = std::chrono::milliseconds(500);
+constexpr Duration ShortReportInterval = std::chrono::milliseconds(10);
+
+} // namespace
+
+LoanClient::LoanClient(Daemon &daemon, PeerNode &node, Hooks hooks)
+    : m_daemon(daemon)
+    , m_node(node)
+    , m_hooks(std::move(hooks))
+    , m_recordTimer(daemon.loop(), [this] { recordBorrower(); })
+    , m_scanTimer(daemon.loop(), [this] { scanOwners(); })
+    , m_reportTimer(daemon.loop(),
+                    [this] {
+                        sendReports(false);
+                        m_reportTimer.startAt(BootClock::now() + ReportInterval);
+                    })
+    , m_urgentTimer(daemon.loop(), [this] {
+        m_isUrgentScheduled = false;
+        sendReports(true);
+    })
+{
+    daemon.loop().onPause([this](Duration) { dropLeases(); });
+}
+
+void LoanClient::start()
+{
+    recordBorrower();
+    scanOwners();
+    m_reportTimer.startAt(BootClock::now() + ReportInterval);
+}
+
+void LoanClient::recordBorrower()
+{
+    const std::string key = borrowerKey(m_node.self());
+    m_node.table().commit({.writeId = "borrower/" + toString(m_node.self()),
+                           .writes = {{.key = key, .value = "{}", .baseVersion = 0}}},
+                          BootClock::now() + TableDeadline, [this](const CommitAnswer &answer) {
+                              // The incarnation is this process's alone, so a conflict is its own
+                              // earlier write.
+                              m_isRecorded = answer.outcome == CommitOutcome::Committed
+                                  || answer.outcome == CommitOutcome::Conflict;
+                              if (m_isRecorded)
+                                  flush();
+                              else
+                                  m_recordTimer.startAt(BootClock::now() + RetryInterval);
+                          });
+}
+
+void LoanClient::scanOwners()
+{
+    m_node.table().scan(OwnerPrefix, BootClock::now() + TableDeadline,
+                        [this](const Result<std::vector<TableRow>> &rows) {
+                            if (rows)
+                                onOwners(rows.value());
+                            m_scanTimer.startAt(BootClock::now() + OwnerScanInterval);
+                        });
+}
+
+void LoanClient::onOwners(const std::vector<TableRow> &rows)
+{
+    bool hasChanged = false;
+    for (const TableRow &row : rows) {
+        const Result<OwnerRow> owner = parseOwnerRow(row.value);
+        if (!owner)
+            continue;
+        std::string &known = m_owners[row.key.substr(OwnerPrefix.size())];
+        hasChanged = hasChanged || known != owner.value().owner.name;
+        known = owner.value().owner.name;
+    }
+    if (hasChanged)
+        flush();
+}
+
+void LoanClient::setLoans(const std::set<LoanKey> &keys)
+{
+    std::erase_if(m_loans, [&](const auto &entry) {
+        return !keys.contains(entry.first) && entry.second.borrower.inUse() == 0;
+    });
+    for (const LoanKey &key : keys) {
+        MemberId self = m_node.self();
+        if (!key.team.empty())
+            self.name = teamBorrowerName(self.name, key.team);
+        if (!m_loans.contains(key))
+            m_loans.emplace(key, Loan{Borrower({.resource = key.resource, .self = self})});
+    }
+    flush();
+}
+
+Borrower *LoanClient::find(const LoanKey &key)
+{
+    const auto found = m_loans.find(key);
+    return found != m_loans.end() ? &found->second.borrower : nullptr;
+}
+
+std::optional<LoanKey>
+LoanClient::findIdle(std::string_view resource, TimePoint now,
+                     const std::function<bool(std::string_view team)> &needsIt) const
+{
+    const LoanKey first{std::string(resource), ""};
+    for (auto loan = m_loans.lower_bound(first); loan != m_loans.end(); ++loan) {
+        if (loan->first.resource != resource)
+            break;
+        if (loan->second.borrower.available(now) > 0 && !needsIt(loan->first.team))
+            return loan->first;
+    }
+    return std::nullopt;
+}
+
+void LoanClient::onDemandChanged(const LoanKey &key)
+{
+    const auto found = m_loans.find(key);
+    if (found == m_loans.end())
+        return;
+    found->second.isUrgent = true;
+    if (m_isUrgentScheduled)
+        return;
+    m_isUrgentScheduled = true;
+    m_urgentTimer.startAt(BootClock::now() + ShortReportInterval);
+}
+
+void LoanClient::flush()
+{
+    sendReports(false);
+}
+
+void LoanClient::sendReports(bool onlyUrgent)
+{
+    if (!m_isRecorded)
+        return;
+    std::map<std::string, std::vector<LoanKey>> byOwner;
+    for (const auto &[key, loan] : m_loans) {
+        const auto owner = m_owners.find(key.resource);
+        if (owner != m_owners.end() && (loan.isUrgent || !onlyUrgent))
+            byOwner[owner->second].push_back(key);
+    }
+    for (const auto &[owner, keys] : byOwner) {
+        if (!m_asked.contains(owner))
+            send(owner, keys);
+    }
+}
+
+void LoanClient::send(const std::string &owner, const std::vector<LoanKey> &keys)
+{
+    const std::optional<Endpoint> endpoint = m_node.endpointOf(owner);
+    if (!endpoint)
+        return;
+    const TimePoint sentAt = BootClock::now();
+    api::PeerService_lend_args args;
+    args.sender = m_node.sender();
+    for (const LoanKey &key : keys) {
+        Loan &loan = m_loans.at(key);
+        loan.isUrgent = false;
+        args.reports.push_back(toWire(loan.borrower.makeReport(m_hooks.demand(key), sentAt)));
+    }
+    m_asked.insert(owner);
+    m_node.rpcClient().call<api::PeerService_lend_args, api::PeerService_lend_result>(
+        *endpoint, PeerPath, "lend", args, sentAt + LendDeadline,
+        [this, owner, sentAt](const RpcAnswer<api::PeerService_lend_result> &answer) {
+            m_asked.erase(owner);
+            if (answer.reply)
+                onGrants(answer.reply->success, sentAt);
+        });
+}
+
+void LoanClient::onGrants(const api::LendAnswer &answer, TimePoint sentAt)
+{
+    m_node.observe(answer.sender);
+    const TimePoint now = BootClock::now();
+    for (const api::LoanGrantMessage &message : answer.grants) {
+        const LoanKey key{message.resource, teamOfBorrower(message.borrower)};
+        Borrower *borrower = find(key);
+        if (borrower == nullptr)
+            continue;
+        borrower->accept(fromWire(message), sentAt, now);
+        if (borrower->available(now) > 0)
+            m_hooks.onGranted(key);
+        if (m_hooks.demand(key) > borrower->held())
+            onDemandChanged(key);
+    }
+}
+
+void LoanClient::dropLeases()
+{
+    for (auto &[name, loan] : m_loans)
+        loan.borrower.dropLease();
+    flush();
+}
+
+} // namespace sequoiapier
--- a/testing/process/oneservicetest.h
+++ b/testing/process/oneservicetest.h
@@ -12,16 +12,17 @@
 {
 protected:
     OneServiceTest()
-        : m_system(std::string(testing::UnitTest::GetInstance()->current_test_info()->test_suite_name())
-                   + "." + testing::UnitTest::GetInstance()->current_test_info()->name())
-    {
-    }
+        : m_system(
+            std::string(testing::UnitTest::GetInstance()->current_test_info()->test_suite_name())
+            + "." + testing::UnitTest::GetInstance()->current_test_info()->name())
+    { }
 
     void SetUp() override
     {
         ASSERT_TRUE(m_system.startTable());
         ASSERT_TRUE(m_system.startRunner("runner-1"));
         ASSERT_TRUE(m_system.startController("controller-1"));
+        ASSERT_TRUE(m_system.startScheduler("scheduler-1"));
         ASSERT_TRUE(m_system.startGateway("gateway-1", gatewayFlags()));
         ASSERT_EQ(m_system.applyConfiguration(toJson(configuration()), 0, "first"), 0)
             << m_system.output();
@@ -35,9 +36,8 @@
         Configuration configuration;
         configuration.teams = {{.name = "pricing"}};
         configuration.keys = {{.digest = keyDigest("key"), .team = "pricing"}};
-        configuration.services
-            = {{.name = "prices",
-                .runners = {{"127.0.0.1", m_system.member("runner-1").workPort}}}};
+        configuration.services = {
+            {.name = "prices", .runners = {{"127.0.0.1", m_system.member("runner-1").workPort}}}};
         configuration.queues = {{.name = "prices", .service = "prices"}};
         return configuration;
     }
