Place jobs by learned use on few warm hosts

Declared sizes are wrong by up to 8 times, so packing by them either overloads hosts or keeps all of them warm. UsageLearner learns the ratio of used over declared for each class of jobs; hostLoad counts what lagging reports don't show with the estimate; planPlacement takes teams in turn by weighted dominant share and fills warm hosts first.

--- /dev/null
+++ b/bench/support/placementpolicies.h
@@ -0,0 +1,226 @@
+// Placement policies on a simulated fleet: this project's and the baselines that it is measured
+// against.
+#pragma once
+
+#include "controller/hostload.h"
+#include "controller/placement.h"
+#include "controller/usagelearner.h"
+
+#include <cmath>
+#include <cstddef>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace sequoiapier {
+
+inline constexpr Resources HostCapacity{64, 256, 0};
+inline constexpr Duration ReportLag = std::chrono::seconds(10);
+inline constexpr std::size_t NoHost = std::size_t(-1);
+
+struct JobClass
+{
+    std::string name;
+    Resources declared;
+    Resources used;
+};
+
+struct SimulatedJob
+{
+    std::size_t jobClass = 0;
+    std::size_t host = NoHost;
+    TimePoint arrivedAt;
+    TimePoint startedAt;
+    TimePoint endsAt;
+};
+
+struct Outcome
+{
+    double warmHosts = 0; // mean
+    double loadDeviation = 0; // of processor use over the warm hosts, mean
+    double overloadedPart = 0; // warm host-seconds with use past the capacity
+    double stranded = 0; // free part of one resource on hosts whose other one is short, mean
+    double waitSeconds = 0; // mean
+    double moves = 0;
+};
+
+inline std::vector<JobClass> jobClasses(std::size_t count, std::mt19937_64 &random)
+{
+    std::uniform_real_distribution<double> exponent(-1, 1);
+    std::uniform_real_distribution<double> cores(0, 3);
+    std::vector<JobClass> classes;
+    for (std::size_t i = 0; i < count; ++i) {
+        const Resources used{std::exp2(cores(random)), std::exp2(cores(random) + 2), 0};
+        classes.push_back({"c" + std::to_string(i),
+                           {used.processors * std::pow(8, exponent(random)),
+                            used.memory * std::pow(8, exponent(random)), 0},
+                           used});
+    }
+    return classes;
+}
+
+// The state that every policy sees.
+struct Fleet
+{
+    std::vector<JobClass> classes;
+    std::size_t hostCount = 0;
+    std::vector<SimulatedJob> running;
+    std::vector<std::vector<std::size_t>> classCounts; // by host and class
+    std::vector<std::size_t> counts; // by host
+    UsageLearner learner{{}};
+    TimePoint now{std::chrono::hours(1)};
+
+    Fleet(std::size_t hosts, std::vector<JobClass> jobClasses)
+        : classes(std::move(jobClasses))
+        , hostCount(hosts)
+        , classCounts(hosts, std::vector<std::size_t>(classes.size()))
+        , counts(hosts)
+    { }
+
+    void count(const SimulatedJob &job, int change)
+    {
+        counts[job.host] += std::size_t(change);
+        classCounts[job.host][job.jobClass] += std::size_t(change);
+    }
+
+    std::vector<Resources> declaredLoads() const
+    {
+        std::vector<Resources> loads(hostCount);
+        for (const SimulatedJob &job : running)
+            loads[job.host] += classes[job.jobClass].declared;
+        return loads;
+    }
+    std::vector<Resources> trueLoads() const
+    {
+        std::vector<Resources> loads(hostCount);
+        for (const SimulatedJob &job : running)
+            loads[job.host] += classes[job.jobClass].used;
+        return loads;
+    }
+};
+
+// Chooses a host for each waiting job, NoHost to let it wait.
+using Policy = std::function<std::vector<std::size_t>(Fleet &, const std::vector<SimulatedJob> &)>;
+
+inline std::vector<std::size_t> placeEstimated(Fleet &fleet,
+                                               const std::vector<SimulatedJob> &waiting)
+{
+    std::vector<std::vector<RunningJob>> jobsOf(fleet.hostCount);
+    std::vector<std::uint32_t> unlearned(fleet.hostCount);
+    for (const SimulatedJob &job : fleet.running) {
+        const JobClass &jobClass = fleet.classes[job.jobClass];
+        RunningJob running{fleet.learner.estimate(jobClass.name, jobClass.declared), job.startedAt};
+        if (fleet.now - job.startedAt >= ReportLag)
+            running.reported = jobClass.used;
+        jobsOf[job.host].push_back(running);
+        unlearned[job.host] += fleet.learner.isLearned(jobClass.name) ? 0 : 1;
+    }
+    std::vector<PlacementHost> hosts;
+    for (std::size_t i = 0; i < fleet.hostCount; ++i) {
+        hosts.push_back({.name = std::to_string(i),
+                         .capacity = HostCapacity,
+                         .load = hostLoad(jobsOf[i], fleet.now, ReportLag),
+                         .isWarm = !jobsOf[i].empty(),
+                         .unlearned = unlearned[i]});
+    }
+    std::vector<PlacementJob> jobs;
+    for (const SimulatedJob &job : waiting) {
+        const JobClass &jobClass = fleet.classes[job.jobClass];
+        jobs.push_back({.estimate = fleet.learner.estimate(jobClass.name, jobClass.declared),
+                        .isLearned = fleet.learner.isLearned(jobClass.name)});
+    }
+    const std::vector<PlacementTeam> teams{{.name = "a"}};
+    std::vector<std::size_t> chosen(waiting.size(), NoHost);
+    for (const Assignment &assignment :
+         planPlacement({.hosts = hosts, .jobs = jobs, .teams = teams}, {}).assignments)
+        chosen[assignment.job] = assignment.host;
+    return chosen;
+}
+
+// A baseline: the host of least cost among those with room by declared sizes.
+inline Policy byCost(std::function<double(const Fleet &, std::size_t host, std::size_t jobClass,
+                                          const Resources &load)>
+                         cost)
+{
+    return [cost](Fleet &fleet, const std::vector<SimulatedJob> &waiting) {
+        std::vector<Resources> loads = fleet.declaredLoads();
+        std::vector<std::size_t> chosen;
+        Fleet planned = fleet;
+        for (const SimulatedJob &job : waiting) {
+            const Resources &need = fleet.classes[job.jobClass].declared;
+            std::size_t best = NoHost;
+            double bestCost = 0;
+            for (std::size_t host = 0; host < fleet.hostCount; ++host) {
+                Resources load = loads[host];
+                load += need;
+                const double current = cost(planned, host, job.jobClass, loads[host]);
+                if (load.fitsInto(HostCapacity) && (best == NoHost || current < bestCost)) {
+                    best = host;
+                    bestCost = current;
+                }
+            }
+            if (best != NoHost) {
+                loads[best] += need;
+                planned.count({.jobClass = job.jobClass, .host = best}, 1);
+            }
+            chosen.push_back(best);
+        }
+        return chosen;
+    };
+}
+
+// The paper's function: theta0 * (jobs on host - mean) + theta1 * (jobs of class on host - mean).
+inline double countWeight(const Fleet &fleet, std::size_t host, std::size_t jobClass)
+{
+    constexpr double Theta0 = 0.45;
+    constexpr double Theta1 = 0.55;
+    double total = 0;
+    double ofClass = 0;
+    for (std::size_t i = 0; i < fleet.hostCount; ++i) {
+        total += double(fleet.counts[i]);
+        ofClass += double(fleet.classCounts[i][jobClass]);
+    }
+    const double hosts = double(fleet.hostCount);
+    return Theta0 * (double(fleet.counts[host]) - total / hosts)
+        + Theta1 * (double(fleet.classCounts[host][jobClass]) - ofClass / hosts);
+}
+
+// Moves jobs from the heaviest to the lightest host while the weights differ by more than the
+// threshold, a few at a turn. Returns the moves.
+inline int rebalanceByCount(Fleet &fleet)
+{
+    constexpr double Threshold = 1;
+    constexpr int MaxMoves = 2;
+    int moves = 0;
+    for (SimulatedJob &job : fleet.running) {
+        std::size_t lightest = job.host;
+        for (std::size_t host = 0; host < fleet.hostCount; ++host) {
+            if (countWeight(fleet, host, job.jobClass) < countWeight(fleet, lightest, job.jobClass))
+                lightest = host;
+        }
+        const double difference = countWeight(fleet, job.host, job.jobClass)
+            - countWeight(fleet, lightest, job.jobClass);
+        if (difference <= 1 + Threshold)
+            continue;
+        fleet.count(job, -1);
+        job.host = lightest;
+        fleet.count(job, 1);
+        if (++moves == MaxMoves)
+            break;
+    }
+    return moves;
+}
+
+inline const Policy FirstFit = byCost(
+    [](const Fleet &, std::size_t host, std::size_t, const Resources &) { return double(host); });
+inline const Policy Spread
+    = byCost([](const Fleet &, std::size_t, std::size_t, const Resources &load) {
+          return dominantShare(load, HostCapacity);
+      });
+inline const Policy CountWeights
+    = byCost([](const Fleet &fleet, std::size_t host, std::size_t jobClass, const Resources &) {
+          return countWeight(fleet, host, jobClass);
+      });
+
+} // namespace sequoiapier
