--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -1,6 +1,8 @@
-// Roll-out time of a maintenance wave against a bound computed with full knowledge of the input:
-// 50 hosts, four to a rack, three zones, two hosts and one rack lost mid-wave.
+// Roll-out time of a maintenance wave, and the buffer and moves of the spare planner over the
+// swings of five queues, each against a bound computed with full knowledge of the input. 50 hosts,
+// four to a rack, three zones, two hosts and one rack lost mid-wave.
 #include "bench/support/report.h"
+#include "controller/fleetweights.h"
 #include "controller/hostmove.h"
 #include "controller/waveplanner.h"
 
@@ -47,14 +49,14 @@
                  .pools = {"p0", "p1", "p2", "p3", "p4", "spare"},
                  .startedAt = 1,
                  .drainTimeout = 3'600,
-                 .maxOut = MaxOut,
                  .resumesAfterRepair = true};
     Loss stop; // while the failed rack keeps the wave from starting hosts
     std::int64_t now = 1;
     bool isBudgetPassed = false;
 
-    RollOut(std::uint64_t seed, bool hasLosses, const Estimate &estimate)
+    RollOut(std::uint64_t seed, bool hasLosses, const Estimate &estimate, std::uint32_t maxOut)
     {
+        wave.maxOut = maxOut;
         std::mt19937_64 random(seed);
         std::lognormal_distribution<double> drain(std::log(240.0), 0.7);
         for (int i = 0; i < HostCount; ++i) {
@@ -187,7 +189,8 @@
         }
         std::int64_t bound = longest;
         for (const auto &[domain, members] : domains) {
-            const std::uint32_t limit = domain == "wave" ? MaxOut : budgets.at(domain).row.limit;
+            const std::uint32_t limit
+                = domain == "wave" ? wave.maxOut : budgets.at(domain).row.limit;
             bound = std::max(bound, domainBound(members, limit, domain != "wave"));
         }
         return bound;
@@ -219,7 +222,7 @@
 };
 
 void measureRollOut(Report &report, const std::string &label, bool hasLosses,
-                    const Estimate &estimate)
+                    const Estimate &estimate, std::uint32_t maxOut = MaxOut)
 {
     constexpr int Runs = 40;
     double sum = 0;
@@ -227,7 +230,7 @@
     double seconds = 0;
     int passedBudgets = 0;
     for (int seed = 1; seed <= Runs; ++seed) {
-        RollOut rollOut(std::uint64_t(seed), hasLosses, estimate);
+        RollOut rollOut(std::uint64_t(seed), hasLosses, estimate, maxOut);
         const double bound = double(rollOut.bound());
         const double taken = double(rollOut.run());
         sum += taken / bound;
@@ -257,6 +260,10 @@
     measureRollOut(report, "rollout losses, times known", true, known);
     measureRollOut(report, "rollout losses, one time for all", true, constant);
     measureRollOut(report, "rollout losses, wrong by up to 8x", true, wrong);
+    for (const FleetWeights &profile : FleetProfiles) {
+        measureRollOut(report, "rollout losses, " + std::string(profile.name), true, wrong,
+                       waveMaxOut(profile, MaxOut));
+    }
 }
 
 } // namespace
