--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -1,6 +1,7 @@
 #include "cli/daemon.h"
 
 #include "cli/eventjson.h"
+#include "net/endpoint.h"
 
 #include <prometheus/text_serializer.h>
 
@@ -54,12 +55,23 @@
                       {.min = 64, .max = 1'000'000, .help = "Bound on open file descriptors"});
 }
 
+void addTableSetting(SettingsParser &parser, std::string &endpoint)
+{
+    parser.addText("table", endpoint,
+                   {.isRequired = true,
+                    .isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
+                    .expected = "IP-number:port",
+                    .help = "The platform's table service"});
+}
+
 Daemon::Daemon(const CommonSettings &settings)
     : m_settings(settings)
     , m_loop({.maxDescriptors = unsigned(settings.maxDescriptors)})
     , m_logger(loggerOptions(settings))
     , m_events({.process = settings.name, .zone = settings.zone}, wallClock)
-    , m_httpClient(m_loop, {.maxConnections = std::size_t(settings.maxDescriptors) / 2})
+    , m_httpClient(m_loop,
+                   {.maxConnections = std::size_t(settings.maxDescriptors) / 2,
+                    .keptHeaders = {"x-run-state", "x-runner-state", "content-type"}})
     , m_admin(m_loop,
               {.address = settings.address,
                .port = std::uint16_t(settings.port),
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -16,13 +16,13 @@
     parser.addInteger(
         "read-timeout-s", settings.readTimeoutSeconds,
         {.unit = "s", .min = 1, .max = 300, .help = "Longest time to send a request"});
-    parser.addText("table", settings.tableEndpoint,
-                   {.isRequired = true,
-                    .isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
-                    .expected = "IP-number:port",
-                    .help = "The platform's table service"});
-    parser.addInteger("configuration-poll-ms", settings.configurationPollMilliseconds,
-                      {.unit = "ms", .min = 50, .max = 5'000, .help = "Interval of table reads"});
+    addTableSetting(parser, settings.tableEndpoint);
+    parser.addInteger("longest-work-ms", settings.longestWorkMilliseconds,
+                      {.unit = "ms",
+                       .min = 100,
+                       .max = 86'400'000,
+                       .help = "Longest deadline; work without a shown end is taken to have ended "
+                               "after this"});
     const Result<ParseAction> action = parser.parse(args, processEnvironment);
     if (!action)
         return action.error();
