--- a/controller/hostmover.h
+++ b/controller/hostmover.h
@@ -23,6 +23,7 @@
 class HostMover
 {
 public:
+    // All are required.
     struct Hooks
     {
         // What is known of the host now.
