Measure a wave's turn up to 11,000 hosts

The scan of all host rows that goes with a turn is not part of it and is named as what is left for that size.

--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -7,6 +7,7 @@
 #include "controller/waveplanner.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <functional>
 #include <map>
@@ -266,12 +267,48 @@
     }
 }
 
+// The time of one turn of a wave over the whole fleet, four hosts to a rack, 400 to a pool.
+void measureTurns(Report &report)
+{
+    for (const std::size_t count : {50U, 400U, 1'600U, 6'400U, 11'000U}) {
+        std::vector<WaveHost> hosts(count);
+        WaveRow wave{.id = "w", .startedAt = 1, .maxOut = 100};
+        std::map<std::string, VersionedBudgetRow> budgets;
+        for (std::size_t i = 0; i < count; ++i) {
+            hosts[i].row = {.host = "h" + std::to_string(i),
+                            .rack = "r" + std::to_string(i / 4),
+                            .zone = "z" + std::to_string(i / 4 % 16),
+                            .pool = "p" + std::to_string(i / 400)};
+            for (const std::string &domain : domainsOf(hosts[i].row))
+                budgets[domain] = {{.domain = domain, .limit = 4}, 1};
+        }
+        for (std::size_t pool = 0; pool <= count / 400; ++pool)
+            wave.pools.push_back("p" + std::to_string(pool));
+        std::vector<VersionedBudgetRow> rows;
+        rows.reserve(budgets.size());
+        for (const auto &[domain, row] : budgets)
+            rows.push_back(row);
+        double best = 1e9;
+        for (int run = 0; run < 10; ++run) {
+            const auto start = std::chrono::steady_clock::now();
+            const WaveTurn turn
+                = planWaveTurn({.wave = wave, .version = 1, .hosts = hosts, .budgets = rows}, 2);
+            const std::chrono::duration<double, std::milli> taken
+                = std::chrono::steady_clock::now() - start;
+            best = turn.started.empty() ? best : std::min(best, taken.count());
+        }
+        report.add("wave turn hosts=" + std::to_string(count),
+                   {{"ms", best}, {"us_per_host", 1'000 * best / double(count)}});
+    }
+}
+
 } // namespace
 } // namespace sequoiapier
 
 int main(int argc, char **argv)
 {
     sequoiapier::Report report("fleet", argc, argv);
+    sequoiapier::measureTurns(report);
     sequoiapier::measureRollOuts(report);
     return report.finish();
 }
