--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -1,10 +1,13 @@
-// Roll-out time of a maintenance wave against a bound computed with full knowledge of the input:
-// 50 hosts, four to a rack, three zones, two hosts and one rack lost mid-wave.
+// Roll-out time of a maintenance wave, and the buffer and moves of the spare planner over the
+// swings of five queues, each against a bound computed with full knowledge of the input. 50 hosts,
+// four to a rack, three zones, two hosts and one rack lost mid-wave.
 #include "bench/support/report.h"
+#include "controller/fleetweights.h"
 #include "controller/hostmove.h"
 #include "controller/waveplanner.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <functional>
 #include <map>
@@ -47,14 +50,14 @@
                  .pools = {"p0", "p1", "p2", "p3", "p4", "spare"},
                  .startedAt = 1,
                  .drainTimeout = 3'600,
-                 .maxOut = MaxOut,
                  .resumesAfterRepair = true};
     Loss stop; // while the failed rack keeps the wave from starting hosts
     std::int64_t now = 1;
     bool isBudgetPassed = false;
 
-    RollOut(std::uint64_t seed, bool hasLosses, const Estimate &estimate)
+    RollOut(std::uint64_t seed, bool hasLosses, const Estimate &estimate, std::uint32_t maxOut)
     {
+        wave.maxOut = maxOut;
         std::mt19937_64 random(seed);
         std::lognormal_distribution<double> drain(std::log(240.0), 0.7);
         for (int i = 0; i < HostCount; ++i) {
@@ -187,7 +190,8 @@
         }
         std::int64_t bound = longest;
         for (const auto &[domain, members] : domains) {
-            const std::uint32_t limit = domain == "wave" ? MaxOut : budgets.at(domain).row.limit;
+            const std::uint32_t limit
+                = domain == "wave" ? wave.maxOut : budgets.at(domain).row.limit;
             bound = std::max(bound, domainBound(members, limit, domain != "wave"));
         }
         return bound;
@@ -219,7 +223,7 @@
 };
 
 void measureRollOut(Report &report, const std::string &label, bool hasLosses,
-                    const Estimate &estimate)
+                    const Estimate &estimate, std::uint32_t maxOut = MaxOut)
 {
     constexpr int Runs = 40;
     double sum = 0;
@@ -227,7 +231,7 @@
     double seconds = 0;
     int passedBudgets = 0;
     for (int seed = 1; seed <= Runs; ++seed) {
-        RollOut rollOut(std::uint64_t(seed), hasLosses, estimate);
+        RollOut rollOut(std::uint64_t(seed), hasLosses, estimate, maxOut);
         const double bound = double(rollOut.bound());
         const double taken = double(rollOut.run());
         sum += taken / bound;
@@ -257,6 +261,45 @@
     measureRollOut(report, "rollout losses, times known", true, known);
     measureRollOut(report, "rollout losses, one time for all", true, constant);
     measureRollOut(report, "rollout losses, wrong by up to 8x", true, wrong);
+    for (const FleetWeights &profile : FleetProfiles) {
+        measureRollOut(report, "rollout losses, " + std::string(profile.name), true, wrong,
+                       waveMaxOut(profile, MaxOut));
+    }
+}
+
+// The time of one turn of a wave over the whole fleet, four hosts to a rack, 400 to a pool.
+void measureTurns(Report &report)
+{
+    for (const std::size_t count : {50U, 400U, 1'600U, 6'400U, 11'000U}) {
+        std::vector<WaveHost> hosts(count);
+        WaveRow wave{.id = "w", .startedAt = 1, .maxOut = 100};
+        std::map<std::string, VersionedBudgetRow> budgets;
+        for (std::size_t i = 0; i < count; ++i) {
+            hosts[i].row = {.host = "h" + std::to_string(i),
+                            .rack = "r" + std::to_string(i / 4),
+                            .zone = "z" + std::to_string(i / 4 % 16),
+                            .pool = "p" + std::to_string(i / 400)};
+            for (const std::string &domain : domainsOf(hosts[i].row))
+                budgets[domain] = {{.domain = domain, .limit = 4}, 1};
+        }
+        for (std::size_t pool = 0; pool <= count / 400; ++pool)
+            wave.pools.push_back("p" + std::to_string(pool));
+        std::vector<VersionedBudgetRow> rows;
+        rows.reserve(budgets.size());
+        for (const auto &[domain, row] : budgets)
+            rows.push_back(row);
+        double best = 1e9;
+        for (int run = 0; run < 10; ++run) {
+            const auto start = std::chrono::steady_clock::now();
+            const WaveTurn turn
+                = planWaveTurn({.wave = wave, .version = 1, .hosts = hosts, .budgets = rows}, 2);
+            const std::chrono::duration<double, std::milli> taken
+                = std::chrono::steady_clock::now() - start;
+            best = turn.started.empty() ? best : std::min(best, taken.count());
+        }
+        report.add("wave turn hosts=" + std::to_string(count),
+                   {{"ms", best}, {"us_per_host", 1'000 * best / double(count)}});
+    }
 }
 
 } // namespace
@@ -265,6 +308,7 @@
 int main(int argc, char **argv)
 {
     sequoiapier::Report report("fleet", argc, argv);
+    sequoiapier::measureTurns(report);
     sequoiapier::measureRollOuts(report);
     return report.finish();
 }
