--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -1,5 +1,5 @@
 // Latency and throughput of one gateway against calling the runner directly: same client, same run.
-#include "bench/support/loadclient.h"
+#include "testing/support/loadclient.h"
 #include "bench/support/report.h"
 #include "testing/support/localsystem.h"
 
@@ -50,8 +50,8 @@
         std::fprintf(stderr, "the system did not start\n");
         return 1;
     }
-    LoadOptions direct{.port = system.member("runner-1").workPort, .path = "/work"};
-    LoadOptions reused{.port = system.member("gateway-1").workPort,
+    LoadOptions direct{.ports = {system.member("runner-1").workPort}, .path = "/work"};
+    LoadOptions reused{.ports = {system.member("gateway-1").workPort},
                        .path = "/v1/queues/bench",
                        .headers = {{"authorization", "Bearer key"}, {"x-idempotent", "true"}}};
     LoadOptions fresh = reused;
--- /dev/null
+++ b/testing/process/failuretest.h
@@ -0,0 +1,78 @@
+// FailureTest: two runners, two gateways and two schedulers around one service, with the runners'
+// record of what ran.
+#pragma once
+
+#include "testing/process/oneservicetest.h"
+#include "testing/support/loadclient.h"
+
+#include <csignal>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace sequoiapier {
+
+class FailureTest : public OneServiceTest
+{
+protected:
+    static constexpr unsigned Concurrency = 8;
+
+    void SetUp() override
+    {
+        OneServiceTest::SetUp();
+        ASSERT_TRUE(system().startScheduler("scheduler-2", {"--zone", "zone-2"}));
+        ASSERT_TRUE(system().startGateway("gateway-2", {"--zone", "zone-2"}));
+        ASSERT_TRUE(system().waitReady("scheduler-2"));
+        ASSERT_TRUE(system().waitReady("gateway-2"));
+        ASSERT_TRUE(LocalSystem::waitUntil([this] { return isServing("gateway-2"); }));
+    }
+
+    bool isServing(const std::string &gateway)
+    {
+        return system().work(gateway, "prices", "key", "x").response.status == 200;
+    }
+
+    LoadOptions load(const std::string &prefix, unsigned requestCount, bool isIdempotent)
+    {
+        return {.ports = {system().member("gateway-1").workPort,
+                          system().member("gateway-2").workPort},
+                .path = "/v1/queues/prices",
+                .headers = {{"authorization", "Bearer key"},
+                            {"x-deadline-ms", "4000"},
+                            {"x-idempotent", isIdempotent ? "true" : "false"}},
+                .concurrency = Concurrency,
+                .requestCount = requestCount,
+                .requestIdPrefix = prefix};
+    }
+
+    // Runs by request identifier, as the runner recorded them.
+    std::map<std::string, int> runs(const std::string &runner = "runner-1")
+    {
+        const HttpAnswer answer = system().fetch(runner, "/record");
+        return nlohmann::json::parse(answer.response.body).at("runs");
+    }
+
+    // At most one run each; none for a request refused as not run; one for each answered.
+    void expectTruthful(const LoadResult &result, const std::map<std::string, int> &runCounts)
+    {
+        for (const LoadOutcome &outcome : result.outcomes) {
+            const auto found = runCounts.find(outcome.requestId);
+            const int count = found != runCounts.end() ? found->second : 0;
+            EXPECT_LE(count, 1) << outcome.requestId;
+            if (outcome.runState == "not-run")
+                EXPECT_EQ(count, 0) << outcome.requestId << " status " << outcome.status;
+            if (outcome.status == 200)
+                EXPECT_EQ(count, 1) << outcome.requestId;
+        }
+    }
+
+    void kill(const std::string &name)
+    {
+        ChildProcess &process = system().member(name).process;
+        process.signal(SIGKILL);
+        EXPECT_TRUE(process.waitExit(LocalSystem::Patience).has_value());
+    }
+
+    static unsigned countOk(const LoadResult &result) { return result.okCount; }
+};
+
+} // namespace sequoiapier
--- /dev/null
+++ b/testing/process/requestfailure_test.cpp
@@ -0,0 +1,112 @@
+// Kills, pauses and outages under load, with the runner's record as the judge.
+#include "testing/process/failuretest.h"
+
+namespace sequoiapier {
+namespace {
+
+using std::chrono::milliseconds;
+
+class RequestFailure : public FailureTest
+{ };
+
+TEST_F(RequestFailure, KilledGatewayDisturbsOnlyWhatItHeld)
+{
+    LoadOptions options = load("kill-", 2'000, false);
+    options.onStart = [this](unsigned count) {
+        if (count == 500)
+            kill("gateway-1");
+    };
+    const LoadResult result = runLoad(options);
+    expectTruthful(result, runs());
+    unsigned disturbed = 0;
+    for (std::size_t i = 0; i < result.outcomes.size(); ++i) {
+        const bool wasSent = result.outcomes[i].outcome == HttpOutcome::Lost;
+        disturbed += wasSent ? 1 : 0;
+    }
+    EXPECT_LE(disturbed, Concurrency);
+    EXPECT_GE(result.okCount, 1'000U);
+}
+
+TEST_F(RequestFailure, KilledSchedulerIsSucceeded)
+{
+    LoadOptions options = load("before-", 200, false);
+    ASSERT_EQ(runLoad(options).okCount, 200U);
+    kill("scheduler-1");
+    options = load("after-", 4'000, false);
+    options.requestsPerSecond = 400;
+    const LoadResult result = runLoad(options);
+    expectTruthful(result, runs());
+    EXPECT_EQ(result.okCount, 4'000U);
+}
+
+TEST_F(RequestFailure, SchedulerPausedPastItsLeaseLendsNothingTwice)
+{
+    system().member("scheduler-1").process.signal(SIGSTOP);
+    LoadOptions options = load("paused-", 3'000, false);
+    options.requestsPerSecond = 400;
+    options.onStart = [this](unsigned count) {
+        if (count == 2'400)
+            system().member("scheduler-1").process.signal(SIGCONT);
+    };
+    const LoadResult result = runLoad(options);
+    expectTruthful(result, runs());
+    EXPECT_EQ(result.okCount, 3'000U);
+    const auto record = nlohmann::json::parse(system().fetch("runner-1", "/record").response.body);
+    EXPECT_LE(record.at("peakRunning").get<int>(), 8);
+    EXPECT_EQ(record.at("refused").get<int>(), 0) << "more slots were lent than there are";
+}
+
+TEST_F(RequestFailure, ServesOnThroughAPlatformOutage)
+{
+    ASSERT_TRUE(system().setFaults("table", R"({"outage": true})"));
+    LoadOptions options = load("outage-", 4'800, false);
+    options.requestsPerSecond = 400; // 12 s, past every lease
+    const LoadResult result = runLoad(options);
+    expectTruthful(result, runs());
+    EXPECT_GE(result.okCount, 4'560U) << "95% of the capacity with all processes alive";
+    ASSERT_TRUE(system().setFaults("table", "{}"));
+    EXPECT_EQ(runLoad(load("healed-", 200, false)).okCount, 200U);
+}
+
+TEST_F(RequestFailure, PausedGatewayAnswersNothingUnderALapsedLease)
+{
+    ChildProcess &gateway = system().member("gateway-1").process;
+    gateway.signal(SIGSTOP);
+    LoadOptions options = load("frozen-", 400, false);
+    options.requestsPerSecond = 80; // 5 s, past the lease of 3 s
+    options.onStart = [&](unsigned count) {
+        if (count == 320)
+            gateway.signal(SIGCONT);
+    };
+    const LoadResult result = runLoad(options);
+    expectTruthful(result, runs());
+    EXPECT_TRUE(LocalSystem::waitUntil([this] { return isServing("gateway-1"); }));
+}
+
+TEST_F(RequestFailure, GracefulShutdownAnswersEverything)
+{
+    LoadOptions options = load("drain-", 200, false);
+    options.headers.push_back({"x-work-ms", "20"});
+    options.onStart = [this](unsigned count) {
+        if (count == 100)
+            system().member("gateway-1").process.signal(SIGTERM);
+    };
+    const LoadResult result = runLoad(options);
+    expectTruthful(result, runs());
+    for (const LoadOutcome &outcome : result.outcomes)
+        EXPECT_NE(outcome.outcome, HttpOutcome::Lost) << outcome.requestId;
+    EXPECT_EQ(system().member("gateway-1").process.waitExit(LocalSystem::Patience), 0);
+}
+
+TEST_F(RequestFailure, LeavingRunnerGetsNothingNewAndNothingIsLost)
+{
+    ASSERT_TRUE(system().setFaults("runner-1", R"({"leaving": true})"));
+    const LoadResult refused = runLoad(load("leaving-", 50, false));
+    expectTruthful(refused, runs());
+    EXPECT_EQ(refused.okCount, 0U);
+    for (const LoadOutcome &outcome : refused.outcomes)
+        EXPECT_EQ(outcome.runState, "not-run") << outcome.requestId << " " << outcome.status;
+}
+
+} // namespace
+} // namespace sequoiapier
--- a/bench/support/loadclient.cpp
+++ b/testing/support/loadclient.cpp
@@ -1,4 +1,4 @@
-#include "bench/support/loadclient.h"
+#include "testing/support/loadclient.h"
 
 #include "net/httpclient.h"
 #include "net/timer.h"
@@ -10,15 +10,15 @@
 
 namespace {
 
-constexpr Duration RequestDeadline = std::chrono::seconds(5);
-
 class LoadRun
 {
 public:
     explicit LoadRun(const LoadOptions &options)
         : m_options(options)
         , m_loop({})
-        , m_http(m_loop, {.maxConnections = options.concurrency + 1})
+        , m_http(m_loop,
+                 {.maxConnections = options.concurrency * (options.ports.size() + 1),
+                  .keptHeaders = {"x-run-state"}})
     {
         m_latencies.reserve(options.requestCount);
     }
@@ -57,21 +57,39 @@
     void send(unsigned slot)
     {
         const TimePoint sentAt = BootClock::now();
-        HttpCall call{.address = "127.0.0.1", .port = m_options.port};
-        call.deadline = sentAt + RequestDeadline;
+        const unsigned number = m_sentCount++;
+        if (m_options.onStart)
+            m_options.onStart(number);
+        LoadOutcome outcome;
+        HttpCall call {.address = "127.0.0.1",
+                       .port = m_options.ports[number % m_options.ports.size()]};
+        call.deadline = sentAt + m_options.deadline;
         call.request = {.method = "POST",
                         .path = m_options.path,
                         .headers = m_options.headers,
                         .body = std::string(m_options.bodyBytes, 'b')};
-        m_http.call(std::move(call), [this, slot, sentAt](const HttpAnswer &answer) {
-            m_latencies.push_back(double((BootClock::now() - sentAt).count()));
-            const bool isOk
-                = answer.outcome == HttpOutcome::Answered && answer.response.status == 200;
-            (isOk ? m_result.okCount : m_result.otherCount) += 1;
+        if (!m_options.requestIdPrefix.empty()) {
+            outcome.requestId = m_options.requestIdPrefix + std::to_string(number);
+            call.request.headers.push_back({"x-request-id", outcome.requestId});
+        }
+        m_http.call(std::move(call), [this, slot, sentAt, outcome](const HttpAnswer &answer) {
+            onAnswer(answer, outcome, sentAt);
             next(slot);
         });
     }
 
+    void onAnswer(const HttpAnswer &answer, LoadOutcome outcome, TimePoint sentAt)
+    {
+        outcome.outcome = answer.outcome;
+        outcome.status = answer.response.status;
+        outcome.runState = headerValue(answer.response.headers, "x-run-state");
+        outcome.microseconds = double((BootClock::now() - sentAt).count());
+        m_latencies.push_back(outcome.microseconds);
+        const bool isOk = answer.outcome == HttpOutcome::Answered && outcome.status == 200;
+        (isOk ? m_result.okCount : m_result.otherCount) += 1;
+        m_result.outcomes.push_back(std::move(outcome));
+    }
+
     LoadResult summarize()
     {
         const double seconds = double((BootClock::now() - m_start).count()) / 1e6;
@@ -88,6 +106,7 @@
     std::vector<std::unique_ptr<Timer>> m_timers;
     TimePoint m_start;
     unsigned m_startedCount = 0;
+    unsigned m_sentCount = 0;
     std::vector<double> m_latencies; // microseconds
     LoadResult m_result;
 };
--- a/bench/support/loadclient.h
+++ b/testing/support/loadclient.h
@@ -1,15 +1,18 @@
-// LoadClient: a closed-loop HTTP load from one loop, for benchmarks with real processes.
+// LoadClient: a closed-loop HTTP load from one loop, for benchmarks and failure tests with real
+// processes.
 //
-//   LoadResult result = runLoad({.port = port, .path = "/v1/queues/q", .concurrency = 8,
+//   LoadResult result = runLoad({.ports = {port}, .path = "/v1/queues/q", .concurrency = 8,
 //                                .requestCount = 20'000, .bodyBytes = 200});
 //
 // Each of `concurrency` slots sends its next request when the last was answered, at the earliest
 // when it is due at `requestsPerSecond` (0: at once).
 #pragma once
 
-#include "net/httpmessage.h"
+#include "net/httpcall.h"
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -17,13 +20,27 @@
 
 struct LoadOptions
 {
-    std::uint16_t port = 0;
+    std::vector<std::uint16_t> ports;
     std::string path;
     std::vector<HttpHeader> headers;
     unsigned concurrency = 1;
     unsigned requestCount = 1'000;
     std::size_t bodyBytes = 200;
     double requestsPerSecond = 0;
+    std::string requestIdPrefix; // empty: no identifiers
+    std::chrono::milliseconds deadline {5'000}; // of the client; not sent
+    // Called before each request with the number of those before it.
+    std::function<void(unsigned startedCount)> onStart;
+};
+
+// How one request ended, as its caller saw it.
+struct LoadOutcome
+{
+    std::string requestId;
+    HttpOutcome outcome = HttpOutcome::NotSent;
+    int status = 0;
+    std::string runState; // from the answer's header
+    double microseconds = 0;
 };
 
 struct LoadResult
@@ -33,6 +50,7 @@
     double requestsPerSecond = 0;
     double p50Microseconds = 0;
     double p99Microseconds = 0;
+    std::vector<LoadOutcome> outcomes;
 };
 
 LoadResult runLoad(const LoadOptions &options);
