--- /dev/null
+++ b/testing/fuzz/fuzzmain.cpp
@@ -0,0 +1,12 @@
+// The entry point that libFuzzer calls for each input.
+#include "testing/fuzz/fuzzing.h"
+
+#include <cstddef>
+#include <cstdint>
+
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    sequoiapier::fuzzOne({reinterpret_cast<const char *>(data), size});
+    return 0;
+}
