Push committed configurations to the gateways before the operator is answered

Serving on through an outage of the table needs a majority of the gateways to hold the version, so the controller pushes it and announces withdrawals first.

--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -1,6 +1,6 @@
 // Latency and throughput of one gateway against calling the runner directly: same client, same run.
-#include "testing/support/loadclient.h"
 #include "bench/support/report.h"
+#include "testing/support/loadclient.h"
 #include "testing/support/localsystem.h"
 
 #include <cstdio>
--- a/controller/controller.cpp
+++ b/controller/controller.cpp
@@ -7,9 +7,23 @@
 
 namespace sequoiapier {
 
+namespace {
+
+constexpr Duration NoticeTime = std::chrono::seconds(10);
+
+} // namespace
+
 Controller::Controller(Daemon &daemon, const ControllerSettings &settings)
-    : m_remoteTable(daemon.httpClient(), {parseEndpoint(settings.tableEndpoint).value()})
-    , m_operators({.table = m_remoteTable.hooks(), .now = &BootClock::now},
+    : m_node(daemon, {.role = "controller", .table = parseEndpoint(settings.tableEndpoint).value()},
+             {.joined = [&daemon] { daemon.setReady(true); }})
+    , m_pusher(daemon, m_node)
+    , m_operators({.table = m_node.table(),
+                   .now = &BootClock::now,
+                   .announce = [this](std::span<const std::string> digests) { announce(digests); },
+                   .push =
+                       [this](const CommittedVersion &committed, std::function<void(bool)> done) {
+                           m_pusher.push(committed, std::move(done));
+                       }},
                   [&daemon](std::string_view operationId, std::uint64_t version) {
                       daemon.report("configuration.committed",
                                     {.epoch = version, .cause = std::string(operationId)});
@@ -18,6 +32,16 @@
     daemon.route("/operator", [this](const std::shared_ptr<HttpExchange> &exchange) {
         m_operators.serve(exchange);
     });
+    m_node.start();
+}
+
+void Controller::announce(std::span<const std::string> digests)
+{
+    std::vector<WithdrawalNotice> notices;
+    notices.reserve(digests.size());
+    for (const std::string &digest : digests)
+        notices.push_back({.digest = digest, .remaining = NoticeTime});
+    m_node.announce(notices);
 }
 
 int runController(CommandArgs args)
@@ -35,7 +59,6 @@
         return int(ResultCode::Ok);
     Daemon daemon(settings.common);
     const Controller controller(daemon, settings);
-    daemon.setReady(true);
     return daemon.run();
 }
 
--- a/controller/controller.h
+++ b/controller/controller.h
@@ -2,8 +2,9 @@
 #pragma once
 
 #include "cli/daemon.h"
+#include "controller/configurationpusher.h"
 #include "controller/operatorapi.h"
-#include "platform/remotetable.h"
+#include "peer/peernode.h"
 
 namespace sequoiapier {
 
@@ -19,7 +20,10 @@
     Controller(Daemon &daemon, const ControllerSettings &settings);
 
 private:
-    RemoteTable m_remoteTable;
+    void announce(std::span<const std::string> digests);
+
+    PeerNode m_node;
+    ConfigurationPusher m_pusher;
     OperatorApi m_operators;
 };
 
--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -87,8 +87,7 @@
                               "Requests waiting for a runner"))
     , m_heldGauge(makeGauge(daemon.metrics(), "sequoiapier_requests_held",
                             "Requests held, those whose late end is awaited included"))
-{
-}
+{ }
 
 void Dispatcher::start()
 {
@@ -111,7 +110,7 @@
         lane.config = service;
         std::vector<UpstreamRunner> runners;
         for (const RunnerConfig &runner : service.runners)
-            runners.push_back({.name = toString(Endpoint {runner.address, runner.port}),
+            runners.push_back({.name = toString(Endpoint{runner.address, runner.port}),
                                .slots = service.slotsPerRunner,
                                .connections = service.connectionsPerRunner});
         lane.picker.setRunners(runners);
@@ -121,7 +120,7 @@
     }
     for (const QueueConfig &queue : configuration.queues) {
         ServiceLane &lane = m_lanes.at(queue.service);
-        const TeamQueues::Options options {.maxCount = queue.maxQueued};
+        const TeamQueues::Options options{.maxCount = queue.maxQueued};
         TeamQueues &queues = lane.queues.try_emplace(queue.name, options).first->second;
         for (const TeamConfig &team : configuration.teams)
             queues.setWeight(team.name, team.share);
@@ -133,10 +132,10 @@
                         const QueueConfig &queue, std::string team)
 {
     const std::uint64_t id = m_nextId++;
-    HeldRequest held {.exchange = std::move(exchange),
-                      .service = queue.service,
-                      .state = RequestState(
-                          {.isIdempotent = request.isIdempotent, .maxAttempts = MaxAttempts})};
+    HeldRequest held{
+        .exchange = std::move(exchange),
+        .service = queue.service,
+        .state = RequestState({.isIdempotent = request.isIdempotent, .maxAttempts = MaxAttempts})};
     held.queued = {.id = id,
                    .team = std::move(team),
                    .arrival = BootClock::now(),
@@ -174,8 +173,8 @@
     TeamQueues *queues = nextQueue(lane);
     if (queues == nullptr || !lane.picker.pick(now))
         return false;
-    const std::optional<QueuedRequest> next = queues->pop(
-        now, [&](std::string_view team) { return mayStart(lane, team, now); });
+    const std::optional<QueuedRequest> next
+        = queues->pop(now, [&](std::string_view team) { return mayStart(lane, team, now); });
     refuseOverdue(lane, now);
     if (!next)
         return false;
@@ -204,7 +203,7 @@
                                             TimePoint now)
 {
     const std::string resource = slotResource(lane.config.name);
-    const LoanKey own {resource, std::string(team)};
+    const LoanKey own{resource, std::string(team)};
     const Borrower *borrower = m_loans.find(own);
     if (borrower != nullptr && borrower->available(now) > 0)
         return own;
@@ -222,7 +221,7 @@
     }
     if (!m_ceilings.contains(team))
         return true;
-    const LoanKey ceiling {ceilingResource(team), ""};
+    const LoanKey ceiling{ceilingResource(team), ""};
     const Borrower *borrower = m_loans.find(ceiling);
     if (borrower != nullptr && borrower->available(now) > 0)
         return true;
@@ -236,7 +235,7 @@
     held.slot = findSlot(lane, held.queued.team, now);
     m_loans.find(*held.slot)->tryAcquire(now);
     if (m_ceilings.contains(held.queued.team)) {
-        held.ceiling = LoanKey {ceilingResource(held.queued.team), ""};
+        held.ceiling = LoanKey{ceilingResource(held.queued.team), ""};
         m_loans.find(*held.ceiling)->tryAcquire(now);
     }
     held.runner = *lane.picker.pick(now, held.avoid);
@@ -252,7 +251,7 @@
 {
     const Endpoint endpoint = parseEndpoint(held.runner).value();
     const TimePoint now = BootClock::now();
-    HttpCall call {.address = endpoint.address, .port = endpoint.port};
+    HttpCall call{.address = endpoint.address, .port = endpoint.port};
     // The connection is kept past the request's deadline, since only its end frees the slot.
     call.deadline = std::max(held.request.deadline, now + m_options.longestWork);
     call.connectionUse
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -13,10 +13,11 @@
 #include "gateway/heldrequest.h"
 #include "gateway/servicelane.h"
 
-#include <deque>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
+
+#include <deque>
 #include <unordered_map>
 
 namespace sequoiapier {
--- a/gateway/servicelane.h
+++ b/gateway/servicelane.h
@@ -16,8 +16,7 @@
     ServiceLane(std::uint64_t seed)
         : picker({}, seed)
         , retryBudget({})
-    {
-    }
+    { }
 
     ServiceConfig config;
     UpstreamPicker picker;
--- a/net/headercopy.cpp
+++ b/net/headercopy.cpp
@@ -1,9 +1,10 @@
 // libwebsockets indexes the headers that it knows and keeps the others by name.
 #include "net/headercopy.h"
 
+#include <libwebsockets.h>
+
 #include <algorithm>
 #include <array>
-#include <libwebsockets.h>
 #include <string_view>
 #include <utility>
 
--- a/peer/peernode.cpp
+++ b/peer/peernode.cpp
@@ -212,16 +212,32 @@
         });
 }
 
-void PeerNode::push(std::uint64_t version, const std::string &document)
+void PeerNode::push(const ConfigurationPush &push, const TakenCallback &onTaken)
 {
+    api::PeerService_push_args args;
+    args.sender = sender();
+    args.version = std::int64_t(push.version);
+    args.document = push.document;
     for (const MemberRow &member : m_membership.peers("gateway")) {
-        api::PeerService_push_args args;
-        args.sender = sender();
-        args.version = std::int64_t(version);
-        args.document = document;
         m_rpcClient.call<api::PeerService_push_args, api::PeerService_push_result>(
             toEndpoint(member), PeerPath, "push", args, BootClock::now() + PeerDeadline,
-            [](const RpcAnswer<api::PeerService_push_result> &) {});
+            [onTaken, name = member.name](const RpcAnswer<api::PeerService_push_result> &answer) {
+                if (answer.reply)
+                    onTaken(name, std::uint64_t(answer.reply->success));
+            });
+    }
+}
+
+void PeerNode::announce(const std::vector<WithdrawalNotice> &notices)
+{
+    api::PeerService_notice_args args;
+    args.sender = sender();
+    for (const WithdrawalNotice &notice : notices)
+        args.notices.push_back(toWire(notice));
+    for (const MemberRow &member : m_membership.peers("")) {
+        m_rpcClient.call<api::PeerService_notice_args, api::PeerService_notice_result>(
+            toEndpoint(member), PeerPath, "notice", args, BootClock::now() + PeerDeadline,
+            [](const RpcAnswer<api::PeerService_notice_result> &) {});
     }
 }
 
--- a/peer/peernode.h
+++ b/peer/peernode.h
@@ -59,8 +59,13 @@
     // Takes what a message says of its sender: its time and that it is alive.
     void observe(const api::PeerSender &sender);
 
-    // Sends a committed version to every gateway.
-    void push(std::uint64_t version, const std::string &document);
+    // Sends a committed version to every gateway; `onTaken` is called with each one that answers
+    // and the highest version that it has seen.
+    using TakenCallback
+        = std::function<void(const std::string &gateway, std::uint64_t seenVersion)>;
+    void push(const ConfigurationPush &push, const TakenCallback &onTaken);
+    // Tells every other process of a key about to be withdrawn.
+    void announce(const std::vector<WithdrawalNotice> &notices);
 
 private:
     void registerSelf();
--- a/testing/process/failuretest.h
+++ b/testing/process/failuretest.h
@@ -5,9 +5,10 @@
 #include "testing/process/oneservicetest.h"
 #include "testing/support/loadclient.h"
 
+#include <nlohmann/json.hpp>
+
 #include <csignal>
 #include <map>
-#include <nlohmann/json.hpp>
 
 namespace sequoiapier {
 
@@ -19,13 +20,26 @@
     void SetUp() override
     {
         OneServiceTest::SetUp();
-        ASSERT_TRUE(system().startScheduler("scheduler-2", {"--zone", "zone-2"}));
-        ASSERT_TRUE(system().startGateway("gateway-2", {"--zone", "zone-2"}));
+        if (HasFatalFailure())
+            return;
         ASSERT_TRUE(system().waitReady("scheduler-2"));
         ASSERT_TRUE(system().waitReady("gateway-2"));
         ASSERT_TRUE(LocalSystem::waitUntil([this] { return isServing("gateway-2"); }));
     }
 
+    void startOthers() override
+    {
+        ASSERT_TRUE(system().startScheduler("scheduler-2", {"--zone", "zone-2"}));
+        ASSERT_TRUE(system().startGateway("gateway-2", {"--zone", "zone-2"}));
+    }
+
+    Configuration configuration() override
+    {
+        Configuration configuration = OneServiceTest::configuration();
+        configuration.maxGateways = 2;
+        return configuration;
+    }
+
     bool isServing(const std::string &gateway)
     {
         return system().work(gateway, "prices", "key", "x").response.status == 200;
@@ -33,8 +47,8 @@
 
     LoadOptions load(const std::string &prefix, unsigned requestCount, bool isIdempotent)
     {
-        return {.ports = {system().member("gateway-1").workPort,
-                          system().member("gateway-2").workPort},
+        return {.ports
+                = {system().member("gateway-1").workPort, system().member("gateway-2").workPort},
                 .path = "/v1/queues/prices",
                 .headers = {{"authorization", "Bearer key"},
                             {"x-deadline-ms", "4000"},
--- a/testing/process/oneservicetest.h
+++ b/testing/process/oneservicetest.h
@@ -24,6 +24,7 @@
         ASSERT_TRUE(m_system.startController("controller-1"));
         ASSERT_TRUE(m_system.startScheduler("scheduler-1"));
         ASSERT_TRUE(m_system.startGateway("gateway-1", gatewayFlags()));
+        startOthers();
         ASSERT_EQ(m_system.applyConfiguration(toJson(configuration()), 0, "first"), 0)
             << m_system.output();
         ASSERT_TRUE(m_system.waitReady("gateway-1"));
@@ -31,6 +32,9 @@
 
     virtual std::vector<std::string> gatewayFlags() const { return {}; }
 
+    // Starts further processes before the configuration is applied.
+    virtual void startOthers() { }
+
     virtual Configuration configuration()
     {
         Configuration configuration;
--- a/testing/support/loadclient.cpp
+++ b/testing/support/loadclient.cpp
@@ -61,8 +61,8 @@
         if (m_options.onStart)
             m_options.onStart(number);
         LoadOutcome outcome;
-        HttpCall call {.address = "127.0.0.1",
-                       .port = m_options.ports[number % m_options.ports.size()]};
+        HttpCall call{.address = "127.0.0.1",
+                      .port = m_options.ports[number % m_options.ports.size()]};
         call.deadline = sentAt + m_options.deadline;
         call.request = {.method = "POST",
                         .path = m_options.path,
--- a/testing/support/loadclient.h
+++ b/testing/support/loadclient.h
@@ -28,7 +28,7 @@
     std::size_t bodyBytes = 200;
     double requestsPerSecond = 0;
     std::string requestIdPrefix; // empty: no identifiers
-    std::chrono::milliseconds deadline {5'000}; // of the client; not sent
+    std::chrono::milliseconds deadline{5'000}; // of the client; not sent
     // Called before each request with the number of those before it.
     std::function<void(unsigned startedCount)> onStart;
 };
