--- a/api/peer.thrift
+++ b/api/peer.thrift
@@ -79,6 +79,10 @@
   i64 push(1: PeerSender sender, 2: i64 version, 3: string document)
   // Keys about to be withdrawn.
   bool notice(1: PeerSender sender, 2: list<WithdrawalMessage> notices)
+  // Records a non-idempotent request at one of its homes; answers a DuplicateVerdict.
+  i32 record(1: PeerSender sender, 2: i64 low, 3: i64 high, 4: i64 ageMicroseconds)
+  // The recorded request certainly did not run.
+  bool forget(1: PeerSender sender, 2: i64 low, 3: i64 high)
   // A borrower's reports to a lender, one a resource.
   LendAnswer lend(1: PeerSender sender, 2: list<LoanReportMessage> reports)
 }
--- a/controller/configurationpusher.cpp
+++ b/controller/configurationpusher.cpp
@@ -8,16 +8,16 @@
                                std::function<void(bool isSettled)> done)
 {
     const auto round = std::make_shared<Round>(
-        Round {.progress = PushRound(committed.version, committed.maxGateways),
-               .message = {.version = committed.version, .document = committed.document},
-               .deadline = BootClock::now() + PushTimeout,
-               .done = std::move(done)});
+        Round{.progress = PushRound(committed.version, committed.maxGateways),
+              .message = {.version = committed.version, .document = committed.document},
+              .deadline = BootClock::now() + PushTimeout,
+              .done = std::move(done)});
     m_rounds.push_back(round);
-    round->timer = std::make_unique<Timer>(
-        m_daemon.loop(), [this, weak = std::weak_ptr<Round>(round)] {
-            if (const std::shared_ptr<Round> due = weak.lock())
-                send(due);
-        });
+    round->timer
+        = std::make_unique<Timer>(m_daemon.loop(), [this, weak = std::weak_ptr<Round>(round)] {
+              if (const std::shared_ptr<Round> due = weak.lock())
+                  send(due);
+          });
     send(round);
 }
 
--- a/controller/configurationpusher.h
+++ b/controller/configurationpusher.h
@@ -23,8 +23,7 @@
     ConfigurationPusher(Daemon &daemon, PeerNode &node)
         : m_daemon(daemon)
         , m_node(node)
-    {
-    }
+    { }
 
     void push(const CommittedVersion &committed, std::function<void(bool isSettled)> done);
 
--- a/gateway/callerrequest.cpp
+++ b/gateway/callerrequest.cpp
@@ -24,17 +24,19 @@
     return malformed(std::string(name) + " must be true or false");
 }
 
-Result<std::int64_t> parseDeadline(const HttpRequest &request)
+// The header's value, or `absent` without it.
+Result<std::int64_t> parseMilliseconds(const HttpRequest &request, std::string_view name,
+                                       std::int64_t min, std::int64_t absent)
 {
-    const std::string_view text = headerValue(request.headers, "x-deadline-ms");
+    const std::string_view text = headerValue(request.headers, name);
     if (text.empty())
-        return DefaultDeadlineMilliseconds;
+        return absent;
     std::int64_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || value < 1
+    if (error != std::errc() || end != text.data() + text.size() || value < min
         || value > MaxDeadlineMilliseconds) {
-        return malformed("x-deadline-ms must be an integer from 1 to "
-                         + std::to_string(MaxDeadlineMilliseconds));
+        return malformed(std::string(name) + " must be an integer from " + std::to_string(min)
+                         + " to " + std::to_string(MaxDeadlineMilliseconds));
     }
     return value;
 }
@@ -43,7 +45,8 @@
 
 std::vector<std::string> callerHeaderNames()
 {
-    return {"authorization", "x-deadline-ms", "x-request-id", "x-idempotent", "x-urgent"};
+    return {"authorization",    "x-deadline-ms", "x-request-id",
+            "x-request-age-ms", "x-idempotent",  "x-urgent"};
 }
 
 Result<CallerRequest> parseCallerRequest(const HttpRequest &request, TimePoint now)
@@ -59,10 +62,15 @@
             return malformed("authorization must be a bearer key");
         parsed.key = authorization.substr(BearerPrefix.size());
     }
-    const Result<std::int64_t> deadline = parseDeadline(request);
+    const Result<std::int64_t> deadline
+        = parseMilliseconds(request, "x-deadline-ms", 1, DefaultDeadlineMilliseconds);
     if (!deadline)
         return deadline.error();
     parsed.deadline = now + std::chrono::milliseconds(deadline.value());
+    const Result<std::int64_t> age = parseMilliseconds(request, "x-request-age-ms", 0, 0);
+    if (!age)
+        return age.error();
+    parsed.firstSent = now - std::chrono::milliseconds(age.value());
     const Result<bool> isIdempotent = parseBoolean(request, "x-idempotent");
     if (!isIdempotent)
         return isIdempotent.error();
--- a/gateway/callerrequest.h
+++ b/gateway/callerrequest.h
@@ -4,6 +4,7 @@
 //   authorization: Bearer <key>
 //   x-deadline-ms: 2000          x-request-id: 8f1c...
 //   x-idempotent: true           x-urgent: true
+//   x-request-age-ms: 1500
 #pragma once
 
 #include "net/httpmessage.h"
@@ -19,6 +20,7 @@
     std::string queue;
     std::string key; // empty if none was shown
     std::string requestId; // the caller's; empty if none was given
+    TimePoint firstSent; // by the caller, under this identifier; its arrival if not told
     TimePoint deadline;
     bool isIdempotent = false;
     bool isUrgent = false;
--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -60,7 +60,7 @@
 
 Dispatcher::Dispatcher(Daemon &daemon, PeerNode &node, Options options)
     : m_daemon(daemon)
-    , m_options(options)
+    , m_options(std::move(options))
     , m_loans(daemon, node,
               {.demand = [this](const LoanKey &key) { return demand(key); },
                .onGranted =
@@ -129,12 +129,21 @@
 }
 
 void Dispatcher::submit(std::shared_ptr<HttpExchange> exchange, CallerRequest request,
-                        const QueueConfig &queue, std::string team)
+                        const std::string &queue, std::string team,
+                        std::optional<RequestDigest> digest)
 {
+    const auto lane = std::find_if(m_lanes.begin(), m_lanes.end(), [&](const auto &entry) {
+        return entry.second.queues.contains(queue);
+    });
+    if (lane == m_lanes.end()) {
+        refuse(*exchange, {ResultCode::QueueUnknown, "no queue '" + queue + "'"});
+        return;
+    }
     const std::uint64_t id = m_nextId++;
     HeldRequest held{
         .exchange = std::move(exchange),
-        .service = queue.service,
+        .service = lane->first,
+        .digest = digest,
         .state = RequestState({.isIdempotent = request.isIdempotent, .maxAttempts = MaxAttempts})};
     held.queued = {.id = id,
                    .team = std::move(team),
@@ -363,6 +372,8 @@
         held.exchange->reply(std::move(*response));
         return;
     }
+    if (held.digest && m_options.onNotRun && resultInfo(code).runState == RunState::NotRun)
+        m_options.onNotRun(*held.digest);
     refuse(*held.exchange, {code, std::string(resultInfo(code).meaning)});
 }
 
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -29,6 +29,8 @@
     {
         Duration longestWork = std::chrono::minutes(1);
         std::uint64_t seed = 1;
+        // A recorded request was refused and certainly did not run.
+        std::function<void(const RequestDigest &)> onNotRun = {};
     };
 
     Dispatcher(Daemon &daemon, PeerNode &node, Options options);
@@ -36,9 +38,10 @@
     // Starts to borrow; the node must have joined.
     void start();
     void configure(const Configuration &configuration);
-    // Takes a request that was admitted to `queue` for `team` (empty without a key).
+    // Takes a request that was admitted to `queue` for `team` (empty without a key). `digest` is
+    // set if it is recorded against repeats.
     void submit(std::shared_ptr<HttpExchange> exchange, CallerRequest request,
-                const QueueConfig &queue, std::string team);
+                const std::string &queue, std::string team, std::optional<RequestDigest> digest);
     // Calls `done` once nothing is held; at `deadline` all that is held is answered as it stands.
     void drain(TimePoint deadline, std::function<void()> done);
     // Answers `exchange` with a refusal and counts it.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -33,10 +33,22 @@
     , m_settings(settings)
     , m_node(daemon, {.role = "gateway", .table = parseEndpoint(settings.tableEndpoint).value()},
              {.apply = [this](const Configuration &c) { applyConfiguration(c); },
-              .joined = [this] { m_dispatcher.start(); }})
+              .joined =
+                  [this] {
+                      m_duplicates.start();
+                      m_settledTimer.startAt(BootClock::now() + DuplicateGuard::SettleTime);
+                      m_dispatcher.start();
+                  }})
+    , m_duplicates(daemon, m_node)
     , m_dispatcher(daemon, m_node,
                    {.longestWork = std::chrono::milliseconds(settings.longestWorkMilliseconds),
-                    .seed = std::random_device()()})
+                    .seed = std::random_device()(),
+                    .onNotRun = [this](const RequestDigest &d) { m_duplicates.forget(d); }})
+    , m_settledTimer(daemon.loop(),
+                     [this] {
+                         m_isSettled = true;
+                         m_daemon.setReady(m_isConfigured);
+                     })
     , m_server(daemon.loop(), serverOptions(settings),
                [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
 {
@@ -46,7 +58,8 @@
 void Gateway::applyConfiguration(const Configuration &configuration)
 {
     m_dispatcher.configure(configuration);
-    m_daemon.setReady(true);
+    m_isConfigured = true;
+    m_daemon.setReady(m_isSettled);
 }
 
 void Gateway::handle(const std::shared_ptr<HttpExchange> &exchange)
@@ -65,8 +78,33 @@
         m_dispatcher.refuse(*exchange, admission.error());
         return;
     }
-    m_dispatcher.submit(exchange, std::move(request.value()), *admission.value().queue,
-                        admission.value().team);
+    const bool isGuarded = !request.value().isIdempotent && !request.value().requestId.empty();
+    if (isGuarded) {
+        submitOnce(exchange, request.value(), admission.value());
+        return;
+    }
+    m_dispatcher.submit(exchange, std::move(request.value()), admission.value().queue->name,
+                        admission.value().team, std::nullopt);
+}
+
+// Queues the request unless it was, or may have been, sent before under its identifier.
+void Gateway::submitOnce(const std::shared_ptr<HttpExchange> &exchange,
+                         const CallerRequest &request, const Admission &admission)
+{
+    const RequestDigest digest
+        = requestDigest(admission.team, admission.queue->name, request.requestId);
+    const auto onVerdict = [this, exchange, request, digest, queue = admission.queue->name,
+                            team = admission.team](DuplicateVerdict verdict) {
+        if (verdict == DuplicateVerdict::New) {
+            m_dispatcher.submit(exchange, request, queue, team, digest);
+            return;
+        }
+        const char *detail = verdict == DuplicateVerdict::Seen
+            ? "a request with this identifier was sent before"
+            : "the record of sent requests does not reach back far enough";
+        m_dispatcher.refuse(*exchange, {ResultCode::DuplicateRequest, detail});
+    };
+    m_duplicates.check(digest, request.firstSent, onVerdict);
 }
 
 Result<Gateway::Admission> Gateway::admit(const CallerRequest &request)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -3,6 +3,7 @@
 
 #include "gateway/callerrequest.h"
 #include "gateway/dispatcher.h"
+#include "gateway/duplicateguard.h"
 #include "gateway/gatewaysettings.h"
 #include "peer/peernode.h"
 
@@ -28,13 +29,19 @@
 
     void applyConfiguration(const Configuration &configuration);
     void handle(const std::shared_ptr<HttpExchange> &exchange);
+    void submitOnce(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request,
+                    const Admission &admission);
     Result<Admission> admit(const CallerRequest &request);
     Result<std::string> findTeam(const CallerRequest &request, const QueueConfig &queue);
 
     Daemon &m_daemon;
     GatewaySettings m_settings;
     PeerNode m_node;
+    DuplicateGuard m_duplicates;
     Dispatcher m_dispatcher;
+    bool m_isConfigured = false;
+    bool m_isSettled = false; // the record of sent requests has begun
+    Timer m_settledTimer;
     HttpServer m_server;
     std::unique_ptr<Timer> m_lastTurn;
 };
--- a/gateway/heldrequest.h
+++ b/gateway/heldrequest.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "gateway/callerrequest.h"
+#include "gateway/duplicatefilter.h"
 #include "gateway/loanclient.h"
 #include "gateway/queuedrequest.h"
 #include "gateway/requeststate.h"
@@ -22,6 +23,7 @@
     CallerRequest request;
     QueuedRequest queued;
     std::string service;
+    std::optional<RequestDigest> digest; // if it is recorded against repeats
     RequestState state;
     std::unique_ptr<Timer> deadlineTimer;
     std::string runner; // of the current attempt
--- a/gateway/loanclient.cpp
+++ b/gateway/loanclient.cpp
@@ -40,7 +40,6 @@
 void LoanClient::start()
 {
     recordBorrower();
-    scanOwners();
     m_reportTimer.startAt(BootClock::now() + ReportInterval);
 }
 
@@ -55,7 +54,7 @@
                               m_isRecorded = answer.outcome == CommitOutcome::Committed
                                   || answer.outcome == CommitOutcome::Conflict;
                               if (m_isRecorded)
-                                  flush();
+                                  scanOwners();
                               else
                                   m_recordTimer.startAt(BootClock::now() + RetryInterval);
                           });
@@ -78,14 +77,23 @@
         const Result<OwnerRow> owner = parseOwnerRow(row.value);
         if (!owner)
             continue;
-        std::string &known = m_owners[row.key.substr(OwnerPrefix.size())];
-        hasChanged = hasChanged || known != owner.value().owner.name;
-        known = owner.value().owner.name;
+        OwnerRow &known = m_owners[row.key.substr(OwnerPrefix.size())];
+        hasChanged = hasChanged || known.epoch != owner.value().epoch;
+        known = owner.value();
     }
+    for (auto &[key, loan] : m_loans)
+        requireEpoch(key, loan.borrower);
     if (hasChanged)
         flush();
 }
 
+void LoanClient::requireEpoch(const LoanKey &key, Borrower &borrower) const
+{
+    const auto owner = m_owners.find(key.resource);
+    if (owner != m_owners.end())
+        borrower.requireEpoch(owner->second.epoch);
+}
+
 void LoanClient::setLoans(const std::set<LoanKey> &keys)
 {
     std::erase_if(m_loans, [&](const auto &entry) {
@@ -97,6 +105,7 @@
             self.name = teamBorrowerName(self.name, key.team);
         if (!m_loans.contains(key))
             m_loans.emplace(key, Loan{Borrower({.resource = key.resource, .self = self})});
+        requireEpoch(key, m_loans.at(key).borrower);
     }
     flush();
 }
@@ -146,7 +155,7 @@
     for (const auto &[key, loan] : m_loans) {
         const auto owner = m_owners.find(key.resource);
         if (owner != m_owners.end() && (loan.isUrgent || !onlyUrgent))
-            byOwner[owner->second].push_back(key);
+            byOwner[owner->second.owner.name].push_back(key);
     }
     for (const auto &[owner, keys] : byOwner) {
         if (!m_asked.contains(owner))
--- a/gateway/loanclient.h
+++ b/gateway/loanclient.h
@@ -11,7 +11,8 @@
 //
 // Reports go to each owner every ReportInterval, one message for all its resources, and as soon as
 // ShortReportInterval after more units are wanted. The gateway records itself as a borrower in the
-// table before its first report.
+// table before its first report, and learns the owners and their epochs from the table after that,
+// so that no lender of an earlier epoch can lend to it.
 #pragma once
 
 #include "peer/peernode.h"
@@ -70,6 +71,7 @@
     void sendReports(bool onlyUrgent);
     void send(const std::string &owner, const std::vector<LoanKey> &keys);
     void onGrants(const api::LendAnswer &answer, TimePoint sentAt);
+    void requireEpoch(const LoanKey &key, Borrower &borrower) const;
     void dropLeases();
 
     Daemon &m_daemon;
@@ -77,7 +79,7 @@
     Hooks m_hooks;
     bool m_isRecorded = false;
     std::map<LoanKey, Loan> m_loans;
-    std::map<std::string, std::string, std::less<>> m_owners; // owning member by resource
+    std::map<std::string, OwnerRow, std::less<>> m_owners; // by resource
     std::set<std::string> m_asked; // owners with a message on its way
     Timer m_recordTimer;
     Timer m_scanTimer;
--- a/gen/PeerService.cpp
+++ b/gen/PeerService.cpp
@@ -662,6 +662,460 @@
 }
 
 
+PeerService_record_args::~PeerService_record_args() noexcept {
+}
+
+
+uint32_t PeerService_record_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->low);
+          this->__isset.low = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->high);
+          this->__isset.high = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicroseconds);
+          this->__isset.ageMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PeerService_record_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerService_record_args");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("low", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->low);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("high", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->high);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicroseconds", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->ageMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+PeerService_record_pargs::~PeerService_record_pargs() noexcept {
+}
+
+
+uint32_t PeerService_record_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerService_record_pargs");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->sender)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("low", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64((*(this->low)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("high", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64((*(this->high)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicroseconds", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64((*(this->ageMicroseconds)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+PeerService_record_result::~PeerService_record_result() noexcept {
+}
+
+
+uint32_t PeerService_record_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->success);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PeerService_record_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("PeerService_record_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_I32, 0);
+    xfer += oprot->writeI32(this->success);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+PeerService_record_presult::~PeerService_record_presult() noexcept {
+}
+
+
+uint32_t PeerService_record_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32((*(this->success)));
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+PeerService_forget_args::~PeerService_forget_args() noexcept {
+}
+
+
+uint32_t PeerService_forget_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->low);
+          this->__isset.low = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->high);
+          this->__isset.high = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PeerService_forget_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerService_forget_args");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("low", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->low);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("high", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->high);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+PeerService_forget_pargs::~PeerService_forget_pargs() noexcept {
+}
+
+
+uint32_t PeerService_forget_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerService_forget_pargs");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->sender)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("low", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64((*(this->low)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("high", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64((*(this->high)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+PeerService_forget_result::~PeerService_forget_result() noexcept {
+}
+
+
+uint32_t PeerService_forget_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->success);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PeerService_forget_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("PeerService_forget_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 0);
+    xfer += oprot->writeBool(this->success);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+PeerService_forget_presult::~PeerService_forget_presult() noexcept {
+}
+
+
+uint32_t PeerService_forget_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool((*(this->success)));
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 PeerService_lend_args::~PeerService_lend_args() noexcept {
 }
 
@@ -948,24 +1402,144 @@
     // _return pointer has now been filled
     return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "poll failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "poll failed: unknown result");
+}
+
+int64_t PeerServiceClient::push(const PeerSender& sender, const int64_t version, const std::string& document)
+{
+  send_push(sender, version, document);
+  return recv_push();
+}
+
+void PeerServiceClient::send_push(const PeerSender& sender, const int64_t version, const std::string& document)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("push", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  PeerService_push_pargs args;
+  args.sender = &sender;
+  args.version = &version;
+  args.document = &document;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+int64_t PeerServiceClient::recv_push()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("push") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  int64_t _return;
+  PeerService_push_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    return _return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "push failed: unknown result");
+}
+
+bool PeerServiceClient::notice(const PeerSender& sender, const std::vector<WithdrawalMessage> & notices)
+{
+  send_notice(sender, notices);
+  return recv_notice();
+}
+
+void PeerServiceClient::send_notice(const PeerSender& sender, const std::vector<WithdrawalMessage> & notices)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("notice", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  PeerService_notice_pargs args;
+  args.sender = &sender;
+  args.notices = &notices;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+bool PeerServiceClient::recv_notice()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("notice") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  bool _return;
+  PeerService_notice_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    return _return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "notice failed: unknown result");
 }
 
-int64_t PeerServiceClient::push(const PeerSender& sender, const int64_t version, const std::string& document)
+int32_t PeerServiceClient::record(const PeerSender& sender, const int64_t low, const int64_t high, const int64_t ageMicroseconds)
 {
-  send_push(sender, version, document);
-  return recv_push();
+  send_record(sender, low, high, ageMicroseconds);
+  return recv_record();
 }
 
-void PeerServiceClient::send_push(const PeerSender& sender, const int64_t version, const std::string& document)
+void PeerServiceClient::send_record(const PeerSender& sender, const int64_t low, const int64_t high, const int64_t ageMicroseconds)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("push", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("record", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  PeerService_push_pargs args;
+  PeerService_record_pargs args;
   args.sender = &sender;
-  args.version = &version;
-  args.document = &document;
+  args.low = &low;
+  args.high = &high;
+  args.ageMicroseconds = &ageMicroseconds;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -973,7 +1547,7 @@
   oprot_->getTransport()->flush();
 }
 
-int64_t PeerServiceClient::recv_push()
+int32_t PeerServiceClient::recv_record()
 {
 
   int32_t rseqid = 0;
@@ -993,13 +1567,13 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("push") != 0) {
+  if (fname.compare("record") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  int64_t _return;
-  PeerService_push_presult result;
+  int32_t _return;
+  PeerService_record_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -1008,23 +1582,24 @@
   if (result.__isset.success) {
     return _return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "push failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "record failed: unknown result");
 }
 
-bool PeerServiceClient::notice(const PeerSender& sender, const std::vector<WithdrawalMessage> & notices)
+bool PeerServiceClient::forget(const PeerSender& sender, const int64_t low, const int64_t high)
 {
-  send_notice(sender, notices);
-  return recv_notice();
+  send_forget(sender, low, high);
+  return recv_forget();
 }
 
-void PeerServiceClient::send_notice(const PeerSender& sender, const std::vector<WithdrawalMessage> & notices)
+void PeerServiceClient::send_forget(const PeerSender& sender, const int64_t low, const int64_t high)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("notice", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("forget", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  PeerService_notice_pargs args;
+  PeerService_forget_pargs args;
   args.sender = &sender;
-  args.notices = &notices;
+  args.low = &low;
+  args.high = &high;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -1032,7 +1607,7 @@
   oprot_->getTransport()->flush();
 }
 
-bool PeerServiceClient::recv_notice()
+bool PeerServiceClient::recv_forget()
 {
 
   int32_t rseqid = 0;
@@ -1052,13 +1627,13 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("notice") != 0) {
+  if (fname.compare("forget") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
   bool _return;
-  PeerService_notice_presult result;
+  PeerService_forget_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -1067,7 +1642,7 @@
   if (result.__isset.success) {
     return _return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "notice failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "forget failed: unknown result");
 }
 
 void PeerServiceClient::lend(LendAnswer& _return, const PeerSender& sender, const std::vector<LoanReportMessage> & reports)
@@ -1310,6 +1885,114 @@
   }
 }
 
+void PeerServiceProcessor::process_record(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("PeerService.record", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "PeerService.record");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "PeerService.record");
+  }
+
+  PeerService_record_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "PeerService.record", bytes);
+  }
+
+  PeerService_record_result result;
+  try {
+    result.success = iface_->record(args.sender, args.low, args.high, args.ageMicroseconds);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "PeerService.record");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("record", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "PeerService.record");
+  }
+
+  oprot->writeMessageBegin("record", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "PeerService.record", bytes);
+  }
+}
+
+void PeerServiceProcessor::process_forget(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("PeerService.forget", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "PeerService.forget");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "PeerService.forget");
+  }
+
+  PeerService_forget_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "PeerService.forget", bytes);
+  }
+
+  PeerService_forget_result result;
+  try {
+    result.success = iface_->forget(args.sender, args.low, args.high);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "PeerService.forget");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("forget", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "PeerService.forget");
+  }
+
+  oprot->writeMessageBegin("forget", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "PeerService.forget", bytes);
+  }
+}
+
 void PeerServiceProcessor::process_lend(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
@@ -1627,6 +2310,179 @@
   } // end while(true)
 }
 
+int32_t PeerServiceConcurrentClient::record(const PeerSender& sender, const int64_t low, const int64_t high, const int64_t ageMicroseconds)
+{
+  int32_t seqid = send_record(sender, low, high, ageMicroseconds);
+  return recv_record(seqid);
+}
+
+int32_t PeerServiceConcurrentClient::send_record(const PeerSender& sender, const int64_t low, const int64_t high, const int64_t ageMicroseconds)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("record", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  PeerService_record_pargs args;
+  args.sender = &sender;
+  args.low = &low;
+  args.high = &high;
+  args.ageMicroseconds = &ageMicroseconds;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+int32_t PeerServiceConcurrentClient::recv_record(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("record") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      int32_t _return;
+      PeerService_record_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        sentry.commit();
+        return _return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "record failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
+bool PeerServiceConcurrentClient::forget(const PeerSender& sender, const int64_t low, const int64_t high)
+{
+  int32_t seqid = send_forget(sender, low, high);
+  return recv_forget(seqid);
+}
+
+int32_t PeerServiceConcurrentClient::send_forget(const PeerSender& sender, const int64_t low, const int64_t high)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("forget", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  PeerService_forget_pargs args;
+  args.sender = &sender;
+  args.low = &low;
+  args.high = &high;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+bool PeerServiceConcurrentClient::recv_forget(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("forget") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      bool _return;
+      PeerService_forget_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        sentry.commit();
+        return _return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "forget failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void PeerServiceConcurrentClient::lend(LendAnswer& _return, const PeerSender& sender, const std::vector<LoanReportMessage> & reports)
 {
   int32_t seqid = send_lend(sender, reports);
--- a/gen/PeerService.h
+++ b/gen/PeerService.h
@@ -25,6 +25,8 @@
   virtual void poll(PollAnswer& _return, const PeerSender& sender, const PollMessage& poll) = 0;
   virtual int64_t push(const PeerSender& sender, const int64_t version, const std::string& document) = 0;
   virtual bool notice(const PeerSender& sender, const std::vector<WithdrawalMessage> & notices) = 0;
+  virtual int32_t record(const PeerSender& sender, const int64_t low, const int64_t high, const int64_t ageMicroseconds) = 0;
+  virtual bool forget(const PeerSender& sender, const int64_t low, const int64_t high) = 0;
   virtual void lend(LendAnswer& _return, const PeerSender& sender, const std::vector<LoanReportMessage> & reports) = 0;
 };
 
@@ -66,6 +68,14 @@
     bool _return = false;
     return _return;
   }
+  int32_t record(const PeerSender& /* sender */, const int64_t /* low */, const int64_t /* high */, const int64_t /* ageMicroseconds */) override {
+    int32_t _return = 0;
+    return _return;
+  }
+  bool forget(const PeerSender& /* sender */, const int64_t /* low */, const int64_t /* high */) override {
+    bool _return = false;
+    return _return;
+  }
   void lend(LendAnswer& /* _return */, const PeerSender& /* sender */, const std::vector<LoanReportMessage> & /* reports */) override {
     return;
   }
@@ -415,6 +425,256 @@
 
 };
 
+typedef struct _PeerService_record_args__isset {
+  _PeerService_record_args__isset() : sender(false), low(false), high(false), ageMicroseconds(false) {}
+  bool sender :1;
+  bool low :1;
+  bool high :1;
+  bool ageMicroseconds :1;
+} _PeerService_record_args__isset;
+
+class PeerService_record_args {
+ public:
+
+  PeerService_record_args(const PeerService_record_args&);
+  PeerService_record_args& operator=(const PeerService_record_args&);
+  PeerService_record_args() noexcept
+                          : low(0),
+                            high(0),
+                            ageMicroseconds(0) {
+  }
+
+  virtual ~PeerService_record_args() noexcept;
+  PeerSender sender;
+  int64_t low;
+  int64_t high;
+  int64_t ageMicroseconds;
+
+  _PeerService_record_args__isset __isset;
+
+  void __set_sender(const PeerSender& val);
+
+  void __set_low(const int64_t val);
+
+  void __set_high(const int64_t val);
+
+  void __set_ageMicroseconds(const int64_t val);
+
+  bool operator == (const PeerService_record_args & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(low == rhs.low))
+      return false;
+    if (!(high == rhs.high))
+      return false;
+    if (!(ageMicroseconds == rhs.ageMicroseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerService_record_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerService_record_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class PeerService_record_pargs {
+ public:
+
+
+  virtual ~PeerService_record_pargs() noexcept;
+  const PeerSender* sender;
+  const int64_t* low;
+  const int64_t* high;
+  const int64_t* ageMicroseconds;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _PeerService_record_result__isset {
+  _PeerService_record_result__isset() : success(false) {}
+  bool success :1;
+} _PeerService_record_result__isset;
+
+class PeerService_record_result {
+ public:
+
+  PeerService_record_result(const PeerService_record_result&) noexcept;
+  PeerService_record_result& operator=(const PeerService_record_result&) noexcept;
+  PeerService_record_result() noexcept
+                            : success(0) {
+  }
+
+  virtual ~PeerService_record_result() noexcept;
+  int32_t success;
+
+  _PeerService_record_result__isset __isset;
+
+  void __set_success(const int32_t val);
+
+  bool operator == (const PeerService_record_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerService_record_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerService_record_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _PeerService_record_presult__isset {
+  _PeerService_record_presult__isset() : success(false) {}
+  bool success :1;
+} _PeerService_record_presult__isset;
+
+class PeerService_record_presult {
+ public:
+
+
+  virtual ~PeerService_record_presult() noexcept;
+  int32_t* success;
+
+  _PeerService_record_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
+typedef struct _PeerService_forget_args__isset {
+  _PeerService_forget_args__isset() : sender(false), low(false), high(false) {}
+  bool sender :1;
+  bool low :1;
+  bool high :1;
+} _PeerService_forget_args__isset;
+
+class PeerService_forget_args {
+ public:
+
+  PeerService_forget_args(const PeerService_forget_args&);
+  PeerService_forget_args& operator=(const PeerService_forget_args&);
+  PeerService_forget_args() noexcept
+                          : low(0),
+                            high(0) {
+  }
+
+  virtual ~PeerService_forget_args() noexcept;
+  PeerSender sender;
+  int64_t low;
+  int64_t high;
+
+  _PeerService_forget_args__isset __isset;
+
+  void __set_sender(const PeerSender& val);
+
+  void __set_low(const int64_t val);
+
+  void __set_high(const int64_t val);
+
+  bool operator == (const PeerService_forget_args & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(low == rhs.low))
+      return false;
+    if (!(high == rhs.high))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerService_forget_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerService_forget_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class PeerService_forget_pargs {
+ public:
+
+
+  virtual ~PeerService_forget_pargs() noexcept;
+  const PeerSender* sender;
+  const int64_t* low;
+  const int64_t* high;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _PeerService_forget_result__isset {
+  _PeerService_forget_result__isset() : success(false) {}
+  bool success :1;
+} _PeerService_forget_result__isset;
+
+class PeerService_forget_result {
+ public:
+
+  PeerService_forget_result(const PeerService_forget_result&) noexcept;
+  PeerService_forget_result& operator=(const PeerService_forget_result&) noexcept;
+  PeerService_forget_result() noexcept
+                            : success(0) {
+  }
+
+  virtual ~PeerService_forget_result() noexcept;
+  bool success;
+
+  _PeerService_forget_result__isset __isset;
+
+  void __set_success(const bool val);
+
+  bool operator == (const PeerService_forget_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerService_forget_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerService_forget_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _PeerService_forget_presult__isset {
+  _PeerService_forget_presult__isset() : success(false) {}
+  bool success :1;
+} _PeerService_forget_presult__isset;
+
+class PeerService_forget_presult {
+ public:
+
+
+  virtual ~PeerService_forget_presult() noexcept;
+  bool* success;
+
+  _PeerService_forget_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _PeerService_lend_args__isset {
   _PeerService_lend_args__isset() : sender(false), reports(false) {}
   bool sender :1;
@@ -560,6 +820,12 @@
   bool notice(const PeerSender& sender, const std::vector<WithdrawalMessage> & notices) override;
   void send_notice(const PeerSender& sender, const std::vector<WithdrawalMessage> & notices);
   bool recv_notice();
+  int32_t record(const PeerSender& sender, const int64_t low, const int64_t high, const int64_t ageMicroseconds) override;
+  void send_record(const PeerSender& sender, const int64_t low, const int64_t high, const int64_t ageMicroseconds);
+  int32_t recv_record();
+  bool forget(const PeerSender& sender, const int64_t low, const int64_t high) override;
+  void send_forget(const PeerSender& sender, const int64_t low, const int64_t high);
+  bool recv_forget();
   void lend(LendAnswer& _return, const PeerSender& sender, const std::vector<LoanReportMessage> & reports) override;
   void send_lend(const PeerSender& sender, const std::vector<LoanReportMessage> & reports);
   void recv_lend(LendAnswer& _return);
@@ -581,6 +847,8 @@
   void process_poll(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_push(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_notice(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_record(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_forget(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_lend(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   PeerServiceProcessor(::std::shared_ptr<PeerServiceIf> iface) :
@@ -588,6 +856,8 @@
     processMap_["poll"] = &PeerServiceProcessor::process_poll;
     processMap_["push"] = &PeerServiceProcessor::process_push;
     processMap_["notice"] = &PeerServiceProcessor::process_notice;
+    processMap_["record"] = &PeerServiceProcessor::process_record;
+    processMap_["forget"] = &PeerServiceProcessor::process_forget;
     processMap_["lend"] = &PeerServiceProcessor::process_lend;
   }
 
@@ -645,6 +915,24 @@
     return ifaces_[i]->notice(sender, notices);
   }
 
+  int32_t record(const PeerSender& sender, const int64_t low, const int64_t high, const int64_t ageMicroseconds) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->record(sender, low, high, ageMicroseconds);
+    }
+    return ifaces_[i]->record(sender, low, high, ageMicroseconds);
+  }
+
+  bool forget(const PeerSender& sender, const int64_t low, const int64_t high) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->forget(sender, low, high);
+    }
+    return ifaces_[i]->forget(sender, low, high);
+  }
+
   void lend(LendAnswer& _return, const PeerSender& sender, const std::vector<LoanReportMessage> & reports) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -696,6 +984,12 @@
   bool notice(const PeerSender& sender, const std::vector<WithdrawalMessage> & notices) override;
   int32_t send_notice(const PeerSender& sender, const std::vector<WithdrawalMessage> & notices);
   bool recv_notice(const int32_t seqid);
+  int32_t record(const PeerSender& sender, const int64_t low, const int64_t high, const int64_t ageMicroseconds) override;
+  int32_t send_record(const PeerSender& sender, const int64_t low, const int64_t high, const int64_t ageMicroseconds);
+  int32_t recv_record(const int32_t seqid);
+  bool forget(const PeerSender& sender, const int64_t low, const int64_t high) override;
+  int32_t send_forget(const PeerSender& sender, const int64_t low, const int64_t high);
+  bool recv_forget(const int32_t seqid);
   void lend(LendAnswer& _return, const PeerSender& sender, const std::vector<LoanReportMessage> & reports) override;
   int32_t send_lend(const PeerSender& sender, const std::vector<LoanReportMessage> & reports);
   void recv_lend(LendAnswer& _return, const int32_t seqid);
--- a/testing/process/requestfailure_test.cpp
+++ b/testing/process/requestfailure_test.cpp
@@ -102,12 +102,26 @@
 TEST_F(RequestFailure, LeavingRunnerGetsNothingNewAndNothingIsLost)
 {
     ASSERT_TRUE(system().setFaults("runner-1", R"({"leaving": true})"));
-    const LoadResult refused = runLoad(load("leaving-", 50, false));
+    LoadOptions options = load("leaving-", 50, false);
+    options.headers[1] = {"x-deadline-ms", "500"};
+    const LoadResult refused = runLoad(options);
     expectTruthful(refused, runs());
     EXPECT_EQ(refused.okCount, 0U);
     for (const LoadOutcome &outcome : refused.outcomes)
         EXPECT_EQ(outcome.runState, "not-run") << outcome.requestId << " " << outcome.status;
 }
 
+TEST_F(RequestFailure, RepeatOfASettlementThroughAnotherGatewayIsNotRunAgain)
+{
+    const std::vector<HttpHeader> headers{{"x-request-id", "settle-1"}};
+    const auto first = system().work("gateway-1", "prices", "key", "x", headers);
+    ASSERT_EQ(first.response.status, 200) << first.response.body;
+    for (const char *gateway : {"gateway-1", "gateway-2"}) {
+        const auto repeat = system().work(gateway, "prices", "key", "x", headers);
+        EXPECT_EQ(repeat.response.status, 409) << gateway << " " << repeat.response.body;
+    }
+    EXPECT_EQ(runs().at("settle-1"), 1);
+}
+
 } // namespace
 } // namespace sequoiapier
