--- a/bench/support/svgchart.cpp
+++ b/bench/support/svgchart.cpp
@@ -16,6 +16,7 @@
 constexpr double Top = 40;
 constexpr double Bottom = 90;
 constexpr int TickCount = 5;
+constexpr std::size_t LegendColumns = 3;
 constexpr std::array<const char *, 6> Colors{"#1b6ca8", "#c2410c", "#15803d",
                                              "#7e22ce", "#a16207", "#475569"};
 
@@ -98,8 +99,9 @@
         for (const ChartPoint &point : series[i].points)
             out << scale.x(point.x) << "," << scale.y(point.y) << " ";
         out << "'/>\n";
-        const double legendX = Left + double(i % 3) * 190;
-        const double legendY = Height - 30 + double(i / 3) * 16;
+        const std::size_t legendRow = i / LegendColumns;
+        const double legendX = Left + double(i % LegendColumns) * 190;
+        const double legendY = Height - 30 + double(legendRow) * 16;
         out << "<rect x='" << legendX << "' y='" << legendY - 9 << "' width='10' height='10' fill='"
             << color << "'/>\n";
         writeText(out, legendX + 14, legendY, "start", series[i].name);
--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -109,10 +109,11 @@
         ServiceLane &lane = m_lanes.try_emplace(service.name, m_options.seed).first->second;
         lane.config = service;
         std::vector<UpstreamRunner> runners;
-        for (const RunnerConfig &runner : service.runners)
+        for (const RunnerConfig &runner : service.runners) {
             runners.push_back({.name = toString(Endpoint{runner.address, runner.port}),
                                .slots = service.slotsPerRunner,
                                .connections = service.connectionsPerRunner});
+        }
         lane.picker.setRunners(runners);
         keys.insert({slotResource(service.name), ""});
         for (const TeamConfig &team : configuration.teams)
--- a/gateway/connectionhealth.cpp
+++ b/net/connectionhealth.cpp
@@ -1,5 +1,5 @@
 // O(1). A suspect connection stays suspect: bytes that come after all belong to an answer given up.
-#include "gateway/connectionhealth.h"
+#include "net/connectionhealth.h"
 
 #include <algorithm>
 
--- a/net/httpcall.h
+++ b/net/httpcall.h
@@ -13,7 +13,7 @@
 enum class ConnectionUse : std::uint8_t {
     Fresh, // a new connection, proved alive by its handshake
     Reuse, // an idle one to the same endpoint if there is one
-    ReuseProved, // as Reuse, but only one that carried an answer within HttpClient's ProofTime
+    ReuseProved, // as Reuse, but only one that ConnectionHealth calls proved alive
 };
 
 struct HttpCall
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -2,6 +2,7 @@
 // nothing that arrives later on the connection can reach another caller.
 #include "net/httpclient.h"
 
+#include "net/connectionhealth.h"
 #include "net/headercopy.h"
 #include "net/timer.h"
 
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <utility>
 
 namespace sequoiapier {
@@ -36,7 +38,7 @@
     std::string endpoint; // that its idle connection, if any, leads to
     bool isClosing = false; // its last connection was given up and closes in the next turn
     bool isReusable = false; // its connection may serve another call
-    TimePoint provedUntil;
+    std::optional<ConnectionHealth> health; // of the idle connection
     std::unique_ptr<Transaction> transaction;
 };
 
@@ -68,7 +70,7 @@
 
 HttpClient::HttpClient(Loop &loop, Options options)
     : m_loop(loop)
-    , m_options(options)
+    , m_options(std::move(options))
     , m_buffer(LWS_PRE + ReadChunkBytes)
 { }
 
@@ -87,7 +89,7 @@
     if (use == ConnectionUse::Fresh || idle == m_idleLanes.end() || idle->second.empty())
         return nullptr;
     Lane *lane = idle->second.back();
-    if (use == ConnectionUse::ReuseProved && lane->provedUntil < BootClock::now())
+    if (use == ConnectionUse::ReuseProved && !lane->health->isProvedAlive(BootClock::now()))
         return nullptr;
     idle->second.pop_back();
     return lane;
@@ -175,7 +177,7 @@
         if (!keep)
             lws_set_timeout(owned->connection, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
     }
-    lane.provedUntil = BootClock::now() + ProofTime;
+    lane.health.emplace(BootClock::now());
     if (keep)
         m_idleLanes[lane.endpoint].push_back(&lane);
     else
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -33,9 +33,6 @@
         std::vector<std::string> keptHeaders; // of responses, lower case; others are dropped
     };
 
-    // How long after an answer a connection counts as proved alive.
-    static constexpr Duration ProofTime = std::chrono::seconds(1);
-
     HttpClient(Loop &loop, Options options);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -150,7 +150,7 @@
 }
 
 // The rest of the refused request may be on its way, so the connection is closed after the reply.
-void HttpServer::refuse(HttpExchange &exchange, Error error) const
+void HttpServer::refuse(HttpExchange &exchange, const Error &error) const
 {
     HttpResponse response = m_options.refusal
         ? m_options.refusal(error)
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -60,7 +60,7 @@
     int onWriteable(lws *connection);
     void onClosed(lws *connection);
     void readHeaders(lws *connection, HttpRequest &request) const;
-    void refuse(HttpExchange &exchange, Error error) const;
+    void refuse(HttpExchange &exchange, const Error &error) const;
     void dispatch(const std::shared_ptr<HttpExchange> &exchange);
 
     Loop &m_loop;
--- a/testing/unit/connectionhealth_test.cpp
+++ b/testing/unit/connectionhealth_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/connectionhealth.h"
+#include "net/connectionhealth.h"
 
 #include <gtest/gtest.h>
 
