Free the lanes of idle connections that have closed

Cause: a lane whose idle connection had closed stayed in its endpoint's list, and a call that wanted a proved connection passed it by and took a new lane; the client would have run out of lanes and reported NotSent. Ruled out: calls on fresh connections, whose lanes go back at once. HttpClient.IdleConnectionsAreForgottenOnceTheyHaveClosed: 4 lanes for 4 calls in turn before, 1 after.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr Duration CloseMargin = std::chrono::seconds(1);
 constexpr std::size_t ReadChunkBytes = 16 * 1024;
 
 int clientCallback(lws *connection, lws_callback_reasons reason, void *user, void *in,
@@ -39,6 +40,7 @@
     bool isClosing = false; // its last connection was given up and closes in the next turn
     bool isReusable = false; // its connection may serve another call
     std::optional<ConnectionHealth> health; // of the idle connection
+    TimePoint closedAt; // when the idle connection has been closed for certain
     std::unique_ptr<Transaction> transaction;
 };
 
@@ -86,7 +88,10 @@
 HttpClient::Lane *HttpClient::takeIdleLane(const std::string &endpoint, ConnectionUse use)
 {
     const auto idle = m_idleLanes.find(endpoint);
-    if (use == ConnectionUse::Fresh || idle == m_idleLanes.end() || idle->second.empty())
+    if (idle == m_idleLanes.end())
+        return nullptr;
+    freeClosedLanes(idle->second);
+    if (use == ConnectionUse::Fresh || idle->second.empty())
         return nullptr;
     Lane *lane = idle->second.back();
     if (use == ConnectionUse::ReuseProved && !lane->health->isProvedAlive(BootClock::now()))
@@ -95,6 +100,16 @@
     return lane;
 }
 
+// libwebsockets closes an idle connection after idleSeconds; its lane can then take any other.
+void HttpClient::freeClosedLanes(std::deque<Lane *> &idle)
+{
+    const TimePoint now = BootClock::now();
+    while (!idle.empty() && idle.front()->closedAt <= now) {
+        m_freeLanes.push_back(idle.front());
+        idle.pop_front();
+    }
+}
+
 HttpClient::Lane *HttpClient::takeLane(const std::string &endpoint, ConnectionUse use)
 {
     if (Lane *idle = takeIdleLane(endpoint, use))
@@ -177,7 +192,9 @@
         if (!keep)
             lws_set_timeout(owned->connection, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
     }
-    lane.health.emplace(BootClock::now());
+    const TimePoint now = BootClock::now();
+    lane.health.emplace(now);
+    lane.closedAt = now + std::chrono::seconds(m_options.idleSeconds) + CloseMargin;
     if (keep)
         m_idleLanes[lane.endpoint].push_back(&lane);
     else
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -12,6 +12,7 @@
 #include "net/httpcall.h"
 #include "net/loop.h"
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -40,6 +41,8 @@
 
     void call(HttpCall call, HttpCallback callback);
     std::size_t activeCount() const { return m_activeCount; }
+    // Vhosts that stand for connections, running, idle and free ones.
+    std::size_t laneCount() const { return m_lanes.size(); }
 
     // libwebsockets' callback; `reason` is an lws_callback_reasons.
     static int handleEvent(lws *connection, int reason, void *user, void *in, std::size_t length);
@@ -50,6 +53,7 @@
 private:
     Lane *takeLane(const std::string &endpoint, ConnectionUse use);
     Lane *takeIdleLane(const std::string &endpoint, ConnectionUse use);
+    void freeClosedLanes(std::deque<Lane *> &idle);
     void finish(Transaction &transaction, HttpOutcome outcome, bool timedOut);
     int writeHead(Transaction &transaction, unsigned char **position, unsigned char *end);
     int writeBody(Transaction &transaction);
@@ -58,7 +62,7 @@
     Loop &m_loop;
     Options m_options;
     std::vector<std::unique_ptr<Lane>> m_lanes;
-    std::unordered_map<std::string, std::vector<Lane *>> m_idleLanes; // by endpoint
+    std::unordered_map<std::string, std::deque<Lane *>> m_idleLanes; // by endpoint, oldest first
     std::vector<Lane *> m_freeLanes;
     std::size_t m_activeCount = 0;
     std::vector<unsigned char> m_buffer;
