--- a/testing/process/requestfailure_test.cpp
+++ b/testing/process/requestfailure_test.cpp
@@ -20,10 +20,8 @@
     const LoadResult result = runLoad(options);
     expectTruthful(result, runs());
     unsigned disturbed = 0;
-    for (std::size_t i = 0; i < result.outcomes.size(); ++i) {
-        const bool wasSent = result.outcomes[i].outcome == HttpOutcome::Lost;
-        disturbed += wasSent ? 1 : 0;
-    }
+    for (const LoadOutcome &outcome : result.outcomes)
+        disturbed += outcome.outcome == HttpOutcome::Lost ? 1 : 0;
     EXPECT_LE(disturbed, Concurrency);
     EXPECT_GE(result.okCount, 1'000U);
 }
--- a/testing/support/faketable.cpp
+++ b/testing/support/faketable.cpp
@@ -18,7 +18,7 @@
     return !m_outage && !m_cutOff.contains(caller);
 }
 
-Table FakeTable::hooks(std::string caller)
+Table FakeTable::hooks(const std::string &caller)
 {
     Table table;
     table.read = [this, caller](std::string_view key, TimePoint deadline,
--- a/testing/support/faketable.h
+++ b/testing/support/faketable.h
@@ -24,7 +24,7 @@
     { }
 
     // The hooks as used by the process called `caller`.
-    Table hooks(std::string caller);
+    Table hooks(const std::string &caller);
 
     void setOutage(bool outage) { m_outage = outage; }
     void cutOff(const std::string &caller) { m_cutOff.insert(caller); }
