Keep the peers' path in one place and drop state that nobody read

The path stood in three files; the ceilings' amounts and the loan client's daemon were stored and never used.

--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -101,7 +101,7 @@
     m_ceilings.clear();
     for (const TeamConfig &team : configuration.teams) {
         if (team.ceiling > 0) {
-            m_ceilings[team.name] = team.ceiling;
+            m_ceilings.insert(team.name);
             keys.insert({ceilingResource(team.name), ""});
         }
     }
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -86,7 +86,7 @@
     Options m_options;
     LoanClient m_loans;
     std::map<std::string, ServiceLane, std::less<>> m_lanes; // by service
-    std::map<std::string, std::uint32_t, std::less<>> m_ceilings; // by team, those that have one
+    std::set<std::string, std::less<>> m_ceilings; // teams that have one
     Held m_held;
     std::uint64_t m_nextId = 1;
     std::deque<LateRelease> m_lateReleases; // by due time
--- a/gateway/duplicateguard.cpp
+++ b/gateway/duplicateguard.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr const char *PeerPath = "/peer";
 constexpr Duration RecordDeadline = std::chrono::milliseconds(300);
 
 RequestDigest toDigest(std::int64_t low, std::int64_t high)
--- a/gateway/loanclient.cpp
+++ b/gateway/loanclient.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr const char *PeerPath = "/peer";
 constexpr Duration TableDeadline = std::chrono::seconds(2);
 constexpr Duration LendDeadline = std::chrono::milliseconds(500);
 constexpr Duration RetryInterval = std::chrono::milliseconds(500);
@@ -19,8 +18,7 @@
 } // namespace
 
 LoanClient::LoanClient(Daemon &daemon, PeerNode &node, Hooks hooks)
-    : m_daemon(daemon)
-    , m_node(node)
+    : m_node(node)
     , m_hooks(std::move(hooks))
     , m_recordTimer(daemon.loop(), [this] { recordBorrower(); })
     , m_scanTimer(daemon.loop(), [this] { scanOwners(); })
--- a/gateway/loanclient.h
+++ b/gateway/loanclient.h
@@ -74,7 +74,6 @@
     void requireEpoch(const LoanKey &key, Borrower &borrower) const;
     void dropLeases();
 
-    Daemon &m_daemon;
     PeerNode &m_node;
     Hooks m_hooks;
     bool m_isRecorded = false;
--- a/peer/peernode.cpp
+++ b/peer/peernode.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr const char *PeerPath = "/peer";
 constexpr Duration TableDeadline = std::chrono::seconds(2);
 constexpr Duration PeerDeadline = std::chrono::milliseconds(800);
 constexpr Duration RegisterRetryInterval = std::chrono::milliseconds(500);
--- a/peer/peernode.h
+++ b/peer/peernode.h
@@ -24,6 +24,9 @@
 
 namespace sequoiapier {
 
+// Where every process serves PeerService on its admin port.
+inline constexpr const char *PeerPath = "/peer";
+
 class PeerNode
 {
 public:
