Answer what reaches a draining gateway before it exits

Cause, three faults, each seen apart once the one before was mended: - The gateway exited 50 ms after its held requests were answered.

A response that closes its connection is written whole first: what the kernel does not take at once was dropped. Every daemon lets open requests of its admin port end before it exits.

Ruled out: the runner, the deadline, libwebsockets' shutdown (the client's lanes showed which connection was reused).

--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -79,6 +79,9 @@
                .maxBodyBytes = MaxAdminBodyBytes},
               [this](const std::shared_ptr<HttpExchange> &exchange) { serve(exchange); })
     , m_drainTimer(m_loop, [this] { finish(ResultCode::DrainTimeout); })
+    , m_adminQuiet(
+          m_loop, [this] { return m_admin.openExchangeCount() > 0; },
+          [this] { finish(ResultCode::Ok); })
 {
     m_loop.onSignal([this](int signal) { handleSignal(signal); });
     m_loop.onPause([this](Duration length) {
@@ -145,12 +148,13 @@
     }
     m_isDraining = true;
     report("process.draining", {.detail = "signal " + std::to_string(signal)});
-    m_drainTimer.startAt(BootClock::now()
-                         + std::chrono::milliseconds(m_settings.drainMilliseconds));
+    const TimePoint deadline
+        = BootClock::now() + std::chrono::milliseconds(m_settings.drainMilliseconds);
+    m_drainTimer.startAt(deadline);
     if (m_drainHook)
-        m_drainHook([this] { finish(ResultCode::Ok); });
+        m_drainHook([this, deadline] { m_adminQuiet.start({}, deadline); });
     else
-        finish(ResultCode::Ok);
+        m_adminQuiet.start({}, deadline);
 }
 
 void Daemon::finish(ResultCode code)
--- a/cli/daemon.h
+++ b/cli/daemon.h
@@ -7,14 +7,15 @@
 //   return daemon.run();
 //
 // On SIGTERM or SIGINT the process turns not ready, the drain hook runs, and the process exits with
-// Ok once it calls `done`, or with DrainTimeout at the drain deadline. A second signal exits at
-// once with ForcedExit.
+// Ok once it has called `done` and no request is open on the admin port, or with DrainTimeout at
+// the drain deadline. A second signal exits at once with ForcedExit.
 #pragma once
 
 #include "cli/logger.h"
 #include "cli/settingsparser.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
+#include "net/quiettimer.h"
 #include "net/timer.h"
 #include "sequoiapier/eventring.h"
 
@@ -84,6 +85,7 @@
     std::map<std::string, HttpServer::Handler, std::less<>> m_routes;
     DrainHook m_drainHook;
     Timer m_drainTimer;
+    QuietTimer m_adminQuiet; // lets the last answers of the admin port go out
     bool m_isReady = false;
     bool m_isDraining = false;
     ResultCode m_exitCode = ResultCode::Ok;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -13,7 +13,6 @@
 
 // Part of the drain time left for answers after held requests are given up.
 constexpr Duration AnswerTime = std::chrono::milliseconds(500);
-constexpr Duration LastAnswerTime = std::chrono::milliseconds(50);
 
 HttpServer::Options serverOptions(const GatewaySettings &settings)
 {
@@ -148,11 +147,13 @@
 {
     const auto drainTime = std::chrono::milliseconds(m_settings.common.drainMilliseconds);
     const TimePoint deadline = BootClock::now() + std::max<Duration>(drainTime - AnswerTime, {});
-    m_dispatcher.drain(deadline, [this, done = std::move(done)] {
-        // One more turn of the loop lets the last answers go out.
-        m_lastTurn = std::make_unique<Timer>(m_daemon.loop(), done);
-        m_lastTurn->startAt(BootClock::now() + LastAnswerTime);
-    });
+    m_server.closeAfterReplies();
+    // The loans are kept until then: a request that came before the signal may still be asked for
+    // at the homes of its identifier, and is queued after that.
+    m_quiet = std::make_unique<QuietTimer>(
+        m_daemon.loop(), [this] { return m_server.takeActivity(); },
+        [this, deadline, done = std::move(done)] { m_dispatcher.drain(deadline, done); });
+    m_quiet->start(std::chrono::milliseconds(m_settings.quietMilliseconds), deadline);
 }
 
 int runGateway(CommandArgs args)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/dispatcher.h"
 #include "gateway/duplicateguard.h"
 #include "gateway/gatewaysettings.h"
+#include "net/quiettimer.h"
 #include "peer/peernode.h"
 
 #include <memory>
@@ -17,7 +18,8 @@
     Gateway(Daemon &daemon, const GatewaySettings &settings);
 
     bool isListening() const { return m_server.isListening(); }
-    // Refuses new requests and calls `done` when all held ones are answered.
+    // Refuses new requests; calls `done` when all held ones are answered, no caller has connected
+    // or sent anything for the quiet time, and the loans are returned.
     void drain(std::function<void()> done);
 
 private:
@@ -43,7 +45,7 @@
     bool m_isSettled = false; // the record of sent requests has begun
     Timer m_settledTimer;
     HttpServer m_server;
-    std::unique_ptr<Timer> m_lastTurn;
+    std::unique_ptr<QuietTimer> m_quiet; // while draining
 };
 
 } // namespace sequoiapier
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -23,6 +23,11 @@
                        .max = 86'400'000,
                        .help = "Longest deadline; work without a shown end is taken to have ended "
                                "after this"});
+    parser.addInteger("quiet-ms", settings.quietMilliseconds,
+                      {.unit = "ms",
+                       .min = 50,
+                       .max = 60'000,
+                       .help = "Time without callers' traffic that ends a graceful shutdown"});
     const Result<ParseAction> action = parser.parse(args, processEnvironment);
     if (!action)
         return action.error();
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -16,6 +16,7 @@
     std::int64_t maxCallerConnections = 1024;
     std::string tableEndpoint;
     std::int64_t longestWorkMilliseconds = 60'000;
+    std::int64_t quietMilliseconds = 250; // without callers' traffic, at the end of a drain
 };
 
 // InvalidSettings lists every error; nullopt after --help or --version.
--- a/net/headercopy.cpp
+++ b/net/headercopy.cpp
@@ -40,12 +40,13 @@
 
 std::string copyHeader(lws *connection, const std::string &name)
 {
-    static const std::array<std::pair<std::string_view, lws_token_indexes>, 5> Known{{
+    static const std::array<std::pair<std::string_view, lws_token_indexes>, 6> Known{{
         {"authorization", WSI_TOKEN_HTTP_AUTHORIZATION},
         {"content-type", WSI_TOKEN_HTTP_CONTENT_TYPE},
         {"accept", WSI_TOKEN_HTTP_ACCEPT},
         {"content-length", WSI_TOKEN_HTTP_CONTENT_LENGTH},
         {"retry-after", WSI_TOKEN_HTTP_RETRY_AFTER},
+        {"connection", WSI_TOKEN_CONNECTION},
     }};
     const auto known = std::find_if(Known.begin(), Known.end(),
                                     [&](const auto &entry) { return entry.first == name; });
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -279,6 +279,8 @@
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
         transaction->response.status = int(lws_http_client_http_response(connection));
         client.readHeaders(*transaction);
+        if (copyHeader(connection, "connection") == "close")
+            transaction->lane.isReusable = false;
         return 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP: {
         char *data = reinterpret_cast<char *>(client.m_buffer.data()) + LWS_PRE;
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -46,6 +46,13 @@
     }
 }
 
+bool isCloseHeaderIn(const HttpResponse &response)
+{
+    return std::any_of(response.headers.begin(), response.headers.end(), [](const HttpHeader &h) {
+        return h.name == "connection" && h.value == "close";
+    });
+}
+
 } // namespace
 
 void HttpExchange::reply(HttpResponse response)
@@ -98,6 +105,7 @@
         return 1;
     case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
         ++server->m_connections;
+        server->m_wasActive = true;
         return 0;
     case LWS_CALLBACK_WSI_DESTROY:
         // The listening socket of the vhost comes here too, without having been counted.
@@ -121,6 +129,7 @@
 
 int HttpServer::onRequest(lws *connection, std::string_view path)
 {
+    m_wasActive = true;
     auto exchange = std::make_shared<HttpExchange>(connection);
     m_exchanges[connection] = exchange;
     HttpRequest &request = exchange->m_request;
@@ -199,25 +208,44 @@
     m_handler(exchange);
 }
 
+bool HttpServer::takeActivity()
+{
+    return std::exchange(m_wasActive, false) || !m_exchanges.empty()
+        || !m_closingConnections.empty();
+}
+
 int HttpServer::onWriteable(lws *connection)
 {
+    if (m_closingConnections.contains(connection))
+        return closeWhenWritten(connection);
     const auto found = m_exchanges.find(connection);
     if (found == m_exchanges.end() || !found->second->m_replied)
         return 0;
     const std::shared_ptr<HttpExchange> exchange = found->second;
     m_exchanges.erase(found);
+    m_wasActive = true;
     exchange->m_connection = nullptr;
-    const HttpResponse &response = exchange->m_response;
+    HttpResponse &response = exchange->m_response;
+    const bool saysClose = isCloseHeaderIn(response);
+    if (m_isClosing && !saysClose)
+        response.headers.push_back({"connection", "close"});
+    if (writeResponse(connection, response) != 0)
+        return -1;
+    if (m_isClosing || saysClose)
+        return closeWhenWritten(connection);
+    return lws_http_transaction_completed(connection) != 0 ? -1 : 0;
+}
 
+// Head and body in one write.
+int HttpServer::writeResponse(lws *connection, const HttpResponse &response)
+{
     m_buffer.resize(LWS_PRE + MaxHeadBytes + response.body.size());
     unsigned char *start = m_buffer.data() + LWS_PRE;
     unsigned char *position = start;
     unsigned char *end = start + MaxHeadBytes;
     if (lws_add_http_header_status(connection, unsigned(response.status), &position, end) != 0)
         return -1;
-    bool close = false;
     for (const HttpHeader &header : response.headers) {
-        close = close || (header.name == "connection" && header.value == "close");
         const std::string name = header.name + ":";
         if (lws_add_http_header_by_name(
                 connection, reinterpret_cast<const unsigned char *>(name.c_str()),
@@ -233,15 +261,25 @@
     }
     std::copy(response.body.begin(), response.body.end(), position);
     const auto total = std::size_t(position - start) + response.body.size();
-    if (lws_write(connection, start, total, LWS_WRITE_HTTP_FINAL) < 0)
-        return -1;
-    if (close)
+    return lws_write(connection, start, total, LWS_WRITE_HTTP_FINAL) < 0 ? -1 : 0;
+}
+
+// What the kernel did not take at once is held by libwebsockets and lost if the connection is
+// closed before the next writeable event.
+int HttpServer::closeWhenWritten(lws *connection)
+{
+    if (lws_partial_buffered(connection) == 0) {
+        m_closingConnections.erase(connection);
         return -1;
-    return lws_http_transaction_completed(connection) != 0 ? -1 : 0;
+    }
+    m_closingConnections.insert(connection);
+    lws_callback_on_writable(connection);
+    return 0;
 }
 
 void HttpServer::onClosed(lws *connection)
 {
+    m_closingConnections.erase(connection);
     const auto found = m_exchanges.find(connection);
     if (found == m_exchanges.end())
         return;
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 struct lws;
@@ -50,6 +51,14 @@
     std::size_t connectionCount() const { return m_connections; }
     std::uint64_t refusedConnectionCount() const { return m_refusedConnections; }
 
+    std::size_t openExchangeCount() const { return m_exchanges.size(); }
+
+    // From now on every response says "connection: close" and ends its connection.
+    void closeAfterReplies() { m_isClosing = true; }
+    // Whether a request is open, or a connection, a request or a response came or went since the
+    // last call.
+    bool takeActivity();
+
     // libwebsockets' callback; `reason` is an lws_callback_reasons.
     static int handleEvent(lws *connection, int reason, void *user, void *in, std::size_t length);
 
@@ -58,6 +67,8 @@
     int onBody(lws *connection, std::string_view data);
     int onBodyComplete(lws *connection);
     int onWriteable(lws *connection);
+    int writeResponse(lws *connection, const HttpResponse &response);
+    int closeWhenWritten(lws *connection);
     void onClosed(lws *connection);
     void readHeaders(lws *connection, HttpRequest &request) const;
     void refuse(HttpExchange &exchange, const Error &error) const;
@@ -69,7 +80,10 @@
     lws_vhost *m_vhost = nullptr;
     std::size_t m_connections = 0;
     std::uint64_t m_refusedConnections = 0;
+    bool m_isClosing = false;
+    bool m_wasActive = false;
     std::unordered_map<lws *, std::shared_ptr<HttpExchange>> m_exchanges;
+    std::unordered_set<lws *> m_closingConnections; // to be closed once their output is written
     std::vector<unsigned char> m_buffer;
 };
 
--- /dev/null
+++ b/net/quiettimer.cpp
@@ -0,0 +1,40 @@
+// One timer, restarted after each check; a check costs one call of the hook.
+#include "net/quiettimer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr Duration CheckInterval = std::chrono::milliseconds(25);
+constexpr int MinChecks = 2;
+
+} // namespace
+
+QuietTimer::QuietTimer(Loop &loop, std::function<bool()> wasActive, std::function<void()> done)
+    : m_wasActive(std::move(wasActive))
+    , m_done(std::move(done))
+    , m_timer(loop, [this] { check(); })
+{ }
+
+void QuietTimer::start(Duration quiet, TimePoint deadline)
+{
+    m_deadline = deadline;
+    m_requiredChecks = std::max(int(quiet / CheckInterval), MinChecks);
+    m_quietChecks = 0;
+    m_timer.startAt(BootClock::now() + CheckInterval);
+}
+
+void QuietTimer::check()
+{
+    const TimePoint now = BootClock::now();
+    m_quietChecks = m_wasActive() ? 0 : m_quietChecks + 1;
+    if (m_quietChecks >= m_requiredChecks || now >= m_deadline)
+        m_done();
+    else
+        m_timer.startAt(now + CheckInterval);
+}
+
+} // namespace sequoiapier
--- a/testing/process/requestfailure_test.cpp
+++ b/testing/process/requestfailure_test.cpp
@@ -1,5 +1,8 @@
 // Kills, pauses and outages under load, with the runner's record as the judge.
 #include "testing/process/failuretest.h"
+#include "testing/support/rawconnection.h"
+
+#include <thread>
 
 namespace sequoiapier {
 namespace {
@@ -92,11 +95,45 @@
     };
     const LoadResult result = runLoad(options);
     expectTruthful(result, runs());
-    for (const LoadOutcome &outcome : result.outcomes)
+    for (const LoadOutcome &outcome : result.outcomes) {
         EXPECT_NE(outcome.outcome, HttpOutcome::Lost) << outcome.requestId;
+        EXPECT_NE(outcome.status, 504) << outcome.requestId << " waited without a loan";
+    }
     EXPECT_EQ(system().member("gateway-1").process.waitExit(LocalSystem::Patience), 0);
 }
 
+class Shutdown : public OneServiceTest
+{
+protected:
+    // Far longer than the time that the test lets pass between two requests.
+    std::vector<std::string> gatewayFlags() const override { return {"--quiet-ms", "3000"}; }
+
+    static std::string workRequest(const std::string &requestId)
+    {
+        return "POST /v1/queues/prices HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key\r\n"
+               "x-request-id: "
+            + requestId + "\r\ncontent-length: 1\r\n\r\nx";
+    }
+};
+
+TEST_F(Shutdown, KeptConnectionIsToldNotRun)
+{
+    Member &gateway = system().member("gateway-1");
+    const RawConnection connection(gateway.workPort);
+    ASSERT_TRUE(connection.send(workRequest("kept-1")));
+    ASSERT_NE(connection.receiveUntil("HTTP/1.1 200", LocalSystem::Patience), "");
+    gateway.process.signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(300));
+    ASSERT_TRUE(connection.send(workRequest("kept-2")));
+    const std::string answer = connection.receiveUntil("not-run", LocalSystem::Patience);
+    EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("connection: close"), std::string::npos) << answer;
+    EXPECT_TRUE(connection.waitClosed(LocalSystem::Patience));
+    EXPECT_EQ(gateway.process.waitExit(LocalSystem::Patience), 0);
+    const HttpAnswer record = system().fetch("runner-1", "/record");
+    EXPECT_EQ(record.response.body.find("kept-2"), std::string::npos);
+}
+
 TEST_F(RequestFailure, LeavingRunnerGetsNothingNewAndNothingIsLost)
 {
     ASSERT_TRUE(system().setFaults("runner-1", R"({"leaving": true})"));
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -1,10 +1,7 @@
 #include "testing/support/localsystem.h"
 
 #include "cli/onecall.h"
-
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "testing/support/freeport.h"
 
 #include <filesystem>
 #include <fstream>
@@ -17,25 +14,6 @@
 namespace {
 
 constexpr const char *Loopback = "127.0.0.1";
-// Below the range from which the kernel takes ports for outgoing connections.
-constexpr std::uint16_t FirstPort = 12'000;
-constexpr std::uint16_t PortsPerProcess = 64;
-constexpr int PortBlocks = 300;
-
-bool isPortFree(std::uint16_t port)
-{
-    const int socketFd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    inet_pton(AF_INET, Loopback, &address.sin_addr);
-    const int reuse = 1;
-    setsockopt(socketFd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
-    const bool isFree = bind(socketFd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
-    close(socketFd);
-    return isFree;
-}
-
 std::string readFile(const std::string &path)
 {
     std::ifstream stream(path);
@@ -54,19 +32,6 @@
     std::filesystem::create_directories(m_directory);
 }
 
-std::uint16_t LocalSystem::freePort()
-{
-    static int next = 0;
-    const int block = getpid() % PortBlocks;
-    for (int tries = 0; tries < PortsPerProcess * 4; ++tries) {
-        const auto port
-            = std::uint16_t(FirstPort + block * PortsPerProcess + next++ % PortsPerProcess);
-        if (isPortFree(port))
-            return port;
-    }
-    return 0;
-}
-
 bool LocalSystem::start(const std::string &name, std::vector<std::string> words,
                         std::uint16_t workPort)
 {
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -73,7 +73,6 @@
     bool start(const std::string &name, std::vector<std::string> words, std::uint16_t workPort);
     std::vector<std::string> tableFlags() const;
     int runTool(const std::vector<std::string> &words);
-    static std::uint16_t freePort();
 
     std::string m_directory;
     std::map<std::string, Member> m_members;
--- a/testing/unit/httpclient_test.cpp
+++ b/testing/unit/httpclient_test.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "net/timer.h"
+#include "testing/support/freeport.h"
 
 #include <gtest/gtest.h>
 
@@ -9,13 +10,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint16_t Port = 11'973;
-
 TEST(HttpClient, IdleConnectionsAreForgottenOnceTheyHaveClosed)
 {
     constexpr int CallCount = 4;
+    const std::uint16_t port = freePort();
     Loop loop({});
-    HttpServer server(loop, {.address = "127.0.0.1", .port = Port},
+    HttpServer server(loop, {.address = "127.0.0.1", .port = port},
                       [](const std::shared_ptr<HttpExchange> &exchange) { exchange->reply({}); });
     ASSERT_TRUE(server.isListening());
     HttpClient client(loop, {.idleSeconds = 1});
@@ -23,7 +23,7 @@
     std::size_t mostLanes = 0;
     std::unique_ptr<Timer> next;
     const auto call = [&] {
-        HttpCall request{.address = "127.0.0.1", .port = Port};
+        HttpCall request{.address = "127.0.0.1", .port = port};
         request.deadline = BootClock::now() + milliseconds(1'000);
         request.request = {.method = "POST", .path = "/", .body = "x"};
         request.connectionUse = ConnectionUse::ReuseProved;
@@ -45,5 +45,34 @@
     EXPECT_LE(mostLanes, 1U);
 }
 
+TEST(HttpClient, ConnectionThatTheServerClosesIsNotReused)
+{
+    constexpr int CallCount = 20;
+    const std::uint16_t port = freePort();
+    Loop loop({});
+    HttpServer server(loop, {.address = "127.0.0.1", .port = port},
+                      [](const std::shared_ptr<HttpExchange> &exchange) { exchange->reply({}); });
+    ASSERT_TRUE(server.isListening());
+    server.closeAfterReplies();
+    HttpClient client(loop, {});
+    int calls = 0;
+    int answered = 0;
+    std::function<void()> call = [&] {
+        HttpCall request{.address = "127.0.0.1", .port = port};
+        request.deadline = BootClock::now() + milliseconds(2'000);
+        request.request = {.method = "POST", .path = "/", .body = "x"};
+        client.call(std::move(request), [&](const HttpAnswer &answer) {
+            answered += answer.outcome == HttpOutcome::Answered ? 1 : 0;
+            if (++calls == CallCount)
+                loop.stop();
+            else
+                call();
+        });
+    };
+    call();
+    loop.run();
+    EXPECT_EQ(answered, CallCount);
+}
+
 } // namespace
 } // namespace sequoiapier
