--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 
 # The whole test suite under the address and undefined-behaviour sanitizers.
 sanitize:
-	$(MAKE) test BUILD=build-sanitize CMAKE_ARGS="$(CMAKE_ARGS) -DSEQUOIAPIER_SANITIZE=ON"
+	$(MAKE) test BUILD=build-sanitize \
+	  CMAKE_ARGS="$(CMAKE_ARGS) -DSEQUOIAPIER_SANITIZE=ON -DSEQUOIAPIER_BENCHMARKS=OFF"
 
 # A fixed number of inputs from a fixed seed for each parser of outside input (FUZZ_RUNS).
 fuzz: packages
--- a/gateway/duplicateguard.cpp
+++ b/gateway/duplicateguard.cpp
@@ -67,12 +67,11 @@
     }
     const TimePoint now = BootClock::now();
     api::PeerService_record_args args;
-    args.sender = m_node.sender();
     args.low = std::int64_t(digest.low);
     args.high = std::int64_t(digest.high);
     args.ageMicroseconds = (now - firstSent).count();
-    m_node.rpcClient().call<api::PeerService_record_args, api::PeerService_record_result>(
-        *endpoint, PeerPath, "record", args, now + RecordDeadline,
+    m_node.call<api::PeerService_record_args, api::PeerService_record_result>(
+        *endpoint, "record", args, now + RecordDeadline,
         [inquiry](const RpcAnswer<api::PeerService_record_result> &answer) {
             std::optional<DuplicateVerdict> verdict;
             if (answer.reply)
@@ -105,11 +104,10 @@
     if (!endpoint)
         return;
     api::PeerService_forget_args args;
-    args.sender = m_node.sender();
     args.low = std::int64_t(digest.low);
     args.high = std::int64_t(digest.high);
-    m_node.rpcClient().call<api::PeerService_forget_args, api::PeerService_forget_result>(
-        *endpoint, PeerPath, "forget", args, BootClock::now() + RecordDeadline,
+    m_node.call<api::PeerService_forget_args, api::PeerService_forget_result>(
+        *endpoint, "forget", args, BootClock::now() + RecordDeadline,
         [](const RpcAnswer<api::PeerService_forget_result> &) {});
 }
 
--- a/gateway/loanclient.cpp
+++ b/gateway/loanclient.cpp
@@ -168,15 +168,14 @@
         return;
     const TimePoint sentAt = BootClock::now();
     api::PeerService_lend_args args;
-    args.sender = m_node.sender();
     for (const LoanKey &key : keys) {
         Loan &loan = m_loans.at(key);
         loan.isUrgent = false;
         args.reports.push_back(toWire(loan.borrower.makeReport(m_hooks.demand(key), sentAt)));
     }
     m_asked.insert(owner);
-    m_node.rpcClient().call<api::PeerService_lend_args, api::PeerService_lend_result>(
-        *endpoint, PeerPath, "lend", args, sentAt + LendDeadline,
+    m_node.call<api::PeerService_lend_args, api::PeerService_lend_result>(
+        *endpoint, "lend", args, sentAt + LendDeadline,
         [this, owner, sentAt](const RpcAnswer<api::PeerService_lend_result> &answer) {
             m_asked.erase(owner);
             if (answer.reply)
--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -264,11 +264,6 @@
     }
     HttpClient &client = transaction->client;
     switch (reason) {
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-        transaction->connection = nullptr;
-        client.finish(*transaction, transaction->sent ? HttpOutcome::Lost : HttpOutcome::NotSent,
-                      false);
-        return 0;
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
         transaction->connection = connection;
         auto **position = static_cast<unsigned char **>(in);
@@ -297,8 +292,11 @@
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
         client.finish(*transaction, HttpOutcome::Answered, false);
         return 0;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
     case LWS_CALLBACK_WSI_DESTROY:
+        // More of these may follow for the connection; the transaction ends here.
+        lws_set_opaque_user_data(connection, nullptr);
         transaction->connection = nullptr;
         client.finish(*transaction, transaction->sent ? HttpOutcome::Lost : HttpOutcome::NotSent,
                       false);
--- a/peer/peernode.cpp
+++ b/peer/peernode.cpp
@@ -199,10 +199,9 @@
 void PeerNode::sendPoll(const MemberRow &peer, const ConfigurationPoll &poll)
 {
     api::PeerService_poll_args args;
-    args.sender = sender();
     args.poll = toWire(poll);
-    m_rpcClient.call<api::PeerService_poll_args, api::PeerService_poll_result>(
-        toEndpoint(peer), PeerPath, "poll", args, BootClock::now() + PeerDeadline,
+    call<api::PeerService_poll_args, api::PeerService_poll_result>(
+        toEndpoint(peer), "poll", args, BootClock::now() + PeerDeadline,
         [this](const RpcAnswer<api::PeerService_poll_result> &answer) {
             if (!answer.reply)
                 return;
@@ -214,12 +213,11 @@
 void PeerNode::push(const ConfigurationPush &push, const TakenCallback &onTaken)
 {
     api::PeerService_push_args args;
-    args.sender = sender();
     args.version = std::int64_t(push.version);
     args.document = push.document;
     for (const MemberRow &member : m_membership.peers("gateway")) {
-        m_rpcClient.call<api::PeerService_push_args, api::PeerService_push_result>(
-            toEndpoint(member), PeerPath, "push", args, BootClock::now() + PeerDeadline,
+        call<api::PeerService_push_args, api::PeerService_push_result>(
+            toEndpoint(member), "push", args, BootClock::now() + PeerDeadline,
             [onTaken, name = member.name](const RpcAnswer<api::PeerService_push_result> &answer) {
                 if (answer.reply)
                     onTaken(name, std::uint64_t(answer.reply->success));
@@ -230,12 +228,11 @@
 void PeerNode::announce(const std::vector<WithdrawalNotice> &notices)
 {
     api::PeerService_notice_args args;
-    args.sender = sender();
     for (const WithdrawalNotice &notice : notices)
         args.notices.push_back(toWire(notice));
     for (const MemberRow &member : m_membership.peers("")) {
-        m_rpcClient.call<api::PeerService_notice_args, api::PeerService_notice_result>(
-            toEndpoint(member), PeerPath, "notice", args, BootClock::now() + PeerDeadline,
+        call<api::PeerService_notice_args, api::PeerService_notice_result>(
+            toEndpoint(member), "notice", args, BootClock::now() + PeerDeadline,
             [](const RpcAnswer<api::PeerService_notice_result> &) {});
     }
 }
--- a/peer/peernode.h
+++ b/peer/peernode.h
@@ -55,7 +55,15 @@
     Membership &membership() { return m_membership; }
     // Serves the /peer path; roles may add methods of their own.
     RpcServer &rpcServer() { return m_rpcServer; }
-    RpcClient &rpcClient() { return m_rpcClient; }
+    // Calls a method of PeerService at `endpoint` in this process's name: fills in `args.sender`.
+    template<typename Args, typename Reply>
+    void call(const Endpoint &endpoint, std::string method, Args &args, TimePoint deadline,
+              std::function<void(RpcAnswer<Reply>)> callback)
+    {
+        args.sender = sender();
+        m_rpcClient.call<Args, Reply>(endpoint, PeerPath, std::move(method), args, deadline,
+                                      std::move(callback));
+    }
     api::PeerSender sender();
     // Where `member` listens; nullopt if it is not recorded.
     std::optional<Endpoint> endpointOf(std::string_view member) const;
