--- a/api/operator.thrift
+++ b/api/operator.thrift
@@ -83,8 +83,110 @@
   4: string document
 }
 
+struct HostEntry {
+  1: string name
+  2: string rack
+  3: string zone
+  4: string pool
+}
+
+struct HostMoveEdit {
+  1: string host
+  2: string pool
+  3: i64 drainSeconds  // to the drain's deadline; past it the host is reported
+}
+
+struct BudgetEdit {
+  1: string domain  // "rack/NAME" or "zone/NAME"; a pool's limit is its maxUnavailable
+  2: i32 limit      // hosts out at once, planned and by accident
+}
+
+struct WaveDeclaration {
+  1: string id
+  2: list<string> pools       // all hosts of these pools, and
+  3: list<string> hosts       // these hosts
+  4: i32 maxOut               // hosts of this wave out at once
+  5: i64 drainSeconds         // from the start of draining to its deadline
+  6: i64 deadlineSeconds = 0  // from now; 0: none. Being late is reported
+  7: i64 periodSeconds = 0    // 0: once; otherwise every host once in a period
+  8: bool stopsWhenOverdue = false     // stop at a host that does not drain, instead of skipping it
+  9: bool resumesAfterRepair = false   // go on when the failed domain that stopped it is back
+}
+
+// One change of hosts or waves.
+union FleetEdit {
+  1: list<HostEntry> registerHosts
+  2: HostMoveEdit moveHost
+  3: string cancelDrain  // host
+  4: BudgetEdit setBudget
+  5: WaveDeclaration declareWave
+  6: string pauseWave
+  7: string resumeWave
+  8: string cancelWave
+}
+
+struct FleetRequest {
+  1: string operationId
+  2: FleetEdit edit
+  3: bool isNewId = false  // as in ChangeRequest
+}
+
+struct HostStatus {
+  1: string name
+  2: string rack
+  3: string zone
+  4: string pool
+  5: string state         // serving, draining, out, joining
+  6: string targetPool    // of a move that drains
+  7: string operationId   // the move or wave that holds the host
+  8: i64 epoch
+  9: i64 drainDeadline    // Unix time in seconds, 0 while serving
+  10: i64 maintainedAt    // Unix time in seconds, 0 for never
+  11: bool isLost         // not in the platform's live list, or leaving
+  12: string waitsFor     // why it is not serving, empty while it serves
+}
+
+struct DomainUnit {
+  1: string host
+  2: string holder  // wave; empty for a loss by accident
+}
+
+struct DomainStatus {
+  1: string domain  // "pool/NAME", "rack/NAME" or "zone/NAME"
+  2: i32 limit
+  3: i32 hosts
+  4: list<DomainUnit> units
+}
+
+struct WaveStatus {
+  1: string id
+  2: string state        // running, paused, stopped, cancelled, finished
+  3: string stopReason
+  4: i32 total
+  5: i32 done
+  6: i32 hostsOut
+  7: i32 lost
+  8: list<string> overdue
+  9: list<string> skipped
+  10: i64 startedAt      // Unix times in seconds
+  11: i64 expectedEnd
+  12: i64 deadline       // 0: none
+  13: bool isLate
+  14: list<string> waitsFor  // reasons, empty if nothing waits
+}
+
+struct FleetAnswer {
+  1: i32 code
+  2: string detail
+  3: list<HostStatus> hosts
+  4: list<DomainStatus> domains
+  5: list<WaveStatus> waves
+}
+
 service OperatorService {
   ConfigurationAnswer configuration()
   ChangeAnswer change(1: ChangeRequest request)
   ChangeAnswer edit(1: EditRequest request)
+  ChangeAnswer changeFleet(1: FleetRequest request)
+  FleetAnswer fleet()
 }
--- a/cli/ctl.cpp
+++ b/cli/ctl.cpp
@@ -14,8 +14,9 @@
 std::vector<CtlCommand> allCommands()
 {
     std::vector<CtlCommand> commands;
-    for (const auto &group : {ctlConfigurationCommands(), ctlTeamCommands(), ctlKeyCommands(),
-                              ctlQueueCommands(), ctlPoolCommands(), ctlServiceCommands()}) {
+    for (const auto &group :
+         {ctlConfigurationCommands(), ctlTeamCommands(), ctlKeyCommands(), ctlQueueCommands(),
+          ctlPoolCommands(), ctlServiceCommands(), ctlHostCommands(), ctlWaveCommands()}) {
         commands.insert(commands.end(), group.begin(), group.end());
     }
     return commands;
@@ -90,7 +91,7 @@
     parser.addInteger(
         "max-unavailable", settings.maxUnavailable,
         {.max = MaxNumber, .help = "Pool: hosts out at once, planned and accidental"});
-    parser.addText("pool", settings.pool, {.help = "Service: its pool"});
+    parser.addText("pool", settings.pool, {.help = "Service, host, move: the pool"});
     parser.addInteger("slots", settings.slots,
                       {.min = 1, .max = MaxNumber, .help = "Service: slots of a runner"});
     parser.addInteger("connections", settings.connections,
@@ -101,6 +102,39 @@
                     .help = "Service: its runners, replacing the current ones"});
 }
 
+constexpr std::int64_t MaxSeconds = 10LL * 365 * 24 * 3'600;
+
+void addFleetFlags(SettingsParser &parser, CtlSettings &settings)
+{
+    parser.addText("rack", settings.rack, {.help = "Host: its rack"});
+    parser.addText("zone", settings.zone, {.help = "Host: its availability zone"});
+    parser.addText("hosts", settings.hosts, {.expected = "NAME,...", .help = "Wave: its hosts"});
+    parser.addText("pools", settings.pools,
+                   {.expected = "NAME,...", .help = "Wave: pools whose hosts it maintains"});
+    parser.addInteger("limit", settings.limit,
+                      {.max = MaxNumber, .help = "Rack, zone: hosts out at once"});
+    parser.addInteger("max-out", settings.maxOut,
+                      {.min = 1, .max = MaxNumber, .help = "Wave: hosts of it out at once"});
+    parser.addInteger(
+        "drain-s", settings.drainSeconds,
+        {.unit = "s", .min = 1, .max = MaxSeconds, .help = "Move, wave: time for a host's drain"});
+    parser.addInteger("deadline-s", settings.deadlineSeconds,
+                      {.unit = "s",
+                       .min = 0,
+                       .max = MaxSeconds,
+                       .help = "Wave: its end from the declaration; 0: none"});
+    parser.addInteger("period-s", settings.periodSeconds,
+                      {.unit = "s",
+                       .min = 0,
+                       .max = MaxSeconds,
+                       .help = "Wave: every host once in this time; 0: once"});
+    parser.addText("overdue", settings.overdue,
+                   {.allowed = {"skip", "stop"}, .help = "Wave: at a host that does not drain"});
+    parser.addFlag("resume-after-repair", settings.resumesAfterRepair,
+                   "Wave: goes on when the failed domain that stopped it is back");
+    parser.addFlag("json", settings.isJson, "Prints JSON");
+}
+
 } // namespace
 
 int runCtl(CommandArgs args)
@@ -109,6 +143,7 @@
     SettingsParser parser("ctl", "Operators' commands: " + allUsages());
     addChangeFlags(parser, settings);
     addObjectFlags(parser, settings);
+    addFleetFlags(parser, settings);
     parser.addPositional(settings.words, "COMMAND");
     const Result<ParseAction> action = parser.parse(args, processEnvironment);
     if (!action) {
--- /dev/null
+++ b/cli/ctlcall.h
@@ -0,0 +1,54 @@
+// One call of a controller by a command of ctl, and how its outcome is printed.
+//
+//   const auto answer = detail::callOnce<Args, Reply>(settings, "edit", args);
+//   return detail::printChange(settings, answer);
+#pragma once
+
+#include "cli/ctlcommand.h"
+#include "cli/onecall.h"
+#include "gen/OperatorService.h"
+#include "net/rpcclient.h"
+
+namespace sequoiapier::detail {
+
+struct OperationId
+{
+    std::string text;
+    bool isNew = false;
+};
+
+// The identifier given, or a new one, which is printed on standard error.
+OperationId operationId(const CtlSettings &settings);
+
+template<typename Args, typename Reply>
+RpcAnswer<Reply> callOnce(const CtlSettings &settings, const std::string &method, const Args &args)
+{
+    constexpr Duration CallDeadline = std::chrono::seconds(20);
+    OneCall call;
+    RpcClient rpc(call.http());
+    RpcAnswer<Reply> answer;
+    call.run([&] {
+        rpc.call<Args, Reply>(parseEndpoint(settings.controller).value(), "/operator", method, args,
+                              BootClock::now() + CallDeadline, [&](RpcAnswer<Reply> reply) {
+                                  answer = std::move(reply);
+                                  call.done();
+                              });
+    });
+    return answer;
+}
+
+// Prints that there was no answer, and returns the exit status.
+int printFailure(HttpOutcome outcome, std::string_view detail);
+
+// Prints the outcome of a change and returns the exit status.
+int printChange(const CtlSettings &settings, const api::ChangeAnswer &change);
+
+template<typename Reply>
+int printChange(const CtlSettings &settings, const RpcAnswer<Reply> &answer)
+{
+    if (!answer.reply)
+        return printFailure(answer.outcome, answer.detail);
+    return printChange(settings, answer.reply->success);
+}
+
+} // namespace sequoiapier::detail
--- a/cli/ctlcommand.h
+++ b/cli/ctlcommand.h
@@ -31,6 +31,18 @@
     std::int64_t slots = NotGiven;
     std::int64_t connections = NotGiven;
     std::string runners;
+    std::string rack;
+    std::string zone;
+    std::string hosts;
+    std::string pools;
+    std::int64_t limit = NotGiven;
+    std::int64_t maxOut = 1;
+    std::int64_t drainSeconds = 600;
+    std::int64_t deadlineSeconds = 0;
+    std::int64_t periodSeconds = 0;
+    std::string overdue = "skip";
+    bool resumesAfterRepair = false;
+    bool isJson = false;
     std::vector<std::string> words;
 };
 
@@ -47,5 +59,7 @@
 std::vector<CtlCommand> ctlQueueCommands();
 std::vector<CtlCommand> ctlPoolCommands();
 std::vector<CtlCommand> ctlServiceCommands();
+std::vector<CtlCommand> ctlHostCommands();
+std::vector<CtlCommand> ctlWaveCommands();
 
 } // namespace sequoiapier
--- a/cli/ctlpool.cpp
+++ b/cli/ctlpool.cpp
@@ -1,4 +1,5 @@
 #include "cli/ctlclient.h"
+#include "cli/ctlfleet.h"
 
 #include <algorithm>
 
@@ -36,6 +37,7 @@
         {{"pool", "remove"},
          "NAME",
          [](const auto &settings, auto operands) { return removePool(settings, operands[0]); }},
+        {{"pool", "list"}, "", [](const auto &settings, auto) { return printPools(settings); }},
     };
 }
 
--- a/controller/budgetrow.cpp
+++ b/controller/budgetrow.cpp
@@ -7,7 +7,7 @@
 namespace sequoiapier {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BudgetUnit, host, holder)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BudgetRow, domain, limit, units)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BudgetRow, domain, limit, limitVersion, units)
 
 std::string budgetKey(std::string_view domain)
 {
--- a/controller/budgetrow.h
+++ b/controller/budgetrow.h
@@ -25,6 +25,7 @@
 {
     std::string domain;
     std::uint32_t limit = 1; // hosts out at once
+    std::uint64_t limitVersion = 0; // of a pool: the configuration that set the limit
     std::vector<BudgetUnit> units;
 
     bool operator==(const BudgetRow &) const = default;
--- a/controller/controller.cpp
+++ b/controller/controller.cpp
@@ -11,11 +11,36 @@
 
 constexpr Duration NoticeTime = std::chrono::seconds(10);
 
+std::int64_t wallSeconds()
+{
+    using namespace std::chrono;
+    return duration_cast<seconds>(system_clock::now().time_since_epoch()).count();
+}
+
+void addFleetSettings(SettingsParser &parser, ControllerSettings &settings)
+{
+    parser.addText(
+        "hosts", settings.hostsEndpoint,
+        {.isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
+         .expected = "IP-number:port",
+         .help = "The platform's host interface; without it no host is moved or maintained"});
+    parser.addInteger(
+        "fleet-interval-ms", settings.fleetMilliseconds,
+        {.unit = "ms", .min = 50, .max = 60'000, .help = "Time between steps of hosts and waves"});
+    parser.addInteger("expected-out-s", settings.expectedOutSeconds,
+                      {.unit = "s",
+                       .min = 1,
+                       .max = 86'400,
+                       .help = "Time that a host's maintenance takes, until some have ended"});
+}
+
 } // namespace
 
 Controller::Controller(Daemon &daemon, const ControllerSettings &settings)
-    : m_node(daemon, {.role = "controller", .table = parseEndpoint(settings.tableEndpoint).value()},
-             {.joined = [&daemon] { daemon.setReady(true); }})
+    : m_daemon(daemon)
+    , m_settings(settings)
+    , m_node(daemon, {.role = "controller", .table = parseEndpoint(settings.tableEndpoint).value()},
+             {.joined = [this] { startFleet(); }})
     , m_pusher(daemon, m_node)
     , m_operators({.table = m_node.table(),
                    .now = &BootClock::now,
@@ -28,7 +53,16 @@
                       daemon.report("configuration.committed",
                                     {.epoch = version, .cause = std::string(operationId)});
                   })
+    , m_fleetApi({.change = {.table = m_node.table(), .now = &BootClock::now},
+                  .wallSeconds = &wallSeconds,
+                  .knowledge = [this] { return m_fleet ? m_fleet->knowledge() : FleetKnowledge{}; },
+                  .committed =
+                      [&daemon](std::string_view operationId) {
+                          daemon.report("fleet.committed", {.cause = std::string(operationId)});
+                      }})
+    , m_fleetTimer(daemon.loop(), [this] { tickFleet(); })
 {
+    m_fleetApi.addTo(m_operators.rpcServer());
     daemon.route("/operator", [this](const std::shared_ptr<HttpExchange> &exchange) {
         m_operators.serve(exchange);
     });
@@ -44,12 +78,47 @@
     m_node.announce(notices);
 }
 
+void Controller::startFleet()
+{
+    m_daemon.setReady(true);
+    if (m_settings.hostsEndpoint.empty())
+        return;
+    const Endpoint endpoint = parseEndpoint(m_settings.hostsEndpoint).value();
+    m_hosts = std::make_unique<HostClient>(m_daemon.httpClient(), HostClient::Options{endpoint});
+    m_fleet = std::make_unique<FleetDriver>(
+        FleetDriver::Hooks{
+            .table = m_node.table(),
+            .platform = m_hosts->hooks(),
+            .now = &BootClock::now,
+            .wallSeconds = &wallSeconds,
+            .configuration = [this] { return confirmedConfiguration(); },
+            .report = [this](std::string_view kind, Event event) { m_daemon.report(kind, event); }},
+        FleetDriver::Options{.process = m_daemon.settings().name,
+                             .incarnation = m_node.self().incarnation,
+                             .expectedOut = m_settings.expectedOutSeconds});
+    tickFleet();
+}
+
+void Controller::tickFleet()
+{
+    m_fleet->tick();
+    m_fleetTimer.startAt(BootClock::now()
+                         + std::chrono::milliseconds(m_settings.fleetMilliseconds));
+}
+
+const Configuration *Controller::confirmedConfiguration()
+{
+    ConfigurationFollower &follower = m_node.follower();
+    return follower.isConfirmed(BootClock::now()) ? &follower.configuration() : nullptr;
+}
+
 int runController(CommandArgs args)
 {
     ControllerSettings settings;
     SettingsParser parser("controller", "Serves operators; keeps configuration, hosts and waves.");
     addCommonSettings(parser, settings.common);
     addTableSetting(parser, settings.tableEndpoint);
+    addFleetSettings(parser, settings);
     const Result<ParseAction> action = parser.parse(args, processEnvironment);
     if (!action) {
         std::cerr << action.error().detail << "\n";
--- a/controller/controller.h
+++ b/controller/controller.h
@@ -1,10 +1,16 @@
-// Controller: serves operators' changes to the configuration in the platform's table.
+// Controller: serves operators' changes in the platform's table, and takes hosts and maintenance
+// waves through their steps.
 #pragma once
 
 #include "cli/daemon.h"
 #include "controller/configurationpusher.h"
+#include "controller/fleetapi.h"
+#include "controller/fleetdriver.h"
 #include "controller/operatorapi.h"
 #include "peer/peernode.h"
+#include "platform/hostclient.h"
+
+#include <memory>
 
 namespace sequoiapier {
 
@@ -12,6 +18,9 @@
 {
     CommonSettings common;
     std::string tableEndpoint;
+    std::string hostsEndpoint; // of the platform's host interface; empty: no host is moved
+    std::int64_t fleetMilliseconds = 1'000; // between steps of hosts and waves
+    std::int64_t expectedOutSeconds = 300;
 };
 
 class Controller
@@ -21,10 +30,19 @@
 
 private:
     void announce(std::span<const std::string> digests);
+    void startFleet();
+    void tickFleet();
+    const Configuration *confirmedConfiguration();
 
+    Daemon &m_daemon;
+    ControllerSettings m_settings;
     PeerNode m_node;
     ConfigurationPusher m_pusher;
     OperatorApi m_operators;
+    FleetApi m_fleetApi;
+    std::unique_ptr<HostClient> m_hosts;
+    std::unique_ptr<FleetDriver> m_fleet; // once the process has an incarnation
+    Timer m_fleetTimer;
 };
 
 } // namespace sequoiapier
--- /dev/null
+++ b/controller/fleetchange.cpp
@@ -0,0 +1,150 @@
+// Steps: read the operation's record; read the rows; build; commit the rows and the record
+// together. The record's row exists once, so of all attempts under one identifier, on any
+// controller and however late, one takes effect.
+//
+// Refusals are recorded, too: an attempt elsewhere whose write is still under way can't take effect
+// after its operator was told of the refusal. After a lost answer a refusal is written under the
+// same record row; if that conflicts, the record tells what happened.
+#include "controller/fleetchange.h"
+
+#include <utility>
+
+namespace sequoiapier {
+
+void FleetChange::run(const Hooks &hooks, FleetChangeSpec spec, Answer answer)
+{
+    const auto change = std::make_shared<FleetChange>(hooks, std::move(spec), std::move(answer));
+    change->readRecord();
+}
+
+FleetChange::FleetChange(const Hooks &hooks, FleetChangeSpec spec, Answer answer)
+    : m_hooks(hooks)
+    , m_spec(std::move(spec))
+    , m_answer(std::move(answer))
+{ }
+
+void FleetChange::readRecord()
+{
+    m_hooks.table.read(operationKey(m_spec.operationId), deadline(),
+                       [self = shared_from_this()](const Result<std::optional<TableRow>> &row) {
+                           if (row)
+                               self->onRecord(row.value());
+                           else
+                               self->fail("the table can't be read: " + row.error().detail);
+                       });
+}
+
+void FleetChange::onRecord(const std::optional<TableRow> &row)
+{
+    if (!row) {
+        readRows();
+        return;
+    }
+    const Result<OperationRecord> record = parseOperationRecord(row->value);
+    if (!record)
+        answer(ResultCode::CommitUnknown, record.error().detail);
+    else
+        answer(record.value().code, record.value().detail);
+}
+
+void FleetChange::readRows()
+{
+    if (++m_attempts > MaxAttempts) {
+        refuse({ResultCode::Conflict, "other changes came in between"});
+        return;
+    }
+    m_rows.clear();
+    m_rowsMissing = m_spec.plan.keys.size();
+    for (const std::string &key : m_spec.plan.keys) {
+        m_hooks.table.read(
+            key, deadline(),
+            [self = shared_from_this(), key](const Result<std::optional<TableRow>> &row) {
+                self->onRow(key, row);
+            });
+    }
+}
+
+void FleetChange::onRow(const std::string &key, const Result<std::optional<TableRow>> &row)
+{
+    if (!row) {
+        fail("the table can't be read: " + row.error().detail);
+        return;
+    }
+    m_rows[key] = row.value();
+    if (--m_rowsMissing == 0)
+        buildAndCommit();
+}
+
+void FleetChange::buildAndCommit()
+{
+    const auto values = m_spec.plan.build(m_rows);
+    if (!values) {
+        refuse(values.error());
+        return;
+    }
+    Commit commit = commitOf({.code = ResultCode::Committed});
+    for (const auto &[key, value] : values.value()) {
+        const std::optional<TableRow> &read = m_rows[key];
+        commit.writes.push_back(
+            {.key = key, .value = value, .baseVersion = read ? read->version : 0});
+    }
+    m_isWriteSent = true;
+    m_hooks.table.commit(
+        std::move(commit), deadline(),
+        [self = shared_from_this()](const CommitAnswer &result) { self->onCommit(result); });
+}
+
+void FleetChange::onCommit(const CommitAnswer &result)
+{
+    switch (result.outcome) {
+    case CommitOutcome::Committed:
+        answer(ResultCode::Committed, "");
+        return;
+    case CommitOutcome::Conflict:
+        // Another change of the rows, or an earlier attempt of this one.
+        readRecord();
+        return;
+    case CommitOutcome::NotCommitted:
+        m_isWriteSent = m_attempts > 1;
+        fail("the table is unavailable");
+        return;
+    case CommitOutcome::Unknown:
+        refuse({ResultCode::NotCommitted, "the table did not answer; it was not written"});
+        return;
+    }
+}
+
+void FleetChange::refuse(const Error &error)
+{
+    m_hooks.table.commit(commitOf({.code = error.code, .detail = error.detail}), deadline(),
+                         [self = shared_from_this(), error](const CommitAnswer &result) {
+                             if (result.outcome == CommitOutcome::Committed)
+                                 self->answer(error.code, error.detail);
+                             else if (result.outcome == CommitOutcome::Conflict)
+                                 self->readRecord();
+                             else
+                                 self->fail("the table did not answer");
+                         });
+}
+
+Commit FleetChange::commitOf(const OperationRecord &record) const
+{
+    return {.writeId = "operator/" + m_spec.operationId,
+            .writes = {{.key = operationKey(m_spec.operationId), .value = toJson(record)}}};
+}
+
+void FleetChange::fail(const std::string &detail)
+{
+    if (m_spec.isNewId && !m_isWriteSent)
+        answer(ResultCode::NotCommitted, detail);
+    else
+        answer(ResultCode::CommitUnknown, detail);
+}
+
+void FleetChange::answer(ResultCode code, std::string detail)
+{
+    if (m_answer)
+        std::exchange(m_answer, nullptr)({code, std::move(detail), 0});
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/controller/fleetchange.h
@@ -0,0 +1,77 @@
+// FleetChange: carries one operator's change of hosts or waves to the table and answers truthfully.
+//
+//   FleetChange::run(hooks, {.operationId = id, .keys = {...}, .build = ...},
+//                    [](const ChangeOutcome &outcome) { ... });
+//
+// The outcome is Committed, NotCommitted, CommitUnknown or what build() refuses with; a repeated
+// identifier gets the recorded outcome. A change that loses a race is built anew from the rows as
+// they are then, and refused with Conflict after MaxAttempts. Table use: one read for the record
+// and one for each key, and one write; a lost answer costs one write and one read more.
+#pragma once
+
+#include "controller/operationrecord.h"
+#include "controller/operatorchange.h"
+
+#include <map>
+
+namespace sequoiapier {
+
+// Rows by key; nullopt for a row that does not exist.
+using KeyedRows = std::map<std::string, std::optional<TableRow>, std::less<>>;
+
+// What a change reads and what it writes from that, without base versions: those are of the rows
+// that were read.
+struct FleetEditPlan
+{
+    std::vector<std::string> keys;
+    std::function<Result<std::map<std::string, std::string>>(const KeyedRows &)> build;
+};
+
+struct FleetChangeSpec
+{
+    std::string operationId;
+    bool isNewId = false; // the identifier was certainly never used before
+    FleetEditPlan plan;
+};
+
+class FleetChange : public std::enable_shared_from_this<FleetChange>
+{
+public:
+    struct Hooks
+    {
+        Table table;
+        std::function<TimePoint()> now;
+        Duration tableDeadline = std::chrono::seconds(2); // of one table call
+    };
+    using Answer = std::function<void(const ChangeOutcome &)>;
+
+    static constexpr int MaxAttempts = 5;
+
+    // `hooks` must outlive the change.
+    static void run(const Hooks &hooks, FleetChangeSpec spec, Answer answer);
+
+    FleetChange(const Hooks &hooks, FleetChangeSpec spec, Answer answer);
+
+private:
+    void readRecord();
+    void onRecord(const std::optional<TableRow> &row);
+    void readRows();
+    void onRow(const std::string &key, const Result<std::optional<TableRow>> &row);
+    void buildAndCommit();
+    void onCommit(const CommitAnswer &result);
+    void refuse(const Error &error);
+    Commit commitOf(const OperationRecord &record) const;
+    TimePoint deadline() const { return m_hooks.now() + m_hooks.tableDeadline; }
+    void fail(const std::string &detail);
+    void answer(ResultCode code, std::string detail);
+
+    const Hooks &m_hooks;
+    FleetChangeSpec m_spec;
+    Answer m_answer;
+    KeyedRows m_rows;
+    std::size_t m_rowsMissing = 0;
+    int m_attempts = 0;
+    bool m_isWriteSent = false;
+};
+
+} // namespace sequoiapier
--- /dev/null
+++ b/controller/fleetdriver.cpp
@@ -0,0 +1,253 @@
+// Every step is a compare-and-set or an idempotent command, so that ticks of several controllers
+// may run at once and a tick may end anywhere. A tick costs three scans, and for each host that is
+// not serving one call of the platform and one read; each wave's turn reads the fleet anew.
+#include "controller/fleetdriver.h"
+
+#include <cmath>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr double LearningRate = 0.2; // weight of the last host's time out
+
+std::string_view eventOf(HostState state)
+{
+    switch (state) {
+    case HostState::Serving:
+        return "host.serving";
+    case HostState::Draining:
+        return "host.draining";
+    case HostState::Out:
+        return "host.out";
+    case HostState::Joining:
+        return "host.joining";
+    }
+    return "";
+}
+
+HostObservation toObservation(const HostReport &report)
+{
+    return {.fencedEpoch = report.fencedEpoch,
+            .running = report.running,
+            .admittedEpoch = report.admittedEpoch,
+            .maintainedEpoch = report.maintainedEpoch};
+}
+
+// Whether `wave` has something to start, book or undo.
+bool needsTurn(const WaveRow &wave, const FleetRows &rows)
+{
+    if (wave.state != WaveState::Cancelled && wave.state != WaveState::Finished)
+        return true;
+    for (const HostRow &host : rows.hosts) {
+        if (host.operationId == wave.id)
+            return true;
+    }
+    for (const VersionedBudgetRow &budget : rows.budgets) {
+        for (const BudgetUnit &unit : budget.row.units) {
+            if (unit.holder == wave.id)
+                return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+FleetDriver::FleetDriver(Hooks hooks, Options options)
+    : m_hooks(std::move(hooks))
+    , m_options(std::move(options))
+    , m_knowledge{.averageOut = double(m_options.expectedOut)}
+    , m_mover(m_hooks.table, moverHooks(),
+              {.process = m_options.process,
+               .incarnation = m_options.incarnation,
+               .tableTimeout = m_options.callTimeout})
+    , m_runner(m_hooks.table, runnerHooks(),
+               {.process = m_options.process,
+                .incarnation = m_options.incarnation,
+                .tableTimeout = m_options.callTimeout * 2})
+{ }
+
+HostMover::Hooks FleetDriver::moverHooks()
+{
+    return {.observe =
+                [this](const HostRow &host) {
+                    const auto found = m_knowledge.reports.find(host.host);
+                    return found != m_knowledge.reports.end() ? toObservation(found->second)
+                                                              : HostObservation{};
+                },
+            .drain = [this](const HostRow &host) { command(host, HostCommandKind::Drain); },
+            .maintain = [this](const HostRow &host) { command(host, HostCommandKind::Maintain); },
+            .admit = [this](const HostRow &host) { command(host, HostCommandKind::Admit); },
+            .changed =
+                [this](const HostRow &host) {
+                    m_hooks.report(eventOf(host.state),
+                                   {.subject = host.host,
+                                    .epoch = host.epoch,
+                                    .cause = host.operationId,
+                                    .detail = host.pool});
+                }};
+}
+
+WaveRunner::Hooks FleetDriver::runnerHooks()
+{
+    return {.isLost = [this](const HostRow &host) { return m_knowledge.isLost(host); },
+            .expectedOut
+            = [this](const HostRow &) { return std::int64_t(m_knowledge.averageOut + 0.5); },
+            .turned
+            = [this](const WaveTurn &turn, bool isCommitted) { onTurn(turn, isCommitted); }};
+}
+
+FleetKnowledge FleetDriver::knowledge() const
+{
+    FleetKnowledge known = m_knowledge;
+    known.hasPlatform = isListFresh();
+    return known;
+}
+
+void FleetDriver::tick()
+{
+    m_hooks.platform.list(deadline(), [this](const auto &hosts) { onList(hosts); });
+    if (m_isReading)
+        return;
+    m_isReading = true;
+    readFleetRows(m_hooks.table, deadline(), [this](const Result<FleetRows> &rows) {
+        m_isReading = false;
+        if (rows)
+            onRows(rows.value());
+    });
+}
+
+void FleetDriver::onList(const Result<std::vector<HostListing>> &hosts)
+{
+    if (!hosts)
+        return;
+    m_listedAt = m_hooks.now();
+    m_knowledge.listed.clear();
+    for (const HostListing &host : hosts.value())
+        m_knowledge.listed[host.host] = host;
+}
+
+void FleetDriver::onRows(const FleetRows &rows)
+{
+    learnTimes(rows);
+    advanceHosts(rows);
+    if (isListFresh())
+        turnWaves(rows);
+    setPoolLimits(rows);
+}
+
+bool FleetDriver::isListFresh() const
+{
+    return m_listedAt != TimePoint{} && m_hooks.now() - m_listedAt <= m_options.maxListAge;
+}
+
+void FleetDriver::advanceHosts(const FleetRows &rows)
+{
+    for (const HostRow &host : rows.hosts) {
+        if (host.state != HostState::Serving) {
+            advance(host.host);
+            continue;
+        }
+        m_knowledge.reports.erase(host.host);
+        const auto listed = m_knowledge.listed.find(host.host);
+        if (listed != m_knowledge.listed.end() && listed->second.admittedEpoch < host.epoch)
+            admitAgain(host);
+    }
+}
+
+void FleetDriver::advance(const std::string &host)
+{
+    m_hooks.platform.observe(host, deadline(), [this, host](const Result<HostReport> &report) {
+        if (report)
+            m_knowledge.reports[host] = report.value();
+        else
+            m_knowledge.reports.erase(host);
+        m_mover.advance(host, m_hooks.now(), m_hooks.wallSeconds());
+    });
+}
+
+// The list lags: a host that was admitted after it was made ignores nothing but repeats its
+// admission; one whose row has changed since ignores the lower epoch.
+void FleetDriver::admitAgain(const HostRow &host)
+{
+    command(host, HostCommandKind::Admit);
+}
+
+void FleetDriver::turnWaves(const FleetRows &rows)
+{
+    for (const VersionedWaveRow &wave : rows.waves) {
+        if (needsTurn(wave.row, rows))
+            m_runner.turn(wave.row.id, m_hooks.now(), m_hooks.wallSeconds());
+    }
+}
+
+void FleetDriver::onTurn(const WaveTurn &turn, bool isCommitted)
+{
+    for (const std::string &host : turn.progress.overdue) {
+        if (m_overdue[host] != std::uint64_t(turn.next.startedAt)) {
+            m_overdue[host] = std::uint64_t(turn.next.startedAt);
+            m_hooks.report("host.overdue", {.subject = host, .cause = turn.next.id});
+        }
+    }
+    if (!isCommitted || turn.writes.empty())
+        return;
+    for (const std::string &host : turn.started)
+        m_hooks.report("host.draining", {.subject = host, .cause = turn.next.id});
+    if (turn.next.state == WaveState::Stopped)
+        m_hooks.report("wave.stopped", {.subject = turn.next.id, .detail = turn.next.stopReason});
+    if (turn.next.state == WaveState::Finished)
+        m_hooks.report("wave.finished", {.subject = turn.next.id});
+}
+
+void FleetDriver::learnTimes(const FleetRows &rows)
+{
+    const std::int64_t now = m_hooks.wallSeconds();
+    for (const HostRow &host : rows.hosts) {
+        const auto since = m_outSince.find(host.host);
+        const bool isOut = host.purpose == HostPurpose::Maintenance;
+        if (isOut && since == m_outSince.end())
+            m_outSince[host.host] = now;
+        if (isOut || since == m_outSince.end())
+            continue;
+        if (host.maintainedAt >= since->second) {
+            const double sample = double(now - since->second);
+            m_knowledge.averageOut += LearningRate * (sample - m_knowledge.averageOut);
+        }
+        m_outSince.erase(since);
+    }
+}
+
+void FleetDriver::setPoolLimits(const FleetRows &rows)
+{
+    const Configuration *configuration = m_hooks.configuration();
+    if (configuration == nullptr)
+        return;
+    for (const VersionedBudgetRow &budget : rows.budgets) {
+        for (const PoolConfig &pool : configuration->pools) {
+            const bool isNewer = budget.row.limitVersion < configuration->version;
+            if (budget.row.domain != "pool/" + pool.name || !isNewer
+                || budget.row.limit == pool.maxUnavailable)
+                continue;
+            BudgetRow next = budget.row;
+            next.limit = pool.maxUnavailable;
+            next.limitVersion = configuration->version;
+            m_hooks.table.commit({.writeId = m_options.process + "/"
+                                      + std::to_string(m_options.incarnation) + "/limit/"
+                                      + std::to_string(++m_limitWrites),
+                                  .writes = {{.key = budgetKey(next.domain),
+                                              .value = toJson(next),
+                                              .baseVersion = budget.version}}},
+                                 deadline(), [](const CommitAnswer &) {});
+        }
+    }
+}
+
+void FleetDriver::command(const HostRow &host, HostCommandKind kind)
+{
+    m_hooks.platform.command(
+        {.host = host.host, .kind = kind, .epoch = host.epoch, .pool = host.pool}, deadline());
+}
+
+} // namespace sequoiapier
--- a/controller/operationrecord.cpp
+++ b/controller/operationrecord.cpp
@@ -14,7 +14,8 @@
     return nlohmann::json{{"code", int(record.code)},
                           {"baseVersion", record.baseVersion},
                           {"documentDigest", record.documentDigest},
-                          {"version", record.version}}
+                          {"version", record.version},
+                          {"detail", record.detail}}
         .dump();
 }
 
@@ -27,7 +28,8 @@
         return OperationRecord{.code = ResultCode(json.at("code").get<int>()),
                                .baseVersion = json.at("baseVersion"),
                                .documentDigest = json.at("documentDigest"),
-                               .version = json.at("version")};
+                               .version = json.at("version"),
+                               .detail = json.value("detail", "")};
     } catch (const nlohmann::json::exception &exception) {
         return Error{ResultCode::RowMalformed, exception.what()};
     }
--- a/controller/operationrecord.h
+++ b/controller/operationrecord.h
@@ -14,10 +14,11 @@
 
 struct OperationRecord
 {
-    ResultCode code = ResultCode::Committed; // Committed, Conflict or NotCommitted
+    ResultCode code = ResultCode::Committed; // Committed, or why the change was refused
     std::uint64_t baseVersion = 0;
     std::string documentDigest; // of the new document, when committed
     std::uint64_t version = 0; // committed: added by a second write; conflict: the one found
+    std::string detail; // of a refusal
 };
 
 std::string operationKey(std::string_view operationId);
--- a/controller/operatorapi.h
+++ b/controller/operatorapi.h
@@ -21,6 +21,8 @@
 
     OperatorApi(OperatorChange::Hooks hooks, CommittedHook onCommitted);
 
+    // For the methods that other parts serve on the same path.
+    RpcServer &rpcServer() { return m_rpc; }
     void serve(const std::shared_ptr<HttpExchange> &exchange) { m_rpc.serve(exchange); }
 
 private:
--- a/controller/waveplanner.cpp
+++ b/controller/waveplanner.cpp
@@ -259,6 +259,8 @@
                 return isOut(host.row) && !host.isLost;
             }));
         for (const Candidate &candidate : waiting) {
+            if (out >= m_view.wave.maxOut)
+                m_waitsFor.insert("the wave has " + std::to_string(out) + " hosts out, its limit");
             if (out >= m_view.wave.maxOut || m_changes.size() >= MaxWaveChanges)
                 return;
             out += start(*candidate.host) ? 1 : 0;
@@ -269,8 +271,11 @@
     {
         const Result<HostRow> row
             = beginMaintenance(host.row, m_view.wave.id, m_now + m_view.wave.drainTimeout);
-        if (!row || !m_budget.take(host.row, m_view.wave.id))
+        const Result<void> taken = row ? m_budget.take(host.row, m_view.wave.id) : row.error();
+        if (!taken) {
+            m_waitsFor.insert(taken.error().detail);
             return false;
+        }
         change(host, row.value());
         m_turn.started.push_back(host.row.host);
         return true;
@@ -297,6 +302,7 @@
             left += isWaiting || isOut(host.row) ? double(host.expectedOut) : 0;
         }
         progress.skipped = m_turn.next.skipped;
+        progress.waitsFor.assign(m_waitsFor.begin(), m_waitsFor.end());
         double bound = left / m_view.wave.maxOut;
         for (const auto &[domain, seconds] : domainSeconds())
             bound = std::max(bound, seconds);
@@ -327,6 +333,7 @@
     std::set<std::string> m_pools;
     std::set<std::string> m_named;
     std::set<std::string> m_skipped;
+    std::set<std::string> m_waitsFor;
     std::int64_t m_lead = 0;
     WaveTurn m_turn;
     std::map<std::string, RowWrite> m_changes;
--- a/controller/waveplanner.h
+++ b/controller/waveplanner.h
@@ -42,6 +42,7 @@
     std::size_t lost = 0; // by accident, and not done
     std::vector<std::string> overdue; // draining past their deadline
     std::vector<std::string> skipped;
+    std::vector<std::string> waitsFor; // why no more hosts go out now
     std::int64_t expectedEnd = 0; // Unix time in seconds
     bool isLate = false; // expected to end after the wave's deadline
 };
--- a/gen/OperatorService.cpp
+++ b/gen/OperatorService.cpp
@@ -548,6 +548,359 @@
   return xfer;
 }
 
+
+OperatorService_changeFleet_args::~OperatorService_changeFleet_args() noexcept {
+}
+
+
+uint32_t OperatorService_changeFleet_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OperatorService_changeFleet_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OperatorService_changeFleet_args");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_changeFleet_pargs::~OperatorService_changeFleet_pargs() noexcept {
+}
+
+
+uint32_t OperatorService_changeFleet_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OperatorService_changeFleet_pargs");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->request)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_changeFleet_result::~OperatorService_changeFleet_result() noexcept {
+}
+
+
+uint32_t OperatorService_changeFleet_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OperatorService_changeFleet_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("OperatorService_changeFleet_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_changeFleet_presult::~OperatorService_changeFleet_presult() noexcept {
+}
+
+
+uint32_t OperatorService_changeFleet_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+OperatorService_fleet_args::~OperatorService_fleet_args() noexcept {
+}
+
+
+uint32_t OperatorService_fleet_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OperatorService_fleet_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OperatorService_fleet_args");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_fleet_pargs::~OperatorService_fleet_pargs() noexcept {
+}
+
+
+uint32_t OperatorService_fleet_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OperatorService_fleet_pargs");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_fleet_result::~OperatorService_fleet_result() noexcept {
+}
+
+
+uint32_t OperatorService_fleet_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OperatorService_fleet_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("OperatorService_fleet_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_fleet_presult::~OperatorService_fleet_presult() noexcept {
+}
+
+
+uint32_t OperatorService_fleet_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void OperatorServiceClient::configuration(ConfigurationAnswer& _return)
 {
   send_configuration();
@@ -587,12 +940,128 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("configuration") != 0) {
+  if (fname.compare("configuration") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  OperatorService_configuration_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "configuration failed: unknown result");
+}
+
+void OperatorServiceClient::change(ChangeAnswer& _return, const ChangeRequest& request)
+{
+  send_change(request);
+  recv_change(_return);
+}
+
+void OperatorServiceClient::send_change(const ChangeRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("change", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  OperatorService_change_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void OperatorServiceClient::recv_change(ChangeAnswer& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("change") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  OperatorService_change_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "change failed: unknown result");
+}
+
+void OperatorServiceClient::edit(ChangeAnswer& _return, const EditRequest& request)
+{
+  send_edit(request);
+  recv_edit(_return);
+}
+
+void OperatorServiceClient::send_edit(const EditRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("edit", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  OperatorService_edit_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void OperatorServiceClient::recv_edit(ChangeAnswer& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("edit") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  OperatorService_configuration_presult result;
+  OperatorService_edit_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -602,21 +1071,21 @@
     // _return pointer has now been filled
     return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "configuration failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "edit failed: unknown result");
 }
 
-void OperatorServiceClient::change(ChangeAnswer& _return, const ChangeRequest& request)
+void OperatorServiceClient::changeFleet(ChangeAnswer& _return, const FleetRequest& request)
 {
-  send_change(request);
-  recv_change(_return);
+  send_changeFleet(request);
+  recv_changeFleet(_return);
 }
 
-void OperatorServiceClient::send_change(const ChangeRequest& request)
+void OperatorServiceClient::send_changeFleet(const FleetRequest& request)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("change", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("changeFleet", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  OperatorService_change_pargs args;
+  OperatorService_changeFleet_pargs args;
   args.request = &request;
   args.write(oprot_);
 
@@ -625,7 +1094,7 @@
   oprot_->getTransport()->flush();
 }
 
-void OperatorServiceClient::recv_change(ChangeAnswer& _return)
+void OperatorServiceClient::recv_changeFleet(ChangeAnswer& _return)
 {
 
   int32_t rseqid = 0;
@@ -645,12 +1114,12 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("change") != 0) {
+  if (fname.compare("changeFleet") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  OperatorService_change_presult result;
+  OperatorService_changeFleet_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -660,22 +1129,21 @@
     // _return pointer has now been filled
     return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "change failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "changeFleet failed: unknown result");
 }
 
-void OperatorServiceClient::edit(ChangeAnswer& _return, const EditRequest& request)
+void OperatorServiceClient::fleet(FleetAnswer& _return)
 {
-  send_edit(request);
-  recv_edit(_return);
+  send_fleet();
+  recv_fleet(_return);
 }
 
-void OperatorServiceClient::send_edit(const EditRequest& request)
+void OperatorServiceClient::send_fleet()
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("edit", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("fleet", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  OperatorService_edit_pargs args;
-  args.request = &request;
+  OperatorService_fleet_pargs args;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -683,7 +1151,7 @@
   oprot_->getTransport()->flush();
 }
 
-void OperatorServiceClient::recv_edit(ChangeAnswer& _return)
+void OperatorServiceClient::recv_fleet(FleetAnswer& _return)
 {
 
   int32_t rseqid = 0;
@@ -703,12 +1171,12 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("edit") != 0) {
+  if (fname.compare("fleet") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  OperatorService_edit_presult result;
+  OperatorService_fleet_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -718,7 +1186,7 @@
     // _return pointer has now been filled
     return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "edit failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "fleet failed: unknown result");
 }
 
 bool OperatorServiceProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
@@ -902,6 +1370,114 @@
   }
 }
 
+void OperatorServiceProcessor::process_changeFleet(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("OperatorService.changeFleet", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "OperatorService.changeFleet");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "OperatorService.changeFleet");
+  }
+
+  OperatorService_changeFleet_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "OperatorService.changeFleet", bytes);
+  }
+
+  OperatorService_changeFleet_result result;
+  try {
+    iface_->changeFleet(result.success, args.request);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "OperatorService.changeFleet");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("changeFleet", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "OperatorService.changeFleet");
+  }
+
+  oprot->writeMessageBegin("changeFleet", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "OperatorService.changeFleet", bytes);
+  }
+}
+
+void OperatorServiceProcessor::process_fleet(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("OperatorService.fleet", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "OperatorService.fleet");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "OperatorService.fleet");
+  }
+
+  OperatorService_fleet_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "OperatorService.fleet", bytes);
+  }
+
+  OperatorService_fleet_result result;
+  try {
+    iface_->fleet(result.success);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "OperatorService.fleet");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("fleet", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "OperatorService.fleet");
+  }
+
+  oprot->writeMessageBegin("fleet", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "OperatorService.fleet", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > OperatorServiceProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< OperatorServiceIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< OperatorServiceIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -1160,5 +1736,172 @@
   } // end while(true)
 }
 
+void OperatorServiceConcurrentClient::changeFleet(ChangeAnswer& _return, const FleetRequest& request)
+{
+  int32_t seqid = send_changeFleet(request);
+  recv_changeFleet(_return, seqid);
+}
+
+int32_t OperatorServiceConcurrentClient::send_changeFleet(const FleetRequest& request)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("changeFleet", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  OperatorService_changeFleet_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void OperatorServiceConcurrentClient::recv_changeFleet(ChangeAnswer& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("changeFleet") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      OperatorService_changeFleet_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "changeFleet failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
+void OperatorServiceConcurrentClient::fleet(FleetAnswer& _return)
+{
+  int32_t seqid = send_fleet();
+  recv_fleet(_return, seqid);
+}
+
+int32_t OperatorServiceConcurrentClient::send_fleet()
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("fleet", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  OperatorService_fleet_pargs args;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void OperatorServiceConcurrentClient::recv_fleet(FleetAnswer& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("fleet") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      OperatorService_fleet_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "fleet failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/gen/OperatorService.h
+++ b/gen/OperatorService.h
@@ -25,6 +25,8 @@
   virtual void configuration(ConfigurationAnswer& _return) = 0;
   virtual void change(ChangeAnswer& _return, const ChangeRequest& request) = 0;
   virtual void edit(ChangeAnswer& _return, const EditRequest& request) = 0;
+  virtual void changeFleet(ChangeAnswer& _return, const FleetRequest& request) = 0;
+  virtual void fleet(FleetAnswer& _return) = 0;
 };
 
 class OperatorServiceIfFactory {
@@ -63,6 +65,12 @@
   void edit(ChangeAnswer& /* _return */, const EditRequest& /* request */) override {
     return;
   }
+  void changeFleet(ChangeAnswer& /* _return */, const FleetRequest& /* request */) override {
+    return;
+  }
+  void fleet(FleetAnswer& /* _return */) override {
+    return;
+  }
 };
 
 
@@ -365,6 +373,202 @@
 
 };
 
+typedef struct _OperatorService_changeFleet_args__isset {
+  _OperatorService_changeFleet_args__isset() : request(false) {}
+  bool request :1;
+} _OperatorService_changeFleet_args__isset;
+
+class OperatorService_changeFleet_args {
+ public:
+
+  OperatorService_changeFleet_args(const OperatorService_changeFleet_args&);
+  OperatorService_changeFleet_args& operator=(const OperatorService_changeFleet_args&);
+  OperatorService_changeFleet_args() noexcept {
+  }
+
+  virtual ~OperatorService_changeFleet_args() noexcept;
+  FleetRequest request;
+
+  _OperatorService_changeFleet_args__isset __isset;
+
+  void __set_request(const FleetRequest& val);
+
+  bool operator == (const OperatorService_changeFleet_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const OperatorService_changeFleet_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OperatorService_changeFleet_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class OperatorService_changeFleet_pargs {
+ public:
+
+
+  virtual ~OperatorService_changeFleet_pargs() noexcept;
+  const FleetRequest* request;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _OperatorService_changeFleet_result__isset {
+  _OperatorService_changeFleet_result__isset() : success(false) {}
+  bool success :1;
+} _OperatorService_changeFleet_result__isset;
+
+class OperatorService_changeFleet_result {
+ public:
+
+  OperatorService_changeFleet_result(const OperatorService_changeFleet_result&);
+  OperatorService_changeFleet_result& operator=(const OperatorService_changeFleet_result&);
+  OperatorService_changeFleet_result() noexcept {
+  }
+
+  virtual ~OperatorService_changeFleet_result() noexcept;
+  ChangeAnswer success;
+
+  _OperatorService_changeFleet_result__isset __isset;
+
+  void __set_success(const ChangeAnswer& val);
+
+  bool operator == (const OperatorService_changeFleet_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const OperatorService_changeFleet_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OperatorService_changeFleet_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _OperatorService_changeFleet_presult__isset {
+  _OperatorService_changeFleet_presult__isset() : success(false) {}
+  bool success :1;
+} _OperatorService_changeFleet_presult__isset;
+
+class OperatorService_changeFleet_presult {
+ public:
+
+
+  virtual ~OperatorService_changeFleet_presult() noexcept;
+  ChangeAnswer* success;
+
+  _OperatorService_changeFleet_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
+
+class OperatorService_fleet_args {
+ public:
+
+  OperatorService_fleet_args(const OperatorService_fleet_args&) noexcept;
+  OperatorService_fleet_args& operator=(const OperatorService_fleet_args&) noexcept;
+  OperatorService_fleet_args() noexcept {
+  }
+
+  virtual ~OperatorService_fleet_args() noexcept;
+
+  bool operator == (const OperatorService_fleet_args & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const OperatorService_fleet_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OperatorService_fleet_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class OperatorService_fleet_pargs {
+ public:
+
+
+  virtual ~OperatorService_fleet_pargs() noexcept;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _OperatorService_fleet_result__isset {
+  _OperatorService_fleet_result__isset() : success(false) {}
+  bool success :1;
+} _OperatorService_fleet_result__isset;
+
+class OperatorService_fleet_result {
+ public:
+
+  OperatorService_fleet_result(const OperatorService_fleet_result&);
+  OperatorService_fleet_result& operator=(const OperatorService_fleet_result&);
+  OperatorService_fleet_result() noexcept {
+  }
+
+  virtual ~OperatorService_fleet_result() noexcept;
+  FleetAnswer success;
+
+  _OperatorService_fleet_result__isset __isset;
+
+  void __set_success(const FleetAnswer& val);
+
+  bool operator == (const OperatorService_fleet_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const OperatorService_fleet_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OperatorService_fleet_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _OperatorService_fleet_presult__isset {
+  _OperatorService_fleet_presult__isset() : success(false) {}
+  bool success :1;
+} _OperatorService_fleet_presult__isset;
+
+class OperatorService_fleet_presult {
+ public:
+
+
+  virtual ~OperatorService_fleet_presult() noexcept;
+  FleetAnswer* success;
+
+  _OperatorService_fleet_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class OperatorServiceClient : virtual public OperatorServiceIf {
  public:
   OperatorServiceClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -399,6 +603,12 @@
   void edit(ChangeAnswer& _return, const EditRequest& request) override;
   void send_edit(const EditRequest& request);
   void recv_edit(ChangeAnswer& _return);
+  void changeFleet(ChangeAnswer& _return, const FleetRequest& request) override;
+  void send_changeFleet(const FleetRequest& request);
+  void recv_changeFleet(ChangeAnswer& _return);
+  void fleet(FleetAnswer& _return) override;
+  void send_fleet();
+  void recv_fleet(FleetAnswer& _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -417,12 +627,16 @@
   void process_configuration(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_change(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_edit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_changeFleet(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_fleet(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   OperatorServiceProcessor(::std::shared_ptr<OperatorServiceIf> iface) :
     iface_(iface) {
     processMap_["configuration"] = &OperatorServiceProcessor::process_configuration;
     processMap_["change"] = &OperatorServiceProcessor::process_change;
     processMap_["edit"] = &OperatorServiceProcessor::process_edit;
+    processMap_["changeFleet"] = &OperatorServiceProcessor::process_changeFleet;
+    processMap_["fleet"] = &OperatorServiceProcessor::process_fleet;
   }
 
   virtual ~OperatorServiceProcessor() {}
@@ -481,6 +695,26 @@
     return;
   }
 
+  void changeFleet(ChangeAnswer& _return, const FleetRequest& request) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->changeFleet(_return, request);
+    }
+    ifaces_[i]->changeFleet(_return, request);
+    return;
+  }
+
+  void fleet(FleetAnswer& _return) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->fleet(_return);
+    }
+    ifaces_[i]->fleet(_return);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -522,6 +756,12 @@
   void edit(ChangeAnswer& _return, const EditRequest& request) override;
   int32_t send_edit(const EditRequest& request);
   void recv_edit(ChangeAnswer& _return, const int32_t seqid);
+  void changeFleet(ChangeAnswer& _return, const FleetRequest& request) override;
+  int32_t send_changeFleet(const FleetRequest& request);
+  void recv_changeFleet(ChangeAnswer& _return, const int32_t seqid);
+  void fleet(FleetAnswer& _return) override;
+  int32_t send_fleet();
+  void recv_fleet(FleetAnswer& _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/gen/operator_types.cpp
+++ b/gen/operator_types.cpp
@@ -1727,4 +1727,2332 @@
   out << ")";
 }
 
+
+HostEntry::~HostEntry() noexcept {
+}
+
+
+void HostEntry::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void HostEntry::__set_rack(const std::string& val) {
+  this->rack = val;
+}
+
+void HostEntry::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void HostEntry::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->rack);
+          this->__isset.rack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostEntry");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rack", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->rack);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostEntry &a, HostEntry &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.rack, b.rack);
+  swap(a.zone, b.zone);
+  swap(a.pool, b.pool);
+  swap(a.__isset, b.__isset);
+}
+
+HostEntry::HostEntry(const HostEntry& other28) {
+  name = other28.name;
+  rack = other28.rack;
+  zone = other28.zone;
+  pool = other28.pool;
+  __isset = other28.__isset;
+}
+HostEntry& HostEntry::operator=(const HostEntry& other29) {
+  name = other29.name;
+  rack = other29.rack;
+  zone = other29.zone;
+  pool = other29.pool;
+  __isset = other29.__isset;
+  return *this;
+}
+void HostEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostEntry(";
+  out << "name=" << to_string(name);
+  out << ", " << "rack=" << to_string(rack);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "pool=" << to_string(pool);
+  out << ")";
+}
+
+
+HostMoveEdit::~HostMoveEdit() noexcept {
+}
+
+
+void HostMoveEdit::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void HostMoveEdit::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void HostMoveEdit::__set_drainSeconds(const int64_t val) {
+  this->drainSeconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostMoveEdit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostMoveEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainSeconds);
+          this->__isset.drainSeconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostMoveEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostMoveEdit");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainSeconds", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->drainSeconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostMoveEdit &a, HostMoveEdit &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.pool, b.pool);
+  swap(a.drainSeconds, b.drainSeconds);
+  swap(a.__isset, b.__isset);
+}
+
+HostMoveEdit::HostMoveEdit(const HostMoveEdit& other30) {
+  host = other30.host;
+  pool = other30.pool;
+  drainSeconds = other30.drainSeconds;
+  __isset = other30.__isset;
+}
+HostMoveEdit& HostMoveEdit::operator=(const HostMoveEdit& other31) {
+  host = other31.host;
+  pool = other31.pool;
+  drainSeconds = other31.drainSeconds;
+  __isset = other31.__isset;
+  return *this;
+}
+void HostMoveEdit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostMoveEdit(";
+  out << "host=" << to_string(host);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "drainSeconds=" << to_string(drainSeconds);
+  out << ")";
+}
+
+
+BudgetEdit::~BudgetEdit() noexcept {
+}
+
+
+void BudgetEdit::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void BudgetEdit::__set_limit(const int32_t val) {
+  this->limit = val;
+}
+std::ostream& operator<<(std::ostream& out, const BudgetEdit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BudgetEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->limit);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BudgetEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BudgetEdit");
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->limit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BudgetEdit &a, BudgetEdit &b) {
+  using ::std::swap;
+  swap(a.domain, b.domain);
+  swap(a.limit, b.limit);
+  swap(a.__isset, b.__isset);
+}
+
+BudgetEdit::BudgetEdit(const BudgetEdit& other32) {
+  domain = other32.domain;
+  limit = other32.limit;
+  __isset = other32.__isset;
+}
+BudgetEdit& BudgetEdit::operator=(const BudgetEdit& other33) {
+  domain = other33.domain;
+  limit = other33.limit;
+  __isset = other33.__isset;
+  return *this;
+}
+void BudgetEdit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BudgetEdit(";
+  out << "domain=" << to_string(domain);
+  out << ", " << "limit=" << to_string(limit);
+  out << ")";
+}
+
+
+WaveDeclaration::~WaveDeclaration() noexcept {
+}
+
+
+void WaveDeclaration::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void WaveDeclaration::__set_pools(const std::vector<std::string> & val) {
+  this->pools = val;
+}
+
+void WaveDeclaration::__set_hosts(const std::vector<std::string> & val) {
+  this->hosts = val;
+}
+
+void WaveDeclaration::__set_maxOut(const int32_t val) {
+  this->maxOut = val;
+}
+
+void WaveDeclaration::__set_drainSeconds(const int64_t val) {
+  this->drainSeconds = val;
+}
+
+void WaveDeclaration::__set_deadlineSeconds(const int64_t val) {
+  this->deadlineSeconds = val;
+}
+
+void WaveDeclaration::__set_periodSeconds(const int64_t val) {
+  this->periodSeconds = val;
+}
+
+void WaveDeclaration::__set_stopsWhenOverdue(const bool val) {
+  this->stopsWhenOverdue = val;
+}
+
+void WaveDeclaration::__set_resumesAfterRepair(const bool val) {
+  this->resumesAfterRepair = val;
+}
+std::ostream& operator<<(std::ostream& out, const WaveDeclaration& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WaveDeclaration::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pools.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->pools.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += iprot->readString(this->pools[_i38]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pools = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hosts.clear();
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->hosts.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
+            {
+              xfer += iprot->readString(this->hosts[_i43]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.hosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxOut);
+          this->__isset.maxOut = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainSeconds);
+          this->__isset.drainSeconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deadlineSeconds);
+          this->__isset.deadlineSeconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->periodSeconds);
+          this->__isset.periodSeconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stopsWhenOverdue);
+          this->__isset.stopsWhenOverdue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->resumesAfterRepair);
+          this->__isset.resumesAfterRepair = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WaveDeclaration::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WaveDeclaration");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pools", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->pools.size()));
+    std::vector<std::string> ::const_iterator _iter44;
+    for (_iter44 = this->pools.begin(); _iter44 != this->pools.end(); ++_iter44)
+    {
+      xfer += oprot->writeString((*_iter44));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
+    std::vector<std::string> ::const_iterator _iter45;
+    for (_iter45 = this->hosts.begin(); _iter45 != this->hosts.end(); ++_iter45)
+    {
+      xfer += oprot->writeString((*_iter45));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxOut", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->maxOut);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainSeconds", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->drainSeconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deadlineSeconds", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->deadlineSeconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("periodSeconds", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->periodSeconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stopsWhenOverdue", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->stopsWhenOverdue);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("resumesAfterRepair", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->resumesAfterRepair);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WaveDeclaration &a, WaveDeclaration &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.pools, b.pools);
+  swap(a.hosts, b.hosts);
+  swap(a.maxOut, b.maxOut);
+  swap(a.drainSeconds, b.drainSeconds);
+  swap(a.deadlineSeconds, b.deadlineSeconds);
+  swap(a.periodSeconds, b.periodSeconds);
+  swap(a.stopsWhenOverdue, b.stopsWhenOverdue);
+  swap(a.resumesAfterRepair, b.resumesAfterRepair);
+  swap(a.__isset, b.__isset);
+}
+
+WaveDeclaration::WaveDeclaration(const WaveDeclaration& other46) {
+  id = other46.id;
+  pools = other46.pools;
+  hosts = other46.hosts;
+  maxOut = other46.maxOut;
+  drainSeconds = other46.drainSeconds;
+  deadlineSeconds = other46.deadlineSeconds;
+  periodSeconds = other46.periodSeconds;
+  stopsWhenOverdue = other46.stopsWhenOverdue;
+  resumesAfterRepair = other46.resumesAfterRepair;
+  __isset = other46.__isset;
+}
+WaveDeclaration& WaveDeclaration::operator=(const WaveDeclaration& other47) {
+  id = other47.id;
+  pools = other47.pools;
+  hosts = other47.hosts;
+  maxOut = other47.maxOut;
+  drainSeconds = other47.drainSeconds;
+  deadlineSeconds = other47.deadlineSeconds;
+  periodSeconds = other47.periodSeconds;
+  stopsWhenOverdue = other47.stopsWhenOverdue;
+  resumesAfterRepair = other47.resumesAfterRepair;
+  __isset = other47.__isset;
+  return *this;
+}
+void WaveDeclaration::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WaveDeclaration(";
+  out << "id=" << to_string(id);
+  out << ", " << "pools=" << to_string(pools);
+  out << ", " << "hosts=" << to_string(hosts);
+  out << ", " << "maxOut=" << to_string(maxOut);
+  out << ", " << "drainSeconds=" << to_string(drainSeconds);
+  out << ", " << "deadlineSeconds=" << to_string(deadlineSeconds);
+  out << ", " << "periodSeconds=" << to_string(periodSeconds);
+  out << ", " << "stopsWhenOverdue=" << to_string(stopsWhenOverdue);
+  out << ", " << "resumesAfterRepair=" << to_string(resumesAfterRepair);
+  out << ")";
+}
+
+
+FleetEdit::~FleetEdit() noexcept {
+}
+
+
+void FleetEdit::__set_registerHosts(const std::vector<HostEntry> & val) {
+  this->registerHosts = val;
+__isset.registerHosts = true;
+}
+
+void FleetEdit::__set_moveHost(const HostMoveEdit& val) {
+  this->moveHost = val;
+__isset.moveHost = true;
+}
+
+void FleetEdit::__set_cancelDrain(const std::string& val) {
+  this->cancelDrain = val;
+__isset.cancelDrain = true;
+}
+
+void FleetEdit::__set_setBudget(const BudgetEdit& val) {
+  this->setBudget = val;
+__isset.setBudget = true;
+}
+
+void FleetEdit::__set_declareWave(const WaveDeclaration& val) {
+  this->declareWave = val;
+__isset.declareWave = true;
+}
+
+void FleetEdit::__set_pauseWave(const std::string& val) {
+  this->pauseWave = val;
+__isset.pauseWave = true;
+}
+
+void FleetEdit::__set_resumeWave(const std::string& val) {
+  this->resumeWave = val;
+__isset.resumeWave = true;
+}
+
+void FleetEdit::__set_cancelWave(const std::string& val) {
+  this->cancelWave = val;
+__isset.cancelWave = true;
+}
+std::ostream& operator<<(std::ostream& out, const FleetEdit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->registerHosts.clear();
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->registerHosts.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
+            {
+              xfer += this->registerHosts[_i52].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.registerHosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->moveHost.read(iprot);
+          this->__isset.moveHost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cancelDrain);
+          this->__isset.cancelDrain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->setBudget.read(iprot);
+          this->__isset.setBudget = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->declareWave.read(iprot);
+          this->__isset.declareWave = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pauseWave);
+          this->__isset.pauseWave = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->resumeWave);
+          this->__isset.resumeWave = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cancelWave);
+          this->__isset.cancelWave = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetEdit");
+
+  if (this->__isset.registerHosts) {
+    xfer += oprot->writeFieldBegin("registerHosts", ::apache::thrift::protocol::T_LIST, 1);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registerHosts.size()));
+      std::vector<HostEntry> ::const_iterator _iter53;
+      for (_iter53 = this->registerHosts.begin(); _iter53 != this->registerHosts.end(); ++_iter53)
+      {
+        xfer += (*_iter53).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.moveHost) {
+    xfer += oprot->writeFieldBegin("moveHost", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->moveHost.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cancelDrain) {
+    xfer += oprot->writeFieldBegin("cancelDrain", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeString(this->cancelDrain);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.setBudget) {
+    xfer += oprot->writeFieldBegin("setBudget", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->setBudget.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.declareWave) {
+    xfer += oprot->writeFieldBegin("declareWave", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->declareWave.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.pauseWave) {
+    xfer += oprot->writeFieldBegin("pauseWave", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->pauseWave);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.resumeWave) {
+    xfer += oprot->writeFieldBegin("resumeWave", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->resumeWave);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cancelWave) {
+    xfer += oprot->writeFieldBegin("cancelWave", ::apache::thrift::protocol::T_STRING, 8);
+    xfer += oprot->writeString(this->cancelWave);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetEdit &a, FleetEdit &b) {
+  using ::std::swap;
+  swap(a.registerHosts, b.registerHosts);
+  swap(a.moveHost, b.moveHost);
+  swap(a.cancelDrain, b.cancelDrain);
+  swap(a.setBudget, b.setBudget);
+  swap(a.declareWave, b.declareWave);
+  swap(a.pauseWave, b.pauseWave);
+  swap(a.resumeWave, b.resumeWave);
+  swap(a.cancelWave, b.cancelWave);
+  swap(a.__isset, b.__isset);
+}
+
+FleetEdit::FleetEdit(const FleetEdit& other54) {
+  registerHosts = other54.registerHosts;
+  moveHost = other54.moveHost;
+  cancelDrain = other54.cancelDrain;
+  setBudget = other54.setBudget;
+  declareWave = other54.declareWave;
+  pauseWave = other54.pauseWave;
+  resumeWave = other54.resumeWave;
+  cancelWave = other54.cancelWave;
+  __isset = other54.__isset;
+}
+FleetEdit& FleetEdit::operator=(const FleetEdit& other55) {
+  registerHosts = other55.registerHosts;
+  moveHost = other55.moveHost;
+  cancelDrain = other55.cancelDrain;
+  setBudget = other55.setBudget;
+  declareWave = other55.declareWave;
+  pauseWave = other55.pauseWave;
+  resumeWave = other55.resumeWave;
+  cancelWave = other55.cancelWave;
+  __isset = other55.__isset;
+  return *this;
+}
+void FleetEdit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetEdit(";
+  out << "registerHosts="; (__isset.registerHosts ? (out << to_string(registerHosts)) : (out << "<null>"));
+  out << ", " << "moveHost="; (__isset.moveHost ? (out << to_string(moveHost)) : (out << "<null>"));
+  out << ", " << "cancelDrain="; (__isset.cancelDrain ? (out << to_string(cancelDrain)) : (out << "<null>"));
+  out << ", " << "setBudget="; (__isset.setBudget ? (out << to_string(setBudget)) : (out << "<null>"));
+  out << ", " << "declareWave="; (__isset.declareWave ? (out << to_string(declareWave)) : (out << "<null>"));
+  out << ", " << "pauseWave="; (__isset.pauseWave ? (out << to_string(pauseWave)) : (out << "<null>"));
+  out << ", " << "resumeWave="; (__isset.resumeWave ? (out << to_string(resumeWave)) : (out << "<null>"));
+  out << ", " << "cancelWave="; (__isset.cancelWave ? (out << to_string(cancelWave)) : (out << "<null>"));
+  out << ")";
+}
+
+
+FleetRequest::~FleetRequest() noexcept {
+}
+
+
+void FleetRequest::__set_operationId(const std::string& val) {
+  this->operationId = val;
+}
+
+void FleetRequest::__set_edit(const FleetEdit& val) {
+  this->edit = val;
+}
+
+void FleetRequest::__set_isNewId(const bool val) {
+  this->isNewId = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operationId);
+          this->__isset.operationId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->edit.read(iprot);
+          this->__isset.edit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isNewId);
+          this->__isset.isNewId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetRequest");
+
+  xfer += oprot->writeFieldBegin("operationId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->operationId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("edit", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->edit.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isNewId", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isNewId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetRequest &a, FleetRequest &b) {
+  using ::std::swap;
+  swap(a.operationId, b.operationId);
+  swap(a.edit, b.edit);
+  swap(a.isNewId, b.isNewId);
+  swap(a.__isset, b.__isset);
+}
+
+FleetRequest::FleetRequest(const FleetRequest& other56) {
+  operationId = other56.operationId;
+  edit = other56.edit;
+  isNewId = other56.isNewId;
+  __isset = other56.__isset;
+}
+FleetRequest& FleetRequest::operator=(const FleetRequest& other57) {
+  operationId = other57.operationId;
+  edit = other57.edit;
+  isNewId = other57.isNewId;
+  __isset = other57.__isset;
+  return *this;
+}
+void FleetRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetRequest(";
+  out << "operationId=" << to_string(operationId);
+  out << ", " << "edit=" << to_string(edit);
+  out << ", " << "isNewId=" << to_string(isNewId);
+  out << ")";
+}
+
+
+HostStatus::~HostStatus() noexcept {
+}
+
+
+void HostStatus::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void HostStatus::__set_rack(const std::string& val) {
+  this->rack = val;
+}
+
+void HostStatus::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void HostStatus::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void HostStatus::__set_state(const std::string& val) {
+  this->state = val;
+}
+
+void HostStatus::__set_targetPool(const std::string& val) {
+  this->targetPool = val;
+}
+
+void HostStatus::__set_operationId(const std::string& val) {
+  this->operationId = val;
+}
+
+void HostStatus::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void HostStatus::__set_drainDeadline(const int64_t val) {
+  this->drainDeadline = val;
+}
+
+void HostStatus::__set_maintainedAt(const int64_t val) {
+  this->maintainedAt = val;
+}
+
+void HostStatus::__set_isLost(const bool val) {
+  this->isLost = val;
+}
+
+void HostStatus::__set_waitsFor(const std::string& val) {
+  this->waitsFor = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostStatus& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->rack);
+          this->__isset.rack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetPool);
+          this->__isset.targetPool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operationId);
+          this->__isset.operationId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->drainDeadline);
+          this->__isset.drainDeadline = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->maintainedAt);
+          this->__isset.maintainedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isLost);
+          this->__isset.isLost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->waitsFor);
+          this->__isset.waitsFor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostStatus");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rack", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->rack);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetPool", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->targetPool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operationId", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->operationId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drainDeadline", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->drainDeadline);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maintainedAt", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->maintainedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isLost", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->isLost);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitsFor", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->waitsFor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostStatus &a, HostStatus &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.rack, b.rack);
+  swap(a.zone, b.zone);
+  swap(a.pool, b.pool);
+  swap(a.state, b.state);
+  swap(a.targetPool, b.targetPool);
+  swap(a.operationId, b.operationId);
+  swap(a.epoch, b.epoch);
+  swap(a.drainDeadline, b.drainDeadline);
+  swap(a.maintainedAt, b.maintainedAt);
+  swap(a.isLost, b.isLost);
+  swap(a.waitsFor, b.waitsFor);
+  swap(a.__isset, b.__isset);
+}
+
+HostStatus::HostStatus(const HostStatus& other58) {
+  name = other58.name;
+  rack = other58.rack;
+  zone = other58.zone;
+  pool = other58.pool;
+  state = other58.state;
+  targetPool = other58.targetPool;
+  operationId = other58.operationId;
+  epoch = other58.epoch;
+  drainDeadline = other58.drainDeadline;
+  maintainedAt = other58.maintainedAt;
+  isLost = other58.isLost;
+  waitsFor = other58.waitsFor;
+  __isset = other58.__isset;
+}
+HostStatus& HostStatus::operator=(const HostStatus& other59) {
+  name = other59.name;
+  rack = other59.rack;
+  zone = other59.zone;
+  pool = other59.pool;
+  state = other59.state;
+  targetPool = other59.targetPool;
+  operationId = other59.operationId;
+  epoch = other59.epoch;
+  drainDeadline = other59.drainDeadline;
+  maintainedAt = other59.maintainedAt;
+  isLost = other59.isLost;
+  waitsFor = other59.waitsFor;
+  __isset = other59.__isset;
+  return *this;
+}
+void HostStatus::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostStatus(";
+  out << "name=" << to_string(name);
+  out << ", " << "rack=" << to_string(rack);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "targetPool=" << to_string(targetPool);
+  out << ", " << "operationId=" << to_string(operationId);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "drainDeadline=" << to_string(drainDeadline);
+  out << ", " << "maintainedAt=" << to_string(maintainedAt);
+  out << ", " << "isLost=" << to_string(isLost);
+  out << ", " << "waitsFor=" << to_string(waitsFor);
+  out << ")";
+}
+
+
+DomainUnit::~DomainUnit() noexcept {
+}
+
+
+void DomainUnit::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void DomainUnit::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+std::ostream& operator<<(std::ostream& out, const DomainUnit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DomainUnit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DomainUnit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DomainUnit");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DomainUnit &a, DomainUnit &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.holder, b.holder);
+  swap(a.__isset, b.__isset);
+}
+
+DomainUnit::DomainUnit(const DomainUnit& other60) {
+  host = other60.host;
+  holder = other60.holder;
+  __isset = other60.__isset;
+}
+DomainUnit& DomainUnit::operator=(const DomainUnit& other61) {
+  host = other61.host;
+  holder = other61.holder;
+  __isset = other61.__isset;
+  return *this;
+}
+void DomainUnit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DomainUnit(";
+  out << "host=" << to_string(host);
+  out << ", " << "holder=" << to_string(holder);
+  out << ")";
+}
+
+
+DomainStatus::~DomainStatus() noexcept {
+}
+
+
+void DomainStatus::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void DomainStatus::__set_limit(const int32_t val) {
+  this->limit = val;
+}
+
+void DomainStatus::__set_hosts(const int32_t val) {
+  this->hosts = val;
+}
+
+void DomainStatus::__set_units(const std::vector<DomainUnit> & val) {
+  this->units = val;
+}
+std::ostream& operator<<(std::ostream& out, const DomainStatus& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DomainStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->limit);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->hosts);
+          this->__isset.hosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->units.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->units.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
+            {
+              xfer += this->units[_i66].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.units = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DomainStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DomainStatus");
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->limit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->hosts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("units", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->units.size()));
+    std::vector<DomainUnit> ::const_iterator _iter67;
+    for (_iter67 = this->units.begin(); _iter67 != this->units.end(); ++_iter67)
+    {
+      xfer += (*_iter67).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DomainStatus &a, DomainStatus &b) {
+  using ::std::swap;
+  swap(a.domain, b.domain);
+  swap(a.limit, b.limit);
+  swap(a.hosts, b.hosts);
+  swap(a.units, b.units);
+  swap(a.__isset, b.__isset);
+}
+
+DomainStatus::DomainStatus(const DomainStatus& other68) {
+  domain = other68.domain;
+  limit = other68.limit;
+  hosts = other68.hosts;
+  units = other68.units;
+  __isset = other68.__isset;
+}
+DomainStatus& DomainStatus::operator=(const DomainStatus& other69) {
+  domain = other69.domain;
+  limit = other69.limit;
+  hosts = other69.hosts;
+  units = other69.units;
+  __isset = other69.__isset;
+  return *this;
+}
+void DomainStatus::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DomainStatus(";
+  out << "domain=" << to_string(domain);
+  out << ", " << "limit=" << to_string(limit);
+  out << ", " << "hosts=" << to_string(hosts);
+  out << ", " << "units=" << to_string(units);
+  out << ")";
+}
+
+
+WaveStatus::~WaveStatus() noexcept {
+}
+
+
+void WaveStatus::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void WaveStatus::__set_state(const std::string& val) {
+  this->state = val;
+}
+
+void WaveStatus::__set_stopReason(const std::string& val) {
+  this->stopReason = val;
+}
+
+void WaveStatus::__set_total(const int32_t val) {
+  this->total = val;
+}
+
+void WaveStatus::__set_done(const int32_t val) {
+  this->done = val;
+}
+
+void WaveStatus::__set_hostsOut(const int32_t val) {
+  this->hostsOut = val;
+}
+
+void WaveStatus::__set_lost(const int32_t val) {
+  this->lost = val;
+}
+
+void WaveStatus::__set_overdue(const std::vector<std::string> & val) {
+  this->overdue = val;
+}
+
+void WaveStatus::__set_skipped(const std::vector<std::string> & val) {
+  this->skipped = val;
+}
+
+void WaveStatus::__set_startedAt(const int64_t val) {
+  this->startedAt = val;
+}
+
+void WaveStatus::__set_expectedEnd(const int64_t val) {
+  this->expectedEnd = val;
+}
+
+void WaveStatus::__set_deadline(const int64_t val) {
+  this->deadline = val;
+}
+
+void WaveStatus::__set_isLate(const bool val) {
+  this->isLate = val;
+}
+
+void WaveStatus::__set_waitsFor(const std::vector<std::string> & val) {
+  this->waitsFor = val;
+}
+std::ostream& operator<<(std::ostream& out, const WaveStatus& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WaveStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->stopReason);
+          this->__isset.stopReason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->total);
+          this->__isset.total = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->done);
+          this->__isset.done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->hostsOut);
+          this->__isset.hostsOut = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lost);
+          this->__isset.lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->overdue.clear();
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->overdue.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
+            {
+              xfer += iprot->readString(this->overdue[_i74]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.overdue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->skipped.clear();
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->skipped.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
+            {
+              xfer += iprot->readString(this->skipped[_i79]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.skipped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAt);
+          this->__isset.startedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expectedEnd);
+          this->__isset.expectedEnd = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deadline);
+          this->__isset.deadline = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isLate);
+          this->__isset.isLate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waitsFor.clear();
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->waitsFor.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
+            {
+              xfer += iprot->readString(this->waitsFor[_i84]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waitsFor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WaveStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WaveStatus");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stopReason", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->stopReason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->done);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hostsOut", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->hostsOut);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->lost);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("overdue", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->overdue.size()));
+    std::vector<std::string> ::const_iterator _iter85;
+    for (_iter85 = this->overdue.begin(); _iter85 != this->overdue.end(); ++_iter85)
+    {
+      xfer += oprot->writeString((*_iter85));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("skipped", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->skipped.size()));
+    std::vector<std::string> ::const_iterator _iter86;
+    for (_iter86 = this->skipped.begin(); _iter86 != this->skipped.end(); ++_iter86)
+    {
+      xfer += oprot->writeString((*_iter86));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAt", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->startedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expectedEnd", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->expectedEnd);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deadline", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->deadline);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isLate", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->isLate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitsFor", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->waitsFor.size()));
+    std::vector<std::string> ::const_iterator _iter87;
+    for (_iter87 = this->waitsFor.begin(); _iter87 != this->waitsFor.end(); ++_iter87)
+    {
+      xfer += oprot->writeString((*_iter87));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WaveStatus &a, WaveStatus &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.state, b.state);
+  swap(a.stopReason, b.stopReason);
+  swap(a.total, b.total);
+  swap(a.done, b.done);
+  swap(a.hostsOut, b.hostsOut);
+  swap(a.lost, b.lost);
+  swap(a.overdue, b.overdue);
+  swap(a.skipped, b.skipped);
+  swap(a.startedAt, b.startedAt);
+  swap(a.expectedEnd, b.expectedEnd);
+  swap(a.deadline, b.deadline);
+  swap(a.isLate, b.isLate);
+  swap(a.waitsFor, b.waitsFor);
+  swap(a.__isset, b.__isset);
+}
+
+WaveStatus::WaveStatus(const WaveStatus& other88) {
+  id = other88.id;
+  state = other88.state;
+  stopReason = other88.stopReason;
+  total = other88.total;
+  done = other88.done;
+  hostsOut = other88.hostsOut;
+  lost = other88.lost;
+  overdue = other88.overdue;
+  skipped = other88.skipped;
+  startedAt = other88.startedAt;
+  expectedEnd = other88.expectedEnd;
+  deadline = other88.deadline;
+  isLate = other88.isLate;
+  waitsFor = other88.waitsFor;
+  __isset = other88.__isset;
+}
+WaveStatus& WaveStatus::operator=(const WaveStatus& other89) {
+  id = other89.id;
+  state = other89.state;
+  stopReason = other89.stopReason;
+  total = other89.total;
+  done = other89.done;
+  hostsOut = other89.hostsOut;
+  lost = other89.lost;
+  overdue = other89.overdue;
+  skipped = other89.skipped;
+  startedAt = other89.startedAt;
+  expectedEnd = other89.expectedEnd;
+  deadline = other89.deadline;
+  isLate = other89.isLate;
+  waitsFor = other89.waitsFor;
+  __isset = other89.__isset;
+  return *this;
+}
+void WaveStatus::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WaveStatus(";
+  out << "id=" << to_string(id);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "stopReason=" << to_string(stopReason);
+  out << ", " << "total=" << to_string(total);
+  out << ", " << "done=" << to_string(done);
+  out << ", " << "hostsOut=" << to_string(hostsOut);
+  out << ", " << "lost=" << to_string(lost);
+  out << ", " << "overdue=" << to_string(overdue);
+  out << ", " << "skipped=" << to_string(skipped);
+  out << ", " << "startedAt=" << to_string(startedAt);
+  out << ", " << "expectedEnd=" << to_string(expectedEnd);
+  out << ", " << "deadline=" << to_string(deadline);
+  out << ", " << "isLate=" << to_string(isLate);
+  out << ", " << "waitsFor=" << to_string(waitsFor);
+  out << ")";
+}
+
+
+FleetAnswer::~FleetAnswer() noexcept {
+}
+
+
+void FleetAnswer::__set_code(const int32_t val) {
+  this->code = val;
+}
+
+void FleetAnswer::__set_detail(const std::string& val) {
+  this->detail = val;
+}
+
+void FleetAnswer::__set_hosts(const std::vector<HostStatus> & val) {
+  this->hosts = val;
+}
+
+void FleetAnswer::__set_domains(const std::vector<DomainStatus> & val) {
+  this->domains = val;
+}
+
+void FleetAnswer::__set_waves(const std::vector<WaveStatus> & val) {
+  this->waves = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->code);
+          this->__isset.code = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->detail);
+          this->__isset.detail = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hosts.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->hosts.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += this->hosts[_i94].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.hosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->domains.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->domains.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += this->domains[_i99].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waves.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->waves.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += this->waves[_i104].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waves = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetAnswer");
+
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->code);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("detail", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->detail);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
+    std::vector<HostStatus> ::const_iterator _iter105;
+    for (_iter105 = this->hosts.begin(); _iter105 != this->hosts.end(); ++_iter105)
+    {
+      xfer += (*_iter105).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->domains.size()));
+    std::vector<DomainStatus> ::const_iterator _iter106;
+    for (_iter106 = this->domains.begin(); _iter106 != this->domains.end(); ++_iter106)
+    {
+      xfer += (*_iter106).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waves", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waves.size()));
+    std::vector<WaveStatus> ::const_iterator _iter107;
+    for (_iter107 = this->waves.begin(); _iter107 != this->waves.end(); ++_iter107)
+    {
+      xfer += (*_iter107).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetAnswer &a, FleetAnswer &b) {
+  using ::std::swap;
+  swap(a.code, b.code);
+  swap(a.detail, b.detail);
+  swap(a.hosts, b.hosts);
+  swap(a.domains, b.domains);
+  swap(a.waves, b.waves);
+  swap(a.__isset, b.__isset);
+}
+
+FleetAnswer::FleetAnswer(const FleetAnswer& other108) {
+  code = other108.code;
+  detail = other108.detail;
+  hosts = other108.hosts;
+  domains = other108.domains;
+  waves = other108.waves;
+  __isset = other108.__isset;
+}
+FleetAnswer& FleetAnswer::operator=(const FleetAnswer& other109) {
+  code = other109.code;
+  detail = other109.detail;
+  hosts = other109.hosts;
+  domains = other109.domains;
+  waves = other109.waves;
+  __isset = other109.__isset;
+  return *this;
+}
+void FleetAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetAnswer(";
+  out << "code=" << to_string(code);
+  out << ", " << "detail=" << to_string(detail);
+  out << ", " << "hosts=" << to_string(hosts);
+  out << ", " << "domains=" << to_string(domains);
+  out << ", " << "waves=" << to_string(waves);
+  out << ")";
+}
+
 }} // namespace
--- a/gen/operator_types.h
+++ b/gen/operator_types.h
@@ -43,6 +43,28 @@
 
 class ConfigurationAnswer;
 
+class HostEntry;
+
+class HostMoveEdit;
+
+class BudgetEdit;
+
+class WaveDeclaration;
+
+class FleetEdit;
+
+class FleetRequest;
+
+class HostStatus;
+
+class DomainUnit;
+
+class DomainStatus;
+
+class WaveStatus;
+
+class FleetAnswer;
+
 typedef struct _ChangeRequest__isset {
   _ChangeRequest__isset() : operationId(false), baseVersion(false), document(false), isNewId(true) {}
   bool operationId :1;
@@ -762,6 +784,866 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigurationAnswer& obj);
 
+typedef struct _HostEntry__isset {
+  _HostEntry__isset() : name(false), rack(false), zone(false), pool(false) {}
+  bool name :1;
+  bool rack :1;
+  bool zone :1;
+  bool pool :1;
+} _HostEntry__isset;
+
+class HostEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostEntry(const HostEntry&);
+  HostEntry& operator=(const HostEntry&);
+  HostEntry() noexcept
+            : name(),
+              rack(),
+              zone(),
+              pool() {
+  }
+
+  virtual ~HostEntry() noexcept;
+  std::string name;
+  std::string rack;
+  std::string zone;
+  std::string pool;
+
+  _HostEntry__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_rack(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_pool(const std::string& val);
+
+  bool operator == (const HostEntry & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(rack == rhs.rack))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    return true;
+  }
+  bool operator != (const HostEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostEntry &a, HostEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const HostEntry& obj);
+
+typedef struct _HostMoveEdit__isset {
+  _HostMoveEdit__isset() : host(false), pool(false), drainSeconds(false) {}
+  bool host :1;
+  bool pool :1;
+  bool drainSeconds :1;
+} _HostMoveEdit__isset;
+
+class HostMoveEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostMoveEdit(const HostMoveEdit&);
+  HostMoveEdit& operator=(const HostMoveEdit&);
+  HostMoveEdit() noexcept
+               : host(),
+                 pool(),
+                 drainSeconds(0) {
+  }
+
+  virtual ~HostMoveEdit() noexcept;
+  std::string host;
+  std::string pool;
+  int64_t drainSeconds;
+
+  _HostMoveEdit__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_pool(const std::string& val);
+
+  void __set_drainSeconds(const int64_t val);
+
+  bool operator == (const HostMoveEdit & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(drainSeconds == rhs.drainSeconds))
+      return false;
+    return true;
+  }
+  bool operator != (const HostMoveEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostMoveEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostMoveEdit &a, HostMoveEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const HostMoveEdit& obj);
+
+typedef struct _BudgetEdit__isset {
+  _BudgetEdit__isset() : domain(false), limit(false) {}
+  bool domain :1;
+  bool limit :1;
+} _BudgetEdit__isset;
+
+class BudgetEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  BudgetEdit(const BudgetEdit&);
+  BudgetEdit& operator=(const BudgetEdit&);
+  BudgetEdit() noexcept
+             : domain(),
+               limit(0) {
+  }
+
+  virtual ~BudgetEdit() noexcept;
+  std::string domain;
+  int32_t limit;
+
+  _BudgetEdit__isset __isset;
+
+  void __set_domain(const std::string& val);
+
+  void __set_limit(const int32_t val);
+
+  bool operator == (const BudgetEdit & rhs) const
+  {
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(limit == rhs.limit))
+      return false;
+    return true;
+  }
+  bool operator != (const BudgetEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BudgetEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BudgetEdit &a, BudgetEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const BudgetEdit& obj);
+
+typedef struct _WaveDeclaration__isset {
+  _WaveDeclaration__isset() : id(false), pools(false), hosts(false), maxOut(false), drainSeconds(false), deadlineSeconds(true), periodSeconds(true), stopsWhenOverdue(true), resumesAfterRepair(true) {}
+  bool id :1;
+  bool pools :1;
+  bool hosts :1;
+  bool maxOut :1;
+  bool drainSeconds :1;
+  bool deadlineSeconds :1;
+  bool periodSeconds :1;
+  bool stopsWhenOverdue :1;
+  bool resumesAfterRepair :1;
+} _WaveDeclaration__isset;
+
+class WaveDeclaration : public virtual ::apache::thrift::TBase {
+ public:
+
+  WaveDeclaration(const WaveDeclaration&);
+  WaveDeclaration& operator=(const WaveDeclaration&);
+  WaveDeclaration() noexcept
+                  : id(),
+                    maxOut(0),
+                    drainSeconds(0),
+                    deadlineSeconds(0LL),
+                    periodSeconds(0LL),
+                    stopsWhenOverdue(false),
+                    resumesAfterRepair(false) {
+  }
+
+  virtual ~WaveDeclaration() noexcept;
+  std::string id;
+  std::vector<std::string>  pools;
+  std::vector<std::string>  hosts;
+  int32_t maxOut;
+  int64_t drainSeconds;
+  int64_t deadlineSeconds;
+  int64_t periodSeconds;
+  bool stopsWhenOverdue;
+  bool resumesAfterRepair;
+
+  _WaveDeclaration__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_pools(const std::vector<std::string> & val);
+
+  void __set_hosts(const std::vector<std::string> & val);
+
+  void __set_maxOut(const int32_t val);
+
+  void __set_drainSeconds(const int64_t val);
+
+  void __set_deadlineSeconds(const int64_t val);
+
+  void __set_periodSeconds(const int64_t val);
+
+  void __set_stopsWhenOverdue(const bool val);
+
+  void __set_resumesAfterRepair(const bool val);
+
+  bool operator == (const WaveDeclaration & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(pools == rhs.pools))
+      return false;
+    if (!(hosts == rhs.hosts))
+      return false;
+    if (!(maxOut == rhs.maxOut))
+      return false;
+    if (!(drainSeconds == rhs.drainSeconds))
+      return false;
+    if (!(deadlineSeconds == rhs.deadlineSeconds))
+      return false;
+    if (!(periodSeconds == rhs.periodSeconds))
+      return false;
+    if (!(stopsWhenOverdue == rhs.stopsWhenOverdue))
+      return false;
+    if (!(resumesAfterRepair == rhs.resumesAfterRepair))
+      return false;
+    return true;
+  }
+  bool operator != (const WaveDeclaration &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WaveDeclaration & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WaveDeclaration &a, WaveDeclaration &b);
+
+std::ostream& operator<<(std::ostream& out, const WaveDeclaration& obj);
+
+typedef struct _FleetEdit__isset {
+  _FleetEdit__isset() : registerHosts(false), moveHost(false), cancelDrain(false), setBudget(false), declareWave(false), pauseWave(false), resumeWave(false), cancelWave(false) {}
+  bool registerHosts :1;
+  bool moveHost :1;
+  bool cancelDrain :1;
+  bool setBudget :1;
+  bool declareWave :1;
+  bool pauseWave :1;
+  bool resumeWave :1;
+  bool cancelWave :1;
+} _FleetEdit__isset;
+
+class FleetEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetEdit(const FleetEdit&);
+  FleetEdit& operator=(const FleetEdit&);
+  FleetEdit() noexcept
+            : cancelDrain(),
+              pauseWave(),
+              resumeWave(),
+              cancelWave() {
+  }
+
+  virtual ~FleetEdit() noexcept;
+  std::vector<HostEntry>  registerHosts;
+  HostMoveEdit moveHost;
+  std::string cancelDrain;
+  BudgetEdit setBudget;
+  WaveDeclaration declareWave;
+  std::string pauseWave;
+  std::string resumeWave;
+  std::string cancelWave;
+
+  _FleetEdit__isset __isset;
+
+  void __set_registerHosts(const std::vector<HostEntry> & val);
+
+  void __set_moveHost(const HostMoveEdit& val);
+
+  void __set_cancelDrain(const std::string& val);
+
+  void __set_setBudget(const BudgetEdit& val);
+
+  void __set_declareWave(const WaveDeclaration& val);
+
+  void __set_pauseWave(const std::string& val);
+
+  void __set_resumeWave(const std::string& val);
+
+  void __set_cancelWave(const std::string& val);
+
+  bool operator == (const FleetEdit & rhs) const
+  {
+    if (__isset.registerHosts != rhs.__isset.registerHosts)
+      return false;
+    else if (__isset.registerHosts && !(registerHosts == rhs.registerHosts))
+      return false;
+    if (__isset.moveHost != rhs.__isset.moveHost)
+      return false;
+    else if (__isset.moveHost && !(moveHost == rhs.moveHost))
+      return false;
+    if (__isset.cancelDrain != rhs.__isset.cancelDrain)
+      return false;
+    else if (__isset.cancelDrain && !(cancelDrain == rhs.cancelDrain))
+      return false;
+    if (__isset.setBudget != rhs.__isset.setBudget)
+      return false;
+    else if (__isset.setBudget && !(setBudget == rhs.setBudget))
+      return false;
+    if (__isset.declareWave != rhs.__isset.declareWave)
+      return false;
+    else if (__isset.declareWave && !(declareWave == rhs.declareWave))
+      return false;
+    if (__isset.pauseWave != rhs.__isset.pauseWave)
+      return false;
+    else if (__isset.pauseWave && !(pauseWave == rhs.pauseWave))
+      return false;
+    if (__isset.resumeWave != rhs.__isset.resumeWave)
+      return false;
+    else if (__isset.resumeWave && !(resumeWave == rhs.resumeWave))
+      return false;
+    if (__isset.cancelWave != rhs.__isset.cancelWave)
+      return false;
+    else if (__isset.cancelWave && !(cancelWave == rhs.cancelWave))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetEdit &a, FleetEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetEdit& obj);
+
+typedef struct _FleetRequest__isset {
+  _FleetRequest__isset() : operationId(false), edit(false), isNewId(true) {}
+  bool operationId :1;
+  bool edit :1;
+  bool isNewId :1;
+} _FleetRequest__isset;
+
+class FleetRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetRequest(const FleetRequest&);
+  FleetRequest& operator=(const FleetRequest&);
+  FleetRequest() noexcept
+               : operationId(),
+                 isNewId(false) {
+  }
+
+  virtual ~FleetRequest() noexcept;
+  std::string operationId;
+  FleetEdit edit;
+  bool isNewId;
+
+  _FleetRequest__isset __isset;
+
+  void __set_operationId(const std::string& val);
+
+  void __set_edit(const FleetEdit& val);
+
+  void __set_isNewId(const bool val);
+
+  bool operator == (const FleetRequest & rhs) const
+  {
+    if (!(operationId == rhs.operationId))
+      return false;
+    if (!(edit == rhs.edit))
+      return false;
+    if (!(isNewId == rhs.isNewId))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetRequest &a, FleetRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetRequest& obj);
+
+typedef struct _HostStatus__isset {
+  _HostStatus__isset() : name(false), rack(false), zone(false), pool(false), state(false), targetPool(false), operationId(false), epoch(false), drainDeadline(false), maintainedAt(false), isLost(false), waitsFor(false) {}
+  bool name :1;
+  bool rack :1;
+  bool zone :1;
+  bool pool :1;
+  bool state :1;
+  bool targetPool :1;
+  bool operationId :1;
+  bool epoch :1;
+  bool drainDeadline :1;
+  bool maintainedAt :1;
+  bool isLost :1;
+  bool waitsFor :1;
+} _HostStatus__isset;
+
+class HostStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostStatus(const HostStatus&);
+  HostStatus& operator=(const HostStatus&);
+  HostStatus() noexcept
+             : name(),
+               rack(),
+               zone(),
+               pool(),
+               state(),
+               targetPool(),
+               operationId(),
+               epoch(0),
+               drainDeadline(0),
+               maintainedAt(0),
+               isLost(0),
+               waitsFor() {
+  }
+
+  virtual ~HostStatus() noexcept;
+  std::string name;
+  std::string rack;
+  std::string zone;
+  std::string pool;
+  std::string state;
+  std::string targetPool;
+  std::string operationId;
+  int64_t epoch;
+  int64_t drainDeadline;
+  int64_t maintainedAt;
+  bool isLost;
+  std::string waitsFor;
+
+  _HostStatus__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_rack(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_pool(const std::string& val);
+
+  void __set_state(const std::string& val);
+
+  void __set_targetPool(const std::string& val);
+
+  void __set_operationId(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_drainDeadline(const int64_t val);
+
+  void __set_maintainedAt(const int64_t val);
+
+  void __set_isLost(const bool val);
+
+  void __set_waitsFor(const std::string& val);
+
+  bool operator == (const HostStatus & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(rack == rhs.rack))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(targetPool == rhs.targetPool))
+      return false;
+    if (!(operationId == rhs.operationId))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(drainDeadline == rhs.drainDeadline))
+      return false;
+    if (!(maintainedAt == rhs.maintainedAt))
+      return false;
+    if (!(isLost == rhs.isLost))
+      return false;
+    if (!(waitsFor == rhs.waitsFor))
+      return false;
+    return true;
+  }
+  bool operator != (const HostStatus &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostStatus & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostStatus &a, HostStatus &b);
+
+std::ostream& operator<<(std::ostream& out, const HostStatus& obj);
+
+typedef struct _DomainUnit__isset {
+  _DomainUnit__isset() : host(false), holder(false) {}
+  bool host :1;
+  bool holder :1;
+} _DomainUnit__isset;
+
+class DomainUnit : public virtual ::apache::thrift::TBase {
+ public:
+
+  DomainUnit(const DomainUnit&);
+  DomainUnit& operator=(const DomainUnit&);
+  DomainUnit() noexcept
+             : host(),
+               holder() {
+  }
+
+  virtual ~DomainUnit() noexcept;
+  std::string host;
+  std::string holder;
+
+  _DomainUnit__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_holder(const std::string& val);
+
+  bool operator == (const DomainUnit & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    return true;
+  }
+  bool operator != (const DomainUnit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DomainUnit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DomainUnit &a, DomainUnit &b);
+
+std::ostream& operator<<(std::ostream& out, const DomainUnit& obj);
+
+typedef struct _DomainStatus__isset {
+  _DomainStatus__isset() : domain(false), limit(false), hosts(false), units(false) {}
+  bool domain :1;
+  bool limit :1;
+  bool hosts :1;
+  bool units :1;
+} _DomainStatus__isset;
+
+class DomainStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  DomainStatus(const DomainStatus&);
+  DomainStatus& operator=(const DomainStatus&);
+  DomainStatus() noexcept
+               : domain(),
+                 limit(0),
+                 hosts(0) {
+  }
+
+  virtual ~DomainStatus() noexcept;
+  std::string domain;
+  int32_t limit;
+  int32_t hosts;
+  std::vector<DomainUnit>  units;
+
+  _DomainStatus__isset __isset;
+
+  void __set_domain(const std::string& val);
+
+  void __set_limit(const int32_t val);
+
+  void __set_hosts(const int32_t val);
+
+  void __set_units(const std::vector<DomainUnit> & val);
+
+  bool operator == (const DomainStatus & rhs) const
+  {
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(limit == rhs.limit))
+      return false;
+    if (!(hosts == rhs.hosts))
+      return false;
+    if (!(units == rhs.units))
+      return false;
+    return true;
+  }
+  bool operator != (const DomainStatus &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DomainStatus & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DomainStatus &a, DomainStatus &b);
+
+std::ostream& operator<<(std::ostream& out, const DomainStatus& obj);
+
+typedef struct _WaveStatus__isset {
+  _WaveStatus__isset() : id(false), state(false), stopReason(false), total(false), done(false), hostsOut(false), lost(false), overdue(false), skipped(false), startedAt(false), expectedEnd(false), deadline(false), isLate(false), waitsFor(false) {}
+  bool id :1;
+  bool state :1;
+  bool stopReason :1;
+  bool total :1;
+  bool done :1;
+  bool hostsOut :1;
+  bool lost :1;
+  bool overdue :1;
+  bool skipped :1;
+  bool startedAt :1;
+  bool expectedEnd :1;
+  bool deadline :1;
+  bool isLate :1;
+  bool waitsFor :1;
+} _WaveStatus__isset;
+
+class WaveStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  WaveStatus(const WaveStatus&);
+  WaveStatus& operator=(const WaveStatus&);
+  WaveStatus() noexcept
+             : id(),
+               state(),
+               stopReason(),
+               total(0),
+               done(0),
+               hostsOut(0),
+               lost(0),
+               startedAt(0),
+               expectedEnd(0),
+               deadline(0),
+               isLate(0) {
+  }
+
+  virtual ~WaveStatus() noexcept;
+  std::string id;
+  std::string state;
+  std::string stopReason;
+  int32_t total;
+  int32_t done;
+  int32_t hostsOut;
+  int32_t lost;
+  std::vector<std::string>  overdue;
+  std::vector<std::string>  skipped;
+  int64_t startedAt;
+  int64_t expectedEnd;
+  int64_t deadline;
+  bool isLate;
+  std::vector<std::string>  waitsFor;
+
+  _WaveStatus__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_state(const std::string& val);
+
+  void __set_stopReason(const std::string& val);
+
+  void __set_total(const int32_t val);
+
+  void __set_done(const int32_t val);
+
+  void __set_hostsOut(const int32_t val);
+
+  void __set_lost(const int32_t val);
+
+  void __set_overdue(const std::vector<std::string> & val);
+
+  void __set_skipped(const std::vector<std::string> & val);
+
+  void __set_startedAt(const int64_t val);
+
+  void __set_expectedEnd(const int64_t val);
+
+  void __set_deadline(const int64_t val);
+
+  void __set_isLate(const bool val);
+
+  void __set_waitsFor(const std::vector<std::string> & val);
+
+  bool operator == (const WaveStatus & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(stopReason == rhs.stopReason))
+      return false;
+    if (!(total == rhs.total))
+      return false;
+    if (!(done == rhs.done))
+      return false;
+    if (!(hostsOut == rhs.hostsOut))
+      return false;
+    if (!(lost == rhs.lost))
+      return false;
+    if (!(overdue == rhs.overdue))
+      return false;
+    if (!(skipped == rhs.skipped))
+      return false;
+    if (!(startedAt == rhs.startedAt))
+      return false;
+    if (!(expectedEnd == rhs.expectedEnd))
+      return false;
+    if (!(deadline == rhs.deadline))
+      return false;
+    if (!(isLate == rhs.isLate))
+      return false;
+    if (!(waitsFor == rhs.waitsFor))
+      return false;
+    return true;
+  }
+  bool operator != (const WaveStatus &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WaveStatus & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WaveStatus &a, WaveStatus &b);
+
+std::ostream& operator<<(std::ostream& out, const WaveStatus& obj);
+
+typedef struct _FleetAnswer__isset {
+  _FleetAnswer__isset() : code(false), detail(false), hosts(false), domains(false), waves(false) {}
+  bool code :1;
+  bool detail :1;
+  bool hosts :1;
+  bool domains :1;
+  bool waves :1;
+} _FleetAnswer__isset;
+
+class FleetAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetAnswer(const FleetAnswer&);
+  FleetAnswer& operator=(const FleetAnswer&);
+  FleetAnswer() noexcept
+              : code(0),
+                detail() {
+  }
+
+  virtual ~FleetAnswer() noexcept;
+  int32_t code;
+  std::string detail;
+  std::vector<HostStatus>  hosts;
+  std::vector<DomainStatus>  domains;
+  std::vector<WaveStatus>  waves;
+
+  _FleetAnswer__isset __isset;
+
+  void __set_code(const int32_t val);
+
+  void __set_detail(const std::string& val);
+
+  void __set_hosts(const std::vector<HostStatus> & val);
+
+  void __set_domains(const std::vector<DomainStatus> & val);
+
+  void __set_waves(const std::vector<WaveStatus> & val);
+
+  bool operator == (const FleetAnswer & rhs) const
+  {
+    if (!(code == rhs.code))
+      return false;
+    if (!(detail == rhs.detail))
+      return false;
+    if (!(hosts == rhs.hosts))
+      return false;
+    if (!(domains == rhs.domains))
+      return false;
+    if (!(waves == rhs.waves))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetAnswer &a, FleetAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetAnswer& obj);
+
 }} // namespace
 
 #endif
--- a/testing/standin/faults.cpp
+++ b/testing/standin/faults.cpp
@@ -16,7 +16,9 @@
                       .lostCommits = json.value("lostCommits", 0),
                       .lostCommitsOf = json.value("lostCommitsOf", std::string()),
                       .delayMs = json.value("delayMs", 0),
-                      .leaving = json.value("leaving", false)};
+                      .leaving = json.value("leaving", false),
+                      .neverDrain = json.value("neverDrain", std::vector<std::string>()),
+                      .dead = json.value("dead", std::vector<std::string>())};
     } catch (const nlohmann::json::exception &exception) {
         return Error{ResultCode::SchemaMismatch, exception.what()};
     }
--- a/testing/standin/faults.h
+++ b/testing/standin/faults.h
@@ -5,12 +5,15 @@
 //   {"lostCommits": 1, "lostCommitsOf": "operator/"}
 //                                       as lostAnswers, for commits whose write id begins so
 //   {"delayMs": 200}                    every answer is late by this much
+//   {"neverDrain": ["host-3"], "dead": ["host-4"]}
+//                                       of the hosts stand-in: work that does not end; failed hosts
 #pragma once
 
 #include "sequoiapier/result.h"
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sequoiapier {
 
@@ -23,6 +26,8 @@
     std::string lostCommitsOf;
     int delayMs = 0;
     bool leaving = false; // a runner refuses new work
+    std::vector<std::string> neverDrain;
+    std::vector<std::string> dead;
 };
 
 Result<Faults> parseFaults(std::string_view document);
--- a/testing/standin/main.cpp
+++ b/testing/standin/main.cpp
@@ -1,4 +1,5 @@
-// The stand-ins for the outside systems: `standin table` and `standin runner`.
+// The stand-ins for the outside systems: `standin table`, `standin runner` and `standin hosts`.
+#include "testing/standin/hostsstandin.h"
 #include "testing/standin/runnerstandin.h"
 #include "testing/standin/tablestandin.h"
 
@@ -26,20 +27,36 @@
     return daemon.run();
 }
 
+int runHosts(CommonSettings &settings, const HostsSettings &hostsSettings)
+{
+    Daemon daemon(settings);
+    const HostsStandin hosts(daemon, hostsSettings);
+    daemon.setReady(true);
+    return daemon.run();
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     CommonSettings settings;
     RunnerSettings runner;
+    HostsSettings hosts;
     std::vector<std::string> kinds;
-    SettingsParser parser("standin", "Stand-ins for the outside systems: table | runner");
+    SettingsParser parser("standin", "Stand-ins for the outside systems: table | runner | hosts");
     addCommonSettings(parser, settings);
     parser.addInteger("slots", runner.slots, {.min = 1, .help = "Requests run at once"});
     parser.addInteger("connections", runner.connections, {.min = 1, .help = "Connections at once"});
     parser.addInteger("work-ms", runner.workMilliseconds,
                       {.unit = "ms", .help = "Time of one run"});
     parser.addInteger("work-port", runner.workPort, {.max = 65'535, .help = "TCP port for work"});
+    parser.addText("hosts", hosts.names, {.expected = "NAME,...", .help = "Hosts of the fleet"});
+    parser.addInteger("lag-ms", hosts.lagMilliseconds,
+                      {.unit = "ms", .help = "Lag of the list of live hosts"});
+    parser.addInteger("end-ms", hosts.endMilliseconds,
+                      {.unit = "ms", .help = "Time to the end of a draining host's work"});
+    parser.addInteger("reboot-ms", hosts.rebootMilliseconds,
+                      {.unit = "ms", .help = "Time of a reboot"});
     parser.addPositional(kinds, "KIND");
     const auto action = parser.parse({argv, std::size_t(argc)}, processEnvironment);
     if (!action) {
@@ -52,6 +69,8 @@
         return runTable(settings);
     if (kinds == std::vector<std::string>{"runner"})
         return runRunner(settings, runner);
-    std::cerr << "kinds: table | runner\n";
+    if (kinds == std::vector<std::string>{"hosts"})
+        return runHosts(settings, hosts);
+    std::cerr << "kinds: table | runner | hosts\n";
     return int(ResultCode::Usage);
 }
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -83,6 +83,13 @@
     return start("table", {STANDIN_BINARY, "table"}, 0);
 }
 
+bool LocalSystem::startHosts(const std::string &names, const std::vector<std::string> &flags)
+{
+    std::vector<std::string> words{STANDIN_BINARY, "hosts", "--hosts", names};
+    words.insert(words.end(), flags.begin(), flags.end());
+    return start("hosts", std::move(words), 0);
+}
+
 bool LocalSystem::startRunner(const std::string &name, const std::vector<std::string> &flags)
 {
     const std::uint16_t port = freePort();
@@ -116,14 +123,20 @@
     std::vector<std::string> words{SEQUOIAPIER_BINARY, "controller"};
     for (const std::string &flag : tableFlags())
         words.push_back(flag);
+    if (hasMember("hosts"))
+        words.insert(words.end(), {"--hosts", endpointOf("hosts")});
     words.insert(words.end(), flags.begin(), flags.end());
     return start(name, std::move(words), 0);
 }
 
 std::vector<std::string> LocalSystem::tableFlags() const
 {
-    return {"--table",
-            std::string(Loopback) + ":" + std::to_string(m_members.at("table").adminPort)};
+    return {"--table", endpointOf("table")};
+}
+
+std::string LocalSystem::endpointOf(const std::string &name) const
+{
+    return std::string(Loopback) + ":" + std::to_string(m_members.at(name).adminPort);
 }
 
 bool LocalSystem::waitReady(const std::string &name)
@@ -194,15 +207,18 @@
 
 int LocalSystem::ctl(const std::vector<std::string> &words)
 {
-    std::vector<std::string> all{SEQUOIAPIER_BINARY, "ctl"};
     for (const auto &[name, member] : m_members) {
-        if (name.starts_with("controller")) {
-            all.insert(
-                all.end(),
-                {"--controller", std::string(Loopback) + ":" + std::to_string(member.adminPort)});
-            break;
-        }
+        if (name.starts_with("controller"))
+            return ctlAt(name, words);
     }
+    return ctlAt("", words);
+}
+
+int LocalSystem::ctlAt(const std::string &controller, const std::vector<std::string> &words)
+{
+    std::vector<std::string> all{SEQUOIAPIER_BINARY, "ctl"};
+    if (!controller.empty())
+        all.insert(all.end(), {"--controller", endpointOf(controller)});
     all.insert(all.end(), words.begin(), words.end());
     return runTool(all);
 }
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -34,6 +34,8 @@
 
     // Start a process and wait until it listens; false if it does not within Patience.
     bool startTable();
+    // The platform's host interface for these hosts; controllers started after it use it.
+    bool startHosts(const std::string &names, const std::vector<std::string> &flags = {});
     bool startRunner(const std::string &name, const std::vector<std::string> &flags = {});
     bool startGateway(const std::string &name, const std::vector<std::string> &flags = {});
     bool startScheduler(const std::string &name, const std::vector<std::string> &flags = {});
@@ -57,6 +59,8 @@
 
     // Runs `sequoiapier ctl` and returns its exit status; its output is in output().
     int ctl(const std::vector<std::string> &words);
+    // The same at one controller.
+    int ctlAt(const std::string &controller, const std::vector<std::string> &words);
     // Runs `sequoiapier timeline` over all members.
     int timeline();
     const std::string &output() const { return m_output; }
@@ -72,6 +76,7 @@
 private:
     bool start(const std::string &name, std::vector<std::string> words, std::uint16_t workPort);
     std::vector<std::string> tableFlags() const;
+    std::string endpointOf(const std::string &name) const;
     int runTool(const std::vector<std::string> &words);
     static std::uint16_t freePort();
 
