--- a/testing/process/fleettest.h
+++ b/testing/process/fleettest.h
@@ -25,6 +25,8 @@
     static constexpr std::size_t PoolLimit = 2;
     static constexpr std::size_t RackLimit = 1;
     static constexpr std::chrono::seconds WavePatience{30};
+    // The list's lag, and time for a turn of a wave on a busy machine.
+    static constexpr std::chrono::milliseconds LossGrace{1'500};
 
     FleetTest()
         : m_system(
@@ -123,6 +125,21 @@
         }
         return nlohmann::json::object();
     }
+    // The reasons why a wave waits and does not end, as one text.
+    std::string reasons(const std::string &id)
+    {
+        const nlohmann::json found = wave(id);
+        return found.value("waitsFor", nlohmann::json::array()).dump();
+    }
+    std::string stateOf(const std::string &id) { return wave(id).value("state", ""); }
+    void declareWave(const std::string &id, const std::vector<std::string> &flags = {})
+    {
+        std::vector<std::string> words{"wave",    "declare",        id,
+                                       "--pools", "dawn,benches",   "--max-out",
+                                       "3",       "--operation-id", "declare-" + id};
+        words.insert(words.end(), flags.begin(), flags.end());
+        ASSERT_EQ(ctl(words), 0) << m_system.output();
+    }
     int countHosts(const std::string &state)
     {
         const nlohmann::json all = hosts();
@@ -140,22 +157,29 @@
     }
     int reboots() const { return record().at("reboots"); }
 
-    // The most hosts out at once of each pool and rack, deaths included.
-    std::map<std::string, std::size_t> mostOut() const
+    // The most hosts of each pool and rack that were out when one of them was taken out, dead ones
+    // included. Hosts taken out within `grace` after a death are not judged: the list lags.
+    std::map<std::string, std::size_t> mostOut(std::chrono::milliseconds grace) const
     {
         std::map<std::string, std::set<std::string>> out;
         std::map<std::string, std::size_t> most;
+        std::int64_t judgedFrom = 0;
         const nlohmann::json all = record();
         for (const nlohmann::json &event : all.at("events")) {
             const std::string name = event.at("host");
+            const std::int64_t at = event.at("atMs");
             for (auto &[domain, names] : out)
                 names.erase(name);
             if (!event.at("isOut").get<bool>())
                 continue;
+            const bool isDead = event.at("isDead");
+            if (isDead)
+                judgedFrom = at + grace.count();
             for (const std::string &domain :
                  {"pool/" + event.at("pool").get<std::string>(), "rack/" + rackOf(name)}) {
                 out[domain].insert(name);
-                most[domain] = std::max(most[domain], out[domain].size());
+                if (!isDead && at >= judgedFrom)
+                    most[domain] = std::max(most[domain], out[domain].size());
             }
         }
         return most;
@@ -163,11 +187,21 @@
 
     void expectBudgetsHeld() const
     {
-        for (const auto &[domain, count] : mostOut())
+        for (const auto &[domain, count] : mostOut(LossGrace))
             EXPECT_LE(count, domain.starts_with("pool/") ? PoolLimit : RackLimit) << domain;
         EXPECT_EQ(record().at("disturbed"), 0) << "hosts rebooted while work ran";
     }
 
+    // Events of hosts taken out by a command.
+    std::size_t takenOut() const
+    {
+        const nlohmann::json events = record().at("events");
+        return std::size_t(
+            std::count_if(events.begin(), events.end(), [](const nlohmann::json &event) {
+                return event.at("isOut").get<bool>() && !event.at("isDead").get<bool>();
+            }));
+    }
+
     static bool waitFor(const std::function<bool()> &condition,
                         std::chrono::milliseconds patience = WavePatience)
     {
--- a/testing/standin/hostsstandin.cpp
+++ b/testing/standin/hostsstandin.cpp
@@ -204,10 +204,12 @@
 
 void HostsStandin::record(const std::string &host, bool isOut)
 {
-    m_record["events"].push_back({{"host", host},
-                                  {"isOut", isOut},
-                                  {"isDead", contains(m_faults.dead, host)},
-                                  {"pool", m_hosts.at(host).pool}});
+    m_record["events"].push_back(
+        {{"host", host},
+         {"isOut", isOut},
+         {"isDead", contains(m_faults.dead, host)},
+         {"atMs", BootClock::now().time_since_epoch() / std::chrono::milliseconds(1)},
+         {"pool", m_hosts.at(host).pool}});
 }
 
 } // namespace sequoiapier
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -223,6 +223,27 @@
     return runTool(all);
 }
 
+std::vector<std::string> LocalSystem::ctlAtOnce(
+    const std::vector<std::pair<std::string, std::vector<std::string>>> &commands) const
+{
+    const auto logOf
+        = [&](std::size_t index) { return m_directory + "/ctl-" + std::to_string(index) + ".log"; };
+    std::vector<ChildProcess> processes;
+    for (const auto &[controller, words] : commands) {
+        std::vector<std::string> all{SEQUOIAPIER_BINARY, "ctl", "--controller",
+                                     endpointOf(controller)};
+        all.insert(all.end(), words.begin(), words.end());
+        std::filesystem::remove(logOf(processes.size()));
+        processes.emplace_back(all, logOf(processes.size()));
+    }
+    std::vector<std::string> outputs;
+    for (ChildProcess &process : processes) {
+        process.waitExit(Patience * 2);
+        outputs.push_back(readFile(logOf(outputs.size())));
+    }
+    return outputs;
+}
+
 int LocalSystem::timeline()
 {
     std::string processes;
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -61,6 +61,9 @@
     int ctl(const std::vector<std::string> &words);
     // The same at one controller.
     int ctlAt(const std::string &controller, const std::vector<std::string> &words);
+    // Runs one command at each of several controllers at once and returns their outputs.
+    std::vector<std::string>
+    ctlAtOnce(const std::vector<std::pair<std::string, std::vector<std::string>>> &commands) const;
     // Runs `sequoiapier timeline` over all members.
     int timeline();
     const std::string &output() const { return m_output; }
