Count hosts out for a move in the availability budgets

Cause: a move drained a host without a unit of its pool, rack and zone, so that moves during a wave took more hosts out than the budgets allow.

A change may read rows that depend on those read first.

Ruled out: units taken by the next turn of a wave, since a turn under way may start a host of the same rack before it.

--- a/cli/ctlfleet.cpp
+++ b/cli/ctlfleet.cpp
@@ -9,15 +9,19 @@
 #include <iomanip>
 #include <iostream>
 #include <sstream>
+#include <utility>
 
 namespace sequoiapier {
 
-// Found by argument-dependent lookup.
-namespace api {
+namespace {
+
+constexpr std::size_t BarWidth = 30;
 
-static void to_json(nlohmann::json &json, const HostStatus &host)
+using Row = std::vector<std::string>;
+
+nlohmann::json toJson(const api::HostStatus &host)
 {
-    json = {{"name", host.name},
+    return {{"name", host.name},
             {"rack", host.rack},
             {"zone", host.zone},
             {"pool", host.pool},
@@ -31,22 +35,25 @@
             {"waitsFor", host.waitsFor}};
 }
 
-static void to_json(nlohmann::json &json, const DomainUnit &unit)
+nlohmann::json toJson(const api::DomainUnit &unit)
 {
-    json = {{"host", unit.host}, {"holder", unit.holder}};
+    return {{"host", unit.host}, {"holder", unit.holder}};
 }
 
-static void to_json(nlohmann::json &json, const DomainStatus &domain)
+nlohmann::json toJson(const api::DomainStatus &domain)
 {
-    json = {{"domain", domain.domain},
+    nlohmann::json units = nlohmann::json::array();
+    for (const api::DomainUnit &unit : domain.units)
+        units.push_back(toJson(unit));
+    return {{"domain", domain.domain},
             {"limit", domain.limit},
             {"hosts", domain.hosts},
-            {"units", domain.units}};
+            {"units", std::move(units)}};
 }
 
-static void to_json(nlohmann::json &json, const WaveStatus &wave)
+nlohmann::json toJson(const api::WaveStatus &wave)
 {
-    json = {{"id", wave.id},
+    return {{"id", wave.id},
             {"state", wave.state},
             {"stopReason", wave.stopReason},
             {"total", wave.total},
@@ -62,13 +69,14 @@
             {"waitsFor", wave.waitsFor}};
 }
 
-} // namespace api
-
-namespace {
-
-constexpr std::size_t BarWidth = 30;
-
-using Row = std::vector<std::string>;
+template<typename Entry>
+nlohmann::json toJsonArray(const std::vector<Entry> &entries)
+{
+    nlohmann::json array = nlohmann::json::array();
+    for (const Entry &entry : entries)
+        array.push_back(toJson(entry));
+    return array;
+}
 
 // Columns as wide as their longest entry.
 void printTable(const std::vector<Row> &rows)
@@ -177,7 +185,7 @@
 {
     return withFleet(settings, [&](const api::FleetAnswer &fleet) {
         if (settings.isJson)
-            std::cout << nlohmann::json{{"hosts", fleet.hosts}} << "\n";
+            std::cout << nlohmann::json{{"hosts", toJsonArray(fleet.hosts)}} << "\n";
         else
             printHostTable(fleet.hosts);
     });
@@ -187,7 +195,7 @@
 {
     return withFleet(settings, [&](const api::FleetAnswer &fleet) {
         if (settings.isJson)
-            std::cout << nlohmann::json{{"domains", fleet.domains}} << "\n";
+            std::cout << nlohmann::json{{"domains", toJsonArray(fleet.domains)}} << "\n";
         else
             printDomainTable(fleet.domains);
     });
@@ -197,7 +205,7 @@
 {
     return withFleet(settings, [&](const api::FleetAnswer &fleet) {
         if (settings.isJson) {
-            std::cout << nlohmann::json{{"waves", fleet.waves}} << "\n";
+            std::cout << nlohmann::json{{"waves", toJsonArray(fleet.waves)}} << "\n";
             return;
         }
         for (const api::WaveStatus &wave : fleet.waves)
--- a/controller/controller.cpp
+++ b/controller/controller.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration NoticeTime = std::chrono::seconds(10);
+// Ticks without a list of live hosts after which waves wait.
+constexpr int MissedTicks = 10;
 
 std::int64_t wallSeconds()
 {
@@ -86,15 +88,18 @@
     const Endpoint endpoint = parseEndpoint(m_settings.hostsEndpoint).value();
     m_hosts = std::make_unique<HostClient>(m_daemon.httpClient(), HostClient::Options{endpoint});
     m_fleet = std::make_unique<FleetDriver>(
-        FleetDriver::Hooks{
-            .table = m_node.table(),
-            .platform = m_hosts->hooks(),
-            .now = &BootClock::now,
-            .wallSeconds = &wallSeconds,
-            .configuration = [this] { return confirmedConfiguration(); },
-            .report = [this](std::string_view kind, Event event) { m_daemon.report(kind, event); }},
+        FleetDriver::Hooks{.table = m_node.table(),
+                           .platform = m_hosts->hooks(),
+                           .now = &BootClock::now,
+                           .wallSeconds = &wallSeconds,
+                           .configuration = [this] { return confirmedConfiguration(); },
+                           .report
+                           = [this](std::string_view kind,
+                                    Event event) { m_daemon.report(kind, std::move(event)); }},
         FleetDriver::Options{.process = m_daemon.settings().name,
                              .incarnation = m_node.self().incarnation,
+                             .maxListAge = MissedTicks
+                                 * std::chrono::milliseconds(m_settings.fleetMilliseconds),
                              .expectedOut = m_settings.expectedOutSeconds});
     tickFleet();
 }
--- a/controller/fleetchange.cpp
+++ b/controller/fleetchange.cpp
@@ -54,8 +54,25 @@
         return;
     }
     m_rows.clear();
-    m_rowsMissing = m_spec.plan.keys.size();
-    for (const std::string &key : m_spec.plan.keys) {
+    m_hasFurtherRows = false;
+    readKeys(m_spec.plan.keys);
+}
+
+void FleetChange::readFurtherRows()
+{
+    m_hasFurtherRows = true;
+    const std::vector<std::string> keys
+        = m_spec.plan.furtherKeys ? m_spec.plan.furtherKeys(m_rows) : std::vector<std::string>();
+    if (keys.empty())
+        buildAndCommit();
+    else
+        readKeys(keys);
+}
+
+void FleetChange::readKeys(const std::vector<std::string> &keys)
+{
+    m_rowsMissing = keys.size();
+    for (const std::string &key : keys) {
         m_hooks.table.read(
             key, deadline(),
             [self = shared_from_this(), key](const Result<std::optional<TableRow>> &row) {
@@ -71,8 +88,12 @@
         return;
     }
     m_rows[key] = row.value();
-    if (--m_rowsMissing == 0)
+    if (--m_rowsMissing > 0)
+        return;
+    if (m_hasFurtherRows)
         buildAndCommit();
+    else
+        readFurtherRows();
 }
 
 void FleetChange::buildAndCommit()
--- a/controller/fleetchange.h
+++ b/controller/fleetchange.h
@@ -24,6 +24,8 @@
 struct FleetEditPlan
 {
     std::vector<std::string> keys;
+    // Keys that depend on the rows read first; may be empty.
+    std::function<std::vector<std::string>(const KeyedRows &)> furtherKeys;
     std::function<Result<std::map<std::string, std::string>>(const KeyedRows &)> build;
 };
 
@@ -56,6 +58,8 @@
     void readRecord();
     void onRecord(const std::optional<TableRow> &row);
     void readRows();
+    void readKeys(const std::vector<std::string> &keys);
+    void readFurtherRows();
     void onRow(const std::string &key, const Result<std::optional<TableRow>> &row);
     void buildAndCommit();
     void onCommit(const CommitAnswer &result);
@@ -70,6 +74,7 @@
     Answer m_answer;
     KeyedRows m_rows;
     std::size_t m_rowsMissing = 0;
+    bool m_hasFurtherRows = false;
     int m_attempts = 0;
     bool m_isWriteSent = false;
 };
--- a/controller/fleetdriver.cpp
+++ b/controller/fleetdriver.cpp
@@ -3,6 +3,8 @@
 // not serving one call of the platform and one read; each wave's turn reads the fleet anew.
 #include "controller/fleetdriver.h"
 
+#include "controller/moveunits.h"
+
 #include <cmath>
 #include <utility>
 
@@ -92,11 +94,11 @@
 
 WaveRunner::Hooks FleetDriver::runnerHooks()
 {
-    return {.isLost = [this](const HostRow &host) { return m_knowledge.isLost(host); },
-            .expectedOut
-            = [this](const HostRow &) { return std::int64_t(m_knowledge.averageOut + 0.5); },
-            .turned
-            = [this](const WaveTurn &turn, bool isCommitted) { onTurn(turn, isCommitted); }};
+    return {
+        .isLost = [this](const HostRow &host) { return m_knowledge.isLost(host); },
+        .expectedOut
+        = [this](const HostRow &) { return std::int64_t(std::llround(m_knowledge.averageOut)); },
+        .turned = [this](const WaveTurn &turn, bool isCommitted) { onTurn(turn, isCommitted); }};
 }
 
 FleetKnowledge FleetDriver::knowledge() const
@@ -136,6 +138,7 @@
     if (isListFresh())
         turnWaves(rows);
     setPoolLimits(rows);
+    releaseUnits(rows);
 }
 
 bool FleetDriver::isListFresh() const
@@ -233,17 +236,29 @@
             BudgetRow next = budget.row;
             next.limit = pool.maxUnavailable;
             next.limitVersion = configuration->version;
-            m_hooks.table.commit({.writeId = m_options.process + "/"
-                                      + std::to_string(m_options.incarnation) + "/limit/"
-                                      + std::to_string(++m_limitWrites),
-                                  .writes = {{.key = budgetKey(next.domain),
-                                              .value = toJson(next),
-                                              .baseVersion = budget.version}}},
-                                 deadline(), [](const CommitAnswer &) {});
+            commit({{.key = budgetKey(next.domain),
+                     .value = toJson(next),
+                     .baseVersion = budget.version}});
         }
     }
 }
 
+void FleetDriver::releaseUnits(const FleetRows &rows)
+{
+    std::vector<RowWrite> writes = releaseMoveUnits(rows);
+    if (!writes.empty())
+        commit(std::move(writes));
+}
+
+// A lost answer needs no resolving: the next tick reads the rows anew.
+void FleetDriver::commit(std::vector<RowWrite> writes)
+{
+    m_hooks.table.commit({.writeId = m_options.process + "/" + std::to_string(m_options.incarnation)
+                              + "/fleet/" + std::to_string(++m_writes),
+                          .writes = std::move(writes)},
+                         deadline(), [](const CommitAnswer &) {});
+}
+
 void FleetDriver::command(const HostRow &host, HostCommandKind kind)
 {
     m_hooks.platform.command(
--- a/controller/fleetdriver.h
+++ b/controller/fleetdriver.h
@@ -5,8 +5,9 @@
 //
 // A tick reads the fleet's rows and the platform's list, asks each host that is not serving for its
 // report, advances it (HostMover), takes a turn of each wave (WaveRunner) and sets budgets of pools
-// to their configured limits. Waves take no turn while the list is older than maxListAge, since a
-// loss could not be seen. A serving host that has lost its admission is admitted again.
+// to their configured limits. Units of moves that are over go back. Waves take no turn while the
+// list is older than maxListAge, since a loss could not be seen. A serving host that has lost its
+// admission is admitted again.
 //
 // It keeps the last list, the reports of hosts that are not serving and the average time out; all
 // of it is read or learned anew after a restart.
@@ -62,6 +63,8 @@
     void onTurn(const WaveTurn &turn, bool isCommitted);
     void learnTimes(const FleetRows &rows);
     void setPoolLimits(const FleetRows &rows);
+    void releaseUnits(const FleetRows &rows);
+    void commit(std::vector<RowWrite> writes);
     void command(const HostRow &host, HostCommandKind kind);
     bool isListFresh() const;
     TimePoint deadline() const { return m_hooks.now() + m_options.callTimeout; }
@@ -73,7 +76,7 @@
     FleetKnowledge m_knowledge;
     TimePoint m_listedAt{};
     bool m_isReading = false;
-    std::uint64_t m_limitWrites = 0;
+    std::uint64_t m_writes = 0;
     std::map<std::string, std::int64_t> m_outSince; // Unix time, by host under maintenance
     std::map<std::string, std::uint64_t> m_overdue; // epoch reported, by host
     HostMover m_mover;
--- a/controller/fleetedit.cpp
+++ b/controller/fleetedit.cpp
@@ -3,8 +3,9 @@
 // domain: a pool's with its configured limit, a rack's and a zone's with a limit of one host.
 #include "controller/fleetedit.h"
 
-#include "controller/budgetrow.h"
+#include "controller/availabilitybudget.h"
 #include "controller/hostmove.h"
+#include "controller/moveunits.h"
 #include "controller/waverow.h"
 
 #include <algorithm>
@@ -93,7 +94,7 @@
 {
     if (entries.empty() || entries.size() > MaxHostsOfEdit)
         return invalid("register 1 to 256 hosts at once");
-    FleetEditPlan plan{.keys = {std::string(ConfigurationKey)}, .build = {}};
+    FleetEditPlan plan{.keys = {std::string(ConfigurationKey)}};
     std::vector<HostRow> hosts;
     for (const api::HostEntry &entry : entries) {
         if (!areNames({entry.name, entry.rack, entry.zone, entry.pool}))
@@ -132,27 +133,76 @@
             }};
 }
 
+std::vector<std::string> budgetKeysOf(const KeyedRows &rows, const std::string &name)
+{
+    const std::optional<TableRow> &row = rowOf(rows, hostKey(name));
+    const Result<HostRow> host = parseHostRow(row ? row->value : "");
+    std::vector<std::string> keys;
+    if (host) {
+        for (const std::string &domain : domainsOf(host.value()))
+            keys.push_back(budgetKey(domain));
+    }
+    return keys;
+}
+
+// The budget rows of `host` after a move has taken its units; none if the host is out already.
+Result<Values> takeUnits(const HostRow &host, const KeyedRows &rows, const std::string &holder)
+{
+    std::vector<VersionedBudgetRow> budgets;
+    for (const std::string &domain : domainsOf(host)) {
+        const std::optional<TableRow> &row = rowOf(rows, budgetKey(domain));
+        const Result<BudgetRow> budget = parseBudgetRow(row ? row->value : "");
+        if (!budget)
+            return budget.error();
+        budgets.push_back({budget.value(), row->version});
+    }
+    AvailabilityBudget budget(budgets);
+    if (budget.unitOf(host) != nullptr)
+        return Values{};
+    if (const Result<void> taken = budget.take(host, holder); !taken)
+        return taken.error();
+    Values values;
+    for (const RowWrite &write : budget.writes())
+        values[write.key] = *write.value;
+    return values;
+}
+
+Result<Values> buildMove(const api::HostMoveEdit &move, const std::string &holder,
+                         std::int64_t drainDeadline, const KeyedRows &rows)
+{
+    const Result<PoolConfig> pool = configuredPool(rows, move.pool);
+    if (!pool)
+        return pool.error();
+    const std::optional<TableRow> &row = rowOf(rows, hostKey(move.host));
+    if (!row)
+        return Error{ResultCode::NotFound, "host " + move.host + " is not registered"};
+    const Result<HostRow> host = parseHostRow(row->value);
+    if (!host)
+        return host.error();
+    const Result<HostRow> next = beginMove(host.value(), move.pool, holder, drainDeadline);
+    if (!next)
+        return next.error();
+    Result<Values> values = takeUnits(host.value(), rows, holder);
+    if (!values)
+        return values;
+    values.value()[hostKey(move.host)] = toJson(next.value());
+    addBudget(values.value(), rows, "pool/" + move.pool, pool.value().maxUnavailable);
+    return values;
+}
+
 Result<FleetEditPlan> planMove(const api::HostMoveEdit &move, const std::string &operationId,
                                std::int64_t now)
 {
     if (!areNames({move.host, move.pool}) || !isSeconds(move.drainSeconds, 1))
         return invalid("a move needs a host, a pool and the seconds of its drain");
-    FleetEditPlan plan = planHost(move.host, [=](const HostRow &host) {
-        return beginMove(host, move.pool, "move/" + operationId, now + move.drainSeconds);
-    });
-    const std::string domain = "pool/" + move.pool;
-    plan.keys.push_back(std::string(ConfigurationKey));
-    plan.keys.push_back(budgetKey(domain));
-    plan.build = [=, buildHost = plan.build](const KeyedRows &rows) -> Result<Values> {
-        const Result<PoolConfig> pool = configuredPool(rows, move.pool);
-        if (!pool)
-            return pool.error();
-        Result<Values> values = buildHost(rows);
-        if (values)
-            addBudget(values.value(), rows, domain, pool.value().maxUnavailable);
-        return values;
-    };
-    return plan;
+    return FleetEditPlan{
+        .keys = {std::string(ConfigurationKey), hostKey(move.host), budgetKey("pool/" + move.pool)},
+        .furtherKeys
+        = [name = move.host](const KeyedRows &rows) { return budgetKeysOf(rows, name); },
+        .build =
+            [=](const KeyedRows &rows) {
+                return buildMove(move, moveHolder(operationId), now + move.drainSeconds, rows);
+            }};
 }
 
 Result<FleetEditPlan> planBudget(const api::BudgetEdit &budget)
@@ -210,7 +260,7 @@
         .maxOut = std::uint32_t(declared.maxOut),
         .overduePolicy = declared.stopsWhenOverdue ? OverduePolicy::Stop : OverduePolicy::Skip,
         .resumesAfterRepair = declared.resumesAfterRepair};
-    FleetEditPlan plan{.keys = {std::string(ConfigurationKey), waveKey(wave.id)}, .build = {}};
+    FleetEditPlan plan{.keys = {std::string(ConfigurationKey), waveKey(wave.id)}};
     for (const std::string &host : wave.hosts)
         plan.keys.push_back(hostKey(host));
     plan.build = [wave](const KeyedRows &rows) { return buildWave(wave, rows); };
--- a/controller/fleetview.cpp
+++ b/controller/fleetview.cpp
@@ -4,6 +4,7 @@
 #include "controller/waveplanner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sequoiapier {
 
@@ -166,7 +167,7 @@
         hosts.push_back({.row = rows.hosts[i],
                          .version = rows.hostVersions[i],
                          .isLost = knowledge.isLost(rows.hosts[i]),
-                         .expectedOut = std::int64_t(knowledge.averageOut + 0.5)});
+                         .expectedOut = std::int64_t(std::llround(knowledge.averageOut))});
     }
     return hosts;
 }
