--- a/controller/fleetchange.cpp
+++ b/controller/fleetchange.cpp
@@ -25,6 +25,10 @@
 
 void FleetChange::readRecord()
 {
+    if (++m_attempts > MaxAttempts) {
+        fail("other changes came in between");
+        return;
+    }
     m_hooks.table.read(operationKey(m_spec.operationId), deadline(),
                        [self = shared_from_this()](const Result<std::optional<TableRow>> &row) {
                            if (row)
@@ -49,7 +53,7 @@
 
 void FleetChange::readRows()
 {
-    if (++m_attempts > MaxAttempts) {
+    if (m_attempts == MaxAttempts) {
         refuse({ResultCode::Conflict, "other changes came in between"});
         return;
     }
@@ -123,10 +127,11 @@
         return;
     case CommitOutcome::Conflict:
         // Another change of the rows, or an earlier attempt of this one.
+        m_isWriteSent = false;
         readRecord();
         return;
     case CommitOutcome::NotCommitted:
-        m_isWriteSent = m_attempts > 1;
+        m_isWriteSent = false;
         fail("the table is unavailable");
         return;
     case CommitOutcome::Unknown:
--- a/controller/fleetview.cpp
+++ b/controller/fleetview.cpp
@@ -125,7 +125,7 @@
     for (const std::string &host : progress.overdue)
         reasons.push_back(host + " has not drained by its deadline");
     if (progress.lost > 0)
-        reasons.push_back(std::to_string(progress.lost) + " hosts are lost by accident");
+        reasons.push_back("hosts lost by accident: " + std::to_string(progress.lost));
     if (wave.state == WaveState::Running)
         reasons.insert(reasons.end(), progress.waitsFor.begin(), progress.waitsFor.end());
     return reasons;
