Take a host's next step at once, and let two controllers lead

Cause: each step of a host waited for the next tick, and every controller read the whole fleet at every tick.

Change: the controller that changed a host's row takes the next step at once, and the wave's next turn when a host serves again. The two live controllers of the lowest names take steps at every interval, the others at every fifth; nothing depends on who leads. Waves wait when the list of live hosts is ten intervals old. `standin table` counts its calls.

--- a/controller/controller.cpp
+++ b/controller/controller.cpp
@@ -12,6 +12,9 @@
 constexpr Duration NoticeTime = std::chrono::seconds(10);
 // Ticks without a list of live hosts after which waves wait.
 constexpr int MissedTicks = 10;
+// Controllers that take steps at every interval; the others do at every StandbyFactor-th.
+constexpr std::size_t LeadCount = 2;
+constexpr int StandbyFactor = 5;
 
 std::int64_t wallSeconds()
 {
@@ -107,8 +110,17 @@
 void Controller::tickFleet()
 {
     m_fleet->tick();
-    m_fleetTimer.startAt(BootClock::now()
-                         + std::chrono::milliseconds(m_settings.fleetMilliseconds));
+    const Duration interval = std::chrono::milliseconds(m_settings.fleetMilliseconds);
+    m_fleetTimer.startAt(BootClock::now() + (leadsFleet() ? interval : interval * StandbyFactor));
+}
+
+// Spares the table: nothing depends on which controllers lead, or on how many think that they do.
+bool Controller::leadsFleet()
+{
+    std::size_t before = 0;
+    for (const MemberRow &other : m_node.membership().alive("controller", BootClock::now()))
+        before += other.name < m_daemon.settings().name ? 1 : 0;
+    return before < LeadCount;
 }
 
 const Configuration *Controller::confirmedConfiguration()
--- a/controller/controller.h
+++ b/controller/controller.h
@@ -32,6 +32,7 @@
     void announce(std::span<const std::string> digests);
     void startFleet();
     void tickFleet();
+    bool leadsFleet();
     const Configuration *confirmedConfiguration();
 
     Daemon &m_daemon;
--- a/controller/fleetdriver.cpp
+++ b/controller/fleetdriver.cpp
@@ -82,14 +82,7 @@
             .drain = [this](const HostRow &host) { command(host, HostCommandKind::Drain); },
             .maintain = [this](const HostRow &host) { command(host, HostCommandKind::Maintain); },
             .admit = [this](const HostRow &host) { command(host, HostCommandKind::Admit); },
-            .changed =
-                [this](const HostRow &host) {
-                    m_hooks.report(eventOf(host.state),
-                                   {.subject = host.host,
-                                    .epoch = host.epoch,
-                                    .cause = host.operationId,
-                                    .detail = host.pool});
-                }};
+            .changed = [this](const HostRow &host) { onChanged(host); }};
 }
 
 WaveRunner::Hooks FleetDriver::runnerHooks()
@@ -135,8 +128,7 @@
 {
     learnTimes(rows);
     advanceHosts(rows);
-    if (isListFresh())
-        turnWaves(rows);
+    turnWaves(rows);
     setPoolLimits(rows);
     releaseUnits(rows);
 }
@@ -180,10 +172,33 @@
 
 void FleetDriver::turnWaves(const FleetRows &rows)
 {
+    m_waves.clear();
     for (const VersionedWaveRow &wave : rows.waves) {
         if (needsTurn(wave.row, rows))
-            m_runner.turn(wave.row.id, m_hooks.now(), m_hooks.wallSeconds());
+            m_waves.push_back(wave.row.id);
     }
+    takeTurns();
+}
+
+void FleetDriver::takeTurns()
+{
+    if (!isListFresh())
+        return;
+    for (const std::string &wave : m_waves)
+        m_runner.turn(wave, m_hooks.now(), m_hooks.wallSeconds());
+}
+
+void FleetDriver::onChanged(const HostRow &host)
+{
+    m_hooks.report(eventOf(host.state),
+                   {.subject = host.host,
+                    .epoch = host.epoch,
+                    .cause = host.operationId,
+                    .detail = host.pool});
+    if (host.state == HostState::Serving)
+        takeTurns();
+    else
+        advance(host.host);
 }
 
 void FleetDriver::onTurn(const WaveTurn &turn, bool isCommitted)
@@ -196,8 +211,10 @@
     }
     if (!isCommitted || turn.writes.empty())
         return;
-    for (const std::string &host : turn.started)
+    for (const std::string &host : turn.started) {
         m_hooks.report("host.draining", {.subject = host, .cause = turn.next.id});
+        advance(host);
+    }
     if (turn.next.state == WaveState::Stopped)
         m_hooks.report("wave.stopped", {.subject = turn.next.id, .detail = turn.next.stopReason});
     if (turn.next.state == WaveState::Finished)
--- a/controller/fleetdriver.h
+++ b/controller/fleetdriver.h
@@ -9,6 +9,9 @@
 // list is older than maxListAge, since a loss could not be seen. A serving host that has lost its
 // admission is admitted again.
 //
+// The next step follows at once where this controller has taken the one before; what a host or
+// another controller does is seen at the next tick.
+//
 // It keeps the last list, the reports of hosts that are not serving and the average time out; all
 // of it is read or learned anew after a restart.
 #pragma once
@@ -60,7 +63,9 @@
     void advance(const std::string &host);
     void admitAgain(const HostRow &host);
     void turnWaves(const FleetRows &rows);
+    void takeTurns();
     void onTurn(const WaveTurn &turn, bool isCommitted);
+    void onChanged(const HostRow &host);
     void learnTimes(const FleetRows &rows);
     void setPoolLimits(const FleetRows &rows);
     void releaseUnits(const FleetRows &rows);
@@ -77,6 +82,7 @@
     TimePoint m_listedAt{};
     bool m_isReading = false;
     std::uint64_t m_writes = 0;
+    std::vector<std::string> m_waves; // that need turns, as of the last tick
     std::map<std::string, std::int64_t> m_outSince; // Unix time, by host under maintenance
     std::map<std::string, std::uint64_t> m_overdue; // epoch reported, by host
     HostMover m_mover;
--- a/testing/standin/tablestandin.cpp
+++ b/testing/standin/tablestandin.cpp
@@ -41,10 +41,14 @@
 
 TableStandin::TableStandin(Daemon &daemon)
     : m_daemon(daemon)
+    , m_record({{"reads", 0}, {"scans", 0}, {"commits", 0}, {"conflicts", 0}})
 {
     addMethods();
     m_daemon.route("/table",
                    [this](const std::shared_ptr<HttpExchange> &exchange) { serve(exchange); });
+    m_daemon.route("/record", [this](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->reply({.body = m_record.dump() + "\n"});
+    });
     m_daemon.route("/faults", [this](const std::shared_ptr<HttpExchange> &exchange) {
         const Result<Faults> faults = parseFaults(exchange->request().body);
         if (faults)
@@ -53,10 +57,16 @@
     });
 }
 
+void TableStandin::count(const char *call)
+{
+    m_record[call] = m_record[call].get<std::uint64_t>() + 1;
+}
+
 void TableStandin::addMethods()
 {
     m_rpc.add<api::TableService_read_args, api::TableService_read_result>(
         "read", [this](const auto &args, const auto &answer) {
+            count("reads");
             api::TableService_read_result result;
             result.success = toPlatformRows(m_table.read(args.key));
             result.__isset.success = true;
@@ -64,6 +74,7 @@
         });
     m_rpc.add<api::TableService_scan_args, api::TableService_scan_result>(
         "scan", [this](const auto &args, const auto &answer) {
+            count("scans");
             api::TableService_scan_result result;
             result.success = toPlatformRows(m_table.scan(args.prefix));
             result.__isset.success = true;
@@ -72,6 +83,7 @@
     m_rpc.add<api::TableService_commit_args, api::TableService_commit_result>(
         "commit", [this](const auto &args, const auto &answer) {
             const CommitAnswer done = m_table.commit(toWrites(args.writes));
+            count(done.outcome == CommitOutcome::Committed ? "commits" : "conflicts");
             if (m_faults.lostCommits > 0 && args.writeId.starts_with(m_faults.lostCommitsOf)) {
                 --m_faults.lostCommits;
                 m_lostCommits.push_back(answer);
--- a/testing/standin/tablestandin.h
+++ b/testing/standin/tablestandin.h
@@ -1,4 +1,4 @@
-// TableStandin: the platform's table service over Thrift, kept in memory.
+// TableStandin: the platform's table service over Thrift, kept in memory. GET /record counts calls.
 #pragma once
 
 #include "cli/daemon.h"
@@ -7,6 +7,8 @@
 #include "testing/standin/faults.h"
 #include "testing/standin/memorytable.h"
 
+#include <nlohmann/json.hpp>
+
 namespace sequoiapier {
 
 class TableStandin
@@ -17,10 +19,12 @@
 private:
     void serve(const std::shared_ptr<HttpExchange> &exchange);
     void addMethods();
+    void count(const char *call);
 
     Daemon &m_daemon;
     MemoryTable m_table;
     Faults m_faults;
+    nlohmann::json m_record; // numbers of calls
     RpcServer m_rpc;
     std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
     std::vector<RpcServer::Answer<api::TableService_commit_result>> m_lostCommits; // kept open
--- a/testing/unit/fleetchange_test.cpp
+++ b/testing/unit/fleetchange_test.cpp
@@ -242,6 +242,7 @@
     int caught = 0;
     for (int seed = 0; seed < 50; ++seed) {
         std::vector<int> script;
+        script.reserve(30);
         for (int i = 0; i < 30; ++i)
             script.push_back((seed * 7919 + i * 104'729) >> 3 & 255);
         caught += runRaces(script, true).empty() ? 0 : 1;
