Count hosts, not their expected seconds, for the end of a wave

Cause: a wave was finished when the expected time of the hosts left was 0 seconds. The average time out that a controller learns can round to 0, and a wave whose pool had no unit free then ended with half of its hosts left.

Change: the planner counts hosts. New process tests: a lost host does not hold up the others, a pool's limit follows the configuration mid-wave, and a wave ends under random kills, pauses, outages and lost answers.

--- a/controller/waveplanner.cpp
+++ b/controller/waveplanner.cpp
@@ -290,7 +290,8 @@
     void report()
     {
         WaveProgress &progress = m_turn.progress;
-        double left = 0;
+        std::size_t left = 0;
+        double secondsLeft = 0;
         for (const WaveHost &host : m_view.hosts) {
             if (!isInScope(host.row) && !isOut(host.row))
                 continue;
@@ -299,16 +300,19 @@
             progress.out += isOut(host.row) ? 1 : 0;
             progress.done += !isWaiting && !isOut(host.row) && isDone(host.row) ? 1 : 0;
             progress.lost += isWaiting && host.isLost ? 1 : 0;
-            left += isWaiting || isOut(host.row) ? double(host.expectedOut) : 0;
+            if (isWaiting || isOut(host.row)) {
+                ++left;
+                secondsLeft += double(host.expectedOut);
+            }
         }
         progress.skipped = m_turn.next.skipped;
         progress.waitsFor.assign(m_waitsFor.begin(), m_waitsFor.end());
-        double bound = left / m_view.wave.maxOut;
+        double bound = secondsLeft / m_view.wave.maxOut;
         for (const auto &[domain, seconds] : domainSeconds())
             bound = std::max(bound, seconds);
         progress.expectedEnd = m_now + std::int64_t(std::ceil(bound));
         progress.isLate = m_view.wave.deadline > 0 && progress.expectedEnd > m_view.wave.deadline;
-        const bool isAllBack = left == 0 && progress.out == 0 && m_turn.started.empty();
+        const bool isAllBack = left == 0 && m_turn.started.empty();
         if (isAllBack && m_view.wave.period == 0 && m_turn.next.state == WaveState::Running)
             m_turn.next.state = WaveState::Finished;
     }
--- a/testing/process/fleet_test.cpp
+++ b/testing/process/fleet_test.cpp
@@ -2,6 +2,7 @@
 // holds the budgets against the hosts' own record (FleetTest::expectBudgetsHeld).
 #include "testing/process/fleettest.h"
 
+#include <random>
 #include <thread>
 
 namespace sequoiapier {
@@ -194,5 +195,79 @@
     EXPECT_EQ(doneOf("spring"), HostCount);
 }
 
+TEST_F(FleetTest, LostHostDoesNotHoldUpTheOthers)
+{
+    ASSERT_TRUE(system().setFaults("hosts", R"({"dead": ["h05"]})"));
+    declareWave("spring");
+    EXPECT_TRUE(waitFor([&] { return doneOf("spring") == HostCount - HostsOfRack; }))
+        << "nothing else goes out of the rack of the lost host: " << wave("spring");
+    EXPECT_TRUE(waitFor([&] { return wave("spring").at("out") == 0; })) << wave("spring");
+    EXPECT_EQ(stateOf("spring"), "running");
+    EXPECT_NE(reasons("spring").find("hosts lost by accident: 1"), std::string::npos)
+        << reasons("spring");
+    EXPECT_NE(reasons("spring").find("rack/r1 has no unit free"), std::string::npos)
+        << reasons("spring");
+    ASSERT_TRUE(system().setFaults("hosts", "{}"));
+    EXPECT_TRUE(waitFor([&] { return isFinished("spring"); })) << wave("spring");
+}
+
+TEST_F(FleetTest, LimitOfAPoolFollowsTheConfiguration)
+{
+    const auto limitOfDawn = [&] {
+        const nlohmann::json all = list("pool");
+        for (const nlohmann::json &domain : all.value("domains", nlohmann::json::array())) {
+            if (domain.at("domain") == "pool/dawn")
+                return domain.at("limit").get<int>();
+        }
+        return -1;
+    };
+    ASSERT_EQ(ctl({"pool", "set", "dawn", "--max-unavailable", "0"}), 0) << system().output();
+    ASSERT_TRUE(waitFor([&] { return limitOfDawn() == 0; }));
+    declareWave("spring");
+    EXPECT_TRUE(waitFor([&] { return doneOf("spring") == HostCount / 2; })) << wave("spring");
+    EXPECT_NE(reasons("spring").find("pool/dawn has no unit free"), std::string::npos)
+        << reasons("spring");
+    ASSERT_EQ(ctl({"pool", "set", "dawn", "--max-unavailable", "2"}), 0) << system().output();
+    EXPECT_TRUE(waitFor([&] { return isFinished("spring"); })) << wave("spring");
+    EXPECT_EQ(reboots(), HostCount);
+}
+
+TEST_F(FleetTest, WaveEndsUnderRandomFaults)
+{
+    std::mt19937 random(20'261'204);
+    declareWave("spring");
+    for (int round = 0; round < 8; ++round) {
+        const std::string controller = random() % 2 == 0 ? "controller-1" : "controller-2";
+        switch (random() % 6) {
+        case 0:
+            kill(controller);
+            startController(controller);
+            break;
+        case 1:
+            system().member(controller).process.signal(SIGSTOP);
+            break;
+        case 2:
+            ASSERT_TRUE(system().setFaults("table", R"({"outage": true})"));
+            break;
+        case 3:
+            ASSERT_TRUE(system().setFaults("table", R"({"lostAnswers": 3})"));
+            break;
+        case 4:
+            ASSERT_TRUE(system().setFaults("hosts", R"({"outage": true, "silent": true})"));
+            break;
+        default:
+            ASSERT_TRUE(system().setFaults("hosts", R"({"lostAnswers": 5})"));
+            break;
+        }
+        std::this_thread::sleep_for(300ms);
+        system().member(controller).process.signal(SIGCONT);
+        ASSERT_TRUE(system().setFaults("table", "{}"));
+        ASSERT_TRUE(system().setFaults("hosts", "{}"));
+    }
+    EXPECT_TRUE(waitFor([&] { return isFinished("spring"); })) << wave("spring");
+    EXPECT_EQ(doneOf("spring"), HostCount);
+    EXPECT_EQ(reboots(), HostCount);
+}
+
 } // namespace
 } // namespace sequoiapier
--- a/testing/unit/waveplanner_test.cpp
+++ b/testing/unit/waveplanner_test.cpp
@@ -26,6 +26,7 @@
     std::int64_t now = 1'000;
     std::set<std::string> lost;
     std::set<std::string> stuck; // never drain
+    std::int64_t expectedOut = 100;
     std::string brokenInvariant;
 
     WaveFleet()
@@ -59,7 +60,7 @@
         std::vector<WaveHost> hosts;
         for (const TableRow &row : table.scan(std::string(HostKeyPrefix))) {
             const HostRow host = parseHostRow(row.value).value();
-            hosts.push_back({host, row.version, lost.contains(host.host), 100});
+            hosts.push_back({host, row.version, lost.contains(host.host), expectedOut});
         }
         return hosts;
     }
@@ -172,6 +173,20 @@
     EXPECT_EQ(fleet.plan("w").turn.progress.done, 16U);
 }
 
+TEST(WavePlanner, HostsThatAreExpectedBackAtOnceStillCountAsLeft)
+{
+    WaveFleet fleet;
+    fleet.expectedOut = 0;
+    for (const VersionedBudgetRow &budget : fleet.budgets()) {
+        BudgetRow full = budget.row;
+        full.limit = 0;
+        fleet.put(budgetKey(full.domain), toJson(full));
+    }
+    fleet.addWave(waveOf("w", {"p"}));
+    fleet.turn("w");
+    EXPECT_EQ(fleet.wave("w").state, WaveState::Running);
+}
+
 TEST(WavePlanner, StopsWhenARackFailsAndGoesOnWhenItIsBack)
 {
     WaveFleet fleet;
