--- a/controller/waveplanner.cpp
+++ b/controller/waveplanner.cpp
@@ -259,6 +259,8 @@
                 return isOut(host.row) && !host.isLost;
             }));
         for (const Candidate &candidate : waiting) {
+            if (out >= m_view.wave.maxOut)
+                m_waitsFor.insert("the wave has " + std::to_string(out) + " hosts out, its limit");
             if (out >= m_view.wave.maxOut || m_changes.size() >= MaxWaveChanges)
                 return;
             out += start(*candidate.host) ? 1 : 0;
@@ -269,8 +271,11 @@
     {
         const Result<HostRow> row
             = beginMaintenance(host.row, m_view.wave.id, m_now + m_view.wave.drainTimeout);
-        if (!row || !m_budget.take(host.row, m_view.wave.id))
+        const Result<void> taken = row ? m_budget.take(host.row, m_view.wave.id) : row.error();
+        if (!taken) {
+            m_waitsFor.insert(taken.error().detail);
             return false;
+        }
         change(host, row.value());
         m_turn.started.push_back(host.row.host);
         return true;
@@ -285,7 +290,8 @@
     void report()
     {
         WaveProgress &progress = m_turn.progress;
-        double left = 0;
+        std::size_t left = 0;
+        double secondsLeft = 0;
         for (const WaveHost &host : m_view.hosts) {
             if (!isInScope(host.row) && !isOut(host.row))
                 continue;
@@ -294,15 +300,19 @@
             progress.out += isOut(host.row) ? 1 : 0;
             progress.done += !isWaiting && !isOut(host.row) && isDone(host.row) ? 1 : 0;
             progress.lost += isWaiting && host.isLost ? 1 : 0;
-            left += isWaiting || isOut(host.row) ? double(host.expectedOut) : 0;
+            if (isWaiting || isOut(host.row)) {
+                ++left;
+                secondsLeft += double(host.expectedOut);
+            }
         }
         progress.skipped = m_turn.next.skipped;
-        double bound = left / m_view.wave.maxOut;
+        progress.waitsFor.assign(m_waitsFor.begin(), m_waitsFor.end());
+        double bound = secondsLeft / m_view.wave.maxOut;
         for (const auto &[domain, seconds] : domainSeconds())
             bound = std::max(bound, seconds);
         progress.expectedEnd = m_now + std::int64_t(std::ceil(bound));
         progress.isLate = m_view.wave.deadline > 0 && progress.expectedEnd > m_view.wave.deadline;
-        const bool isAllBack = left == 0 && progress.out == 0 && m_turn.started.empty();
+        const bool isAllBack = left == 0 && m_turn.started.empty();
         if (isAllBack && m_view.wave.period == 0 && m_turn.next.state == WaveState::Running)
             m_turn.next.state = WaveState::Finished;
     }
@@ -327,6 +337,7 @@
     std::set<std::string> m_pools;
     std::set<std::string> m_named;
     std::set<std::string> m_skipped;
+    std::set<std::string> m_waitsFor;
     std::int64_t m_lead = 0;
     WaveTurn m_turn;
     std::map<std::string, RowWrite> m_changes;
