Place jobs of teams on workers, end to end in separate processes

Cause: the placement classes stood alone; no job could be handed in or run. Change: a job is a row of the table, changed by compare-and-set before any command is sent. Turns of a pool (JobRunner over the pure planJobTurn) read reports, workers and rows, commit all changes at once, then start, renew, stop and acknowledge at the platform's task service (TaskClient). Teams submit, cancel and look at jobs with their key on /jobs of any controller and by ctl. Placed jobs of a team are counted in a row that each such commit rewrites, so that racing controllers can't pass a ceiling. A `tasks` stand-in keeps the record of what ran. Resources moves to the library, since platform/ uses it. Weighed: a lease row for the taker of a pool's turns costs a write a second and pool; rendezvous over the live controllers costs none, and the rows alone give safety either way. Failures (kill, pause, outage, dead worker) are not tested yet.

--- a/cli/ctl.cpp
+++ b/cli/ctl.cpp
@@ -14,8 +14,9 @@
 std::vector<CtlCommand> allCommands()
 {
     std::vector<CtlCommand> commands;
-    for (const auto &group : {ctlConfigurationCommands(), ctlTeamCommands(), ctlKeyCommands(),
-                              ctlQueueCommands(), ctlPoolCommands(), ctlServiceCommands()}) {
+    for (const auto &group :
+         {ctlConfigurationCommands(), ctlTeamCommands(), ctlKeyCommands(), ctlQueueCommands(),
+          ctlPoolCommands(), ctlServiceCommands(), ctlJobCommands()}) {
         commands.insert(commands.end(), group.begin(), group.end());
     }
     return commands;
@@ -90,7 +91,7 @@
     parser.addInteger(
         "max-unavailable", settings.maxUnavailable,
         {.max = MaxNumber, .help = "Pool: hosts out at once, planned and accidental"});
-    parser.addText("pool", settings.pool, {.help = "Service: its pool"});
+    parser.addText("pool", settings.pool, {.help = "Service or job: its pool"});
     parser.addInteger("slots", settings.slots,
                       {.min = 1, .max = MaxNumber, .help = "Service: slots of a runner"});
     parser.addInteger("connections", settings.connections,
@@ -99,6 +100,7 @@
                    {.isValid = areEndpoints,
                     .expected = "IP-number:port,...",
                     .help = "Service: its runners, replacing the current ones"});
+    parser.addText("key-file", settings.keyFile, {.help = "Job: file with the team's key"});
 }
 
 } // namespace
--- a/cli/ctlcommand.h
+++ b/cli/ctlcommand.h
@@ -31,6 +31,7 @@
     std::int64_t slots = NotGiven;
     std::int64_t connections = NotGiven;
     std::string runners;
+    std::string keyFile;
     std::vector<std::string> words;
 };
 
@@ -47,5 +48,6 @@
 std::vector<CtlCommand> ctlQueueCommands();
 std::vector<CtlCommand> ctlPoolCommands();
 std::vector<CtlCommand> ctlServiceCommands();
+std::vector<CtlCommand> ctlJobCommands();
 
 } // namespace sequoiapier
--- a/controller/controller.cpp
+++ b/controller/controller.cpp
@@ -15,7 +15,12 @@
 
 Controller::Controller(Daemon &daemon, const ControllerSettings &settings)
     : m_node(daemon, {.role = "controller", .table = parseEndpoint(settings.tableEndpoint).value()},
-             {.joined = [&daemon] { daemon.setReady(true); }})
+             {.joined =
+                  [this, &daemon] {
+                      daemon.setReady(true);
+                      if (m_jobs)
+                          m_jobs->start();
+                  }})
     , m_pusher(daemon, m_node)
     , m_operators({.table = m_node.table(),
                    .now = &BootClock::now,
@@ -32,6 +37,8 @@
     daemon.route("/operator", [this](const std::shared_ptr<HttpExchange> &exchange) {
         m_operators.serve(exchange);
     });
+    if (!settings.jobs.taskEndpoint.empty())
+        m_jobs = std::make_unique<JobControl>(daemon, m_node, settings.jobs);
     m_node.start();
 }
 
@@ -50,6 +57,7 @@
     SettingsParser parser("controller", "Serves operators; keeps configuration, hosts and waves.");
     addCommonSettings(parser, settings.common);
     addTableSetting(parser, settings.tableEndpoint);
+    addJobSettings(parser, settings.jobs);
     const Result<ParseAction> action = parser.parse(args, processEnvironment);
     if (!action) {
         std::cerr << action.error().detail << "\n";
--- a/controller/controller.h
+++ b/controller/controller.h
@@ -3,6 +3,7 @@
 
 #include "cli/daemon.h"
 #include "controller/configurationpusher.h"
+#include "controller/jobcontrol.h"
 #include "controller/operatorapi.h"
 #include "peer/peernode.h"
 
@@ -12,6 +13,7 @@
 {
     CommonSettings common;
     std::string tableEndpoint;
+    JobSettings jobs;
 };
 
 class Controller
@@ -25,6 +27,7 @@
     PeerNode m_node;
     ConfigurationPusher m_pusher;
     OperatorApi m_operators;
+    std::unique_ptr<JobControl> m_jobs; // null without a task service
 };
 
 } // namespace sequoiapier
--- a/controller/hostload.h
+++ b/controller/hostload.h
@@ -2,8 +2,8 @@
 // lagging reports don't show yet.
 #pragma once
 
-#include "controller/resources.h"
 #include "sequoiapier/bootclock.h"
+#include "sequoiapier/resources.h"
 
 #include <optional>
 #include <span>
--- /dev/null
+++ b/controller/jobcancellation.cpp
@@ -0,0 +1,213 @@
+// A waiting job ends in the commit itself. A placed one becomes stopping; the pool's turns command
+// the stop and end it when a report shows the end of its run.
+#include "controller/jobcancellation.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr int MaxRounds = 5;
+
+bool isSettled(const JobRow &row)
+{
+    return row.state == JobState::Stopping;
+}
+
+void addWrites(const LiveJob &job, std::vector<RowWrite> &writes)
+{
+    JobRow after = job.row;
+    RowWrite live{.key = liveJobKey(job.row), .baseVersion = job.version};
+    if (after.isPlaced()) {
+        after.state = JobState::Stopping;
+        live.value = toJson(after);
+    } else {
+        after.state = JobState::Cancelled;
+        after.code = ResultCode::JobCancelled;
+        after.detail = "cancelled before it was placed";
+        writes.push_back({.key = endedJobKey(after.team, after.id), .value = toJson(after)});
+    }
+    writes.push_back(std::move(live));
+}
+
+JobOutcome cancelled(const JobRow &before)
+{
+    return {ResultCode::Committed, before.isPlaced() ? "stopping" : "cancelled"};
+}
+
+} // namespace
+
+void JobCancellation::run(const JobSubmission::Hooks &hooks, std::string team, std::string pool,
+                          std::vector<std::string> ids, JobSubmission::Answer answer)
+{
+    std::make_shared<JobCancellation>(hooks, std::move(team), std::move(pool), std::move(ids),
+                                      std::move(answer))
+        ->scan();
+}
+
+JobCancellation::JobCancellation(const JobSubmission::Hooks &hooks, std::string team,
+                                 std::string pool, std::vector<std::string> ids,
+                                 JobSubmission::Answer answer)
+    : m_hooks(hooks)
+    , m_team(std::move(team))
+    , m_pool(std::move(pool))
+    , m_ids(std::move(ids))
+    , m_answer(std::move(answer))
+{ }
+
+void JobCancellation::scan()
+{
+    if (++m_rounds > MaxRounds) {
+        failOpen();
+        return;
+    }
+    m_hooks.table.scan(liveJobPrefix(m_pool) + m_team + "/", deadline(),
+                       [self = shared_from_this()](const Result<std::vector<TableRow>> &rows) {
+                           if (rows)
+                               self->onScan(rows.value());
+                           else
+                               self->failOpen();
+                       });
+}
+
+void JobCancellation::onScan(const std::vector<TableRow> &rows)
+{
+    m_live.clear();
+    m_missing.clear();
+    m_nextLive = 0;
+    m_nextMissing = 0;
+    m_isConflict = false;
+    std::set<std::string> open;
+    for (const std::string &id : m_ids) {
+        if (!m_outcomes.contains(id))
+            open.insert(id);
+    }
+    const std::size_t prefixLength = (liveJobPrefix(m_pool) + m_team + "/").size();
+    for (const TableRow &row : rows) {
+        if (open.erase(row.key.substr(prefixLength)) == 0)
+            continue;
+        Result<JobRow> job = parseJobRow(row.value);
+        if (!job)
+            m_outcomes[row.key.substr(prefixLength)] = {job.error().code, job.error().detail};
+        else if (isSettled(job.value()))
+            m_outcomes[job.value().id] = cancelled(job.value());
+        else
+            m_live.push_back({std::move(job.value()), row.version});
+    }
+    m_missing.assign(open.begin(), open.end());
+    commitNext();
+}
+
+void JobCancellation::commitNext()
+{
+    if (m_nextLive == m_live.size()) {
+        readNextMissing();
+        return;
+    }
+    const std::size_t first = m_nextLive;
+    m_nextLive = std::min(first + RowsPerCommit, m_live.size());
+    std::vector<RowWrite> writes;
+    for (std::size_t i = first; i < m_nextLive; ++i)
+        addWrites(m_live[i], writes);
+    m_hooks.table.commit(
+        {.writeId = m_hooks.writeId(), .writes = std::move(writes)}, deadline(),
+        [self = shared_from_this(), first, last = m_nextLive](const CommitAnswer &answer) {
+            if (answer.outcome == CommitOutcome::Committed) {
+                for (std::size_t i = first; i < last; ++i)
+                    self->m_outcomes[self->m_live[i].row.id] = cancelled(self->m_live[i].row);
+            } else {
+                self->m_isConflict = true;
+                self->m_isWriteLost |= answer.outcome == CommitOutcome::Unknown;
+            }
+            self->commitNext();
+        });
+}
+
+void JobCancellation::readNextMissing()
+{
+    if (m_nextMissing == m_missing.size()) {
+        finish();
+        return;
+    }
+    m_hooks.table.read(endedJobKey(m_team, m_missing[m_nextMissing]), deadline(),
+                       [self = shared_from_this()](const Result<std::optional<TableRow>> &row) {
+                           if (!row)
+                               self->failOpen();
+                           else if (row.value())
+                               self->onEnded(*row.value());
+                           else
+                               self->readRecord();
+                       });
+}
+
+void JobCancellation::onEnded(const TableRow &row)
+{
+    const Result<JobRow> job = parseJobRow(row.value);
+    if (!job)
+        settle({job.error().code, job.error().detail});
+    else if (job.value().pool != m_pool)
+        settle({ResultCode::NotFound, "the team has no such job in pool " + m_pool});
+    else if (job.value().state == JobState::Cancelled)
+        settle({ResultCode::Committed, "cancelled"});
+    else
+        settle({ResultCode::Conflict, "ended: " + std::string(toString(job.value().state))});
+}
+
+// A job that has a record in this pool and no other row was submitted or ended in between.
+void JobCancellation::readRecord()
+{
+    m_hooks.table.read(jobRecordKey(m_team, m_missing[m_nextMissing]), deadline(),
+                       [self = shared_from_this()](const Result<std::optional<TableRow>> &row) {
+                           if (!row) {
+                               self->failOpen();
+                               return;
+                           }
+                           const Result<JobRow> job = row.value() ? parseJobRow(row.value()->value)
+                                                                  : Error{ResultCode::NotFound, ""};
+                           if (!job || job.value().pool != self->m_pool) {
+                               self->settle({ResultCode::NotFound,
+                                             "the team has no such job in pool " + self->m_pool});
+                               return;
+                           }
+                           self->m_isConflict = true;
+                           ++self->m_nextMissing;
+                           self->readNextMissing();
+                       });
+}
+
+void JobCancellation::settle(JobOutcome outcome)
+{
+    m_outcomes[m_missing[m_nextMissing++]] = std::move(outcome);
+    readNextMissing();
+}
+
+void JobCancellation::finish()
+{
+    if (m_isConflict) {
+        scan();
+        return;
+    }
+    std::vector<JobOutcome> outcomes;
+    outcomes.reserve(m_ids.size());
+    for (const std::string &id : m_ids)
+        outcomes.push_back(m_outcomes[id]);
+    m_answer(outcomes);
+}
+
+void JobCancellation::failOpen()
+{
+    for (const std::string &id : m_ids) {
+        if (m_isWriteLost)
+            m_outcomes.try_emplace(id, ResultCode::CommitUnknown, "an answer was lost; ask again");
+        else
+            m_outcomes.try_emplace(id, ResultCode::NotCommitted,
+                                   "this call cancelled nothing; ask again");
+    }
+    m_isConflict = false;
+    finish();
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/controller/jobplanner.cpp
@@ -0,0 +1,294 @@
+// First what reports show is taken in; it may free units of the teams' ceilings. Then urgent jobs
+// are placed, then the others, on the hosts' loads by the rows and the newest reports. A job is
+// impossible only if neither its declared size nor what its class was seen to use fits any host,
+// open or not.
+#include "controller/jobplanner.h"
+
+#include "controller/hostload.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+Resources smaller(const Resources &a, const Resources &b)
+{
+    return {.processors = std::min(a.processors, b.processors),
+            .memory = std::min(a.memory, b.memory),
+            .accelerators = std::min(a.accelerators, b.accelerators)};
+}
+
+std::string sizeText(const Resources &size)
+{
+    char text[128];
+    std::snprintf(text, sizeof text, "%g processors, %g GB, %g accelerators", size.processors,
+                  size.memory, size.accelerators);
+    return text;
+}
+
+class TurnPlanner
+{
+public:
+    TurnPlanner(const JobTurnInput &input, const JobTurnOptions &options)
+        : m_input(input)
+        , m_options(options)
+    {
+        for (std::size_t i = 0; i < input.hosts.size(); ++i)
+            m_hostIndex[input.hosts[i].name] = i;
+        for (const JobTeam &team : input.teams)
+            addTeam(team);
+    }
+
+    JobTurnPlan run()
+    {
+        m_running.resize(m_input.hosts.size());
+        m_unlearned.resize(m_input.hosts.size());
+        for (std::size_t i = 0; i < m_input.jobs.size(); ++i) {
+            if (m_input.jobs[i].row.isPlaced())
+                follow(i);
+            else
+                m_waiting[m_input.jobs[i].row.isUrgent ? 0 : 1].push_back(i);
+        }
+        addHosts();
+        for (const std::vector<std::size_t> &jobs : m_waiting)
+            place(jobs);
+        return std::move(m_plan);
+    }
+
+private:
+    std::size_t addTeam(const JobTeam &team)
+    {
+        const auto count = m_input.teamCounts.find(team.name);
+        m_teamIndex[team.name] = m_teams.size();
+        m_teams.push_back({.name = team.name,
+                           .share = team.share,
+                           .running = count != m_input.teamCounts.end() ? count->second.placed : 0,
+                           .ceiling = team.ceiling});
+        return m_teams.size() - 1;
+    }
+
+    // A team that was removed from the configuration keeps its running jobs.
+    std::size_t teamOf(const JobRow &row)
+    {
+        const auto found = m_teamIndex.find(row.team);
+        return found != m_teamIndex.end() ? found->second : addTeam({.name = row.team});
+    }
+
+    const TaskReport *reportOf(const JobRow &row) const
+    {
+        const auto found = m_input.reports.find(taskName(row));
+        const bool isCurrent
+            = found != m_input.reports.end() && found->second.id.attempt == row.attempt;
+        return isCurrent ? &found->second : nullptr;
+    }
+
+    void follow(std::size_t index)
+    {
+        const JobRow &row = m_input.jobs[index].row;
+        const TaskReport *report = reportOf(row);
+        std::optional<JobRow> next
+            = report != nullptr ? nextJobStep(row, *report, m_options.step) : std::nullopt;
+        if (next && mayChange()) {
+            const bool isStillPlaced = next->isPlaced();
+            change(index, std::move(*next));
+            if (!isStillPlaced) {
+                release(row);
+                return;
+            }
+        }
+        addLoad(row, report);
+        if (report != nullptr && report->state != TaskState::Running)
+            return;
+        m_plan.running.push_back(index);
+        if (row.state == JobState::Stopping || mustLeave(row))
+            m_plan.stops.push_back(index);
+        else if (report == nullptr && row.state == JobState::Placed)
+            m_plan.startAgain.push_back(index);
+    }
+
+    bool mayChange()
+    {
+        if (m_changes++ < m_options.maxChanges)
+            return true;
+        m_plan.isFull = true;
+        return false;
+    }
+
+    void change(std::size_t index, JobRow after)
+    {
+        m_plan.changes.push_back({index, std::move(after)});
+    }
+
+    void release(const JobRow &row)
+    {
+        std::uint32_t &running = m_teams[teamOf(row)].running;
+        running -= std::min<std::uint32_t>(running, 1);
+        m_plan.teamCounts[row.team] = running;
+    }
+
+    bool mustLeave(const JobRow &row) const
+    {
+        const auto host = m_hostIndex.find(row.worker);
+        return row.isRerunnable && host != m_hostIndex.end()
+            && m_input.hosts[host->second].isDraining;
+    }
+
+    Resources estimate(const JobRow &row) const
+    {
+        return m_input.learner.estimate(usageClass(row), row.size);
+    }
+
+    void addLoad(const JobRow &row, const TaskReport *report)
+    {
+        const Resources need = estimate(row);
+        m_teams[teamOf(row)].used += need;
+        const auto host = m_hostIndex.find(row.worker);
+        if (host == m_hostIndex.end())
+            return;
+        m_running[host->second].push_back(
+            {.estimate = need,
+             .startedAt = m_input.startedAt({taskName(row), row.attempt}),
+             .reported = report != nullptr ? report->used : std::nullopt});
+        m_unlearned[host->second] += m_input.learner.isLearned(usageClass(row)) ? 0 : 1;
+    }
+
+    void addHosts()
+    {
+        for (std::size_t i = 0; i < m_input.hosts.size(); ++i) {
+            const JobHost &host = m_input.hosts[i];
+            m_hosts.push_back({.name = host.name,
+                               .capacity = host.capacity,
+                               .load = hostLoad(m_running[i], m_input.now, m_options.reportLag),
+                               .isWarm = !m_running[i].empty(),
+                               .isOpen = host.isOpen && !m_input.quarantined.contains(host.name),
+                               .unlearned = m_unlearned[i]});
+        }
+    }
+
+    // What is filled of the first host that the job as declared would fit on when empty.
+    const PlacementHost *hostForDeclared(const JobRow &row) const
+    {
+        for (const PlacementHost &host : m_hosts) {
+            if (row.size.fitsInto(filled(host)))
+                return &host;
+        }
+        return nullptr;
+    }
+
+    Resources filled(const PlacementHost &host) const
+    {
+        Resources fill = host.capacity * m_options.placement.fillLimit;
+        fill.accelerators = host.capacity.accelerators;
+        return fill;
+    }
+
+    PlacementJob toPlacementJob(const JobRow &row)
+    {
+        Resources need = estimate(row);
+        if (const PlacementHost *host = hostForDeclared(row))
+            need = smaller(need, filled(*host));
+        return {.id = row.id,
+                .team = teamOf(row),
+                .priority = row.priority,
+                .estimate = need,
+                .isLearned = m_input.learner.isLearned(usageClass(row))};
+    }
+
+    void place(const std::vector<std::size_t> &indexes)
+    {
+        std::vector<PlacementJob> jobs;
+        jobs.reserve(indexes.size());
+        for (const std::size_t index : indexes)
+            jobs.push_back(toPlacementJob(m_input.jobs[index].row));
+        const PlacementPlan plan = planPlacement({.hosts = m_hosts, .jobs = jobs, .teams = m_teams},
+                                                 m_options.placement);
+        for (const Assignment &assignment : plan.assignments)
+            assign(indexes[assignment.job], jobs[assignment.job], m_hosts[assignment.host]);
+        for (const WaitingJob &waiting : plan.waiting)
+            explain(indexes[waiting.job], waiting);
+    }
+
+    void assign(std::size_t index, const PlacementJob &job, PlacementHost &host)
+    {
+        if (m_starts == m_options.maxStarts) {
+            m_plan.isFull = true;
+            return;
+        }
+        ++m_starts;
+        JobRow after = m_input.jobs[index].row;
+        after.state = JobState::Placed;
+        after.worker = host.name;
+        ++after.attempt;
+        after.code = ResultCode::Ok;
+        after.detail.clear();
+        PlacementTeam &team = m_teams[job.team];
+        team.used += job.estimate;
+        m_plan.teamCounts[after.team] = ++team.running;
+        host.load += job.estimate;
+        host.isWarm = true;
+        host.unlearned += job.isLearned ? 0 : 1;
+        change(index, std::move(after));
+    }
+
+    void explain(std::size_t index, const WaitingJob &waiting)
+    {
+        const JobRow &row = m_input.jobs[index].row;
+        JobRow after = row;
+        after.code = waiting.code;
+        after.detail = waiting.reason;
+        if (waiting.code == ResultCode::JobNeverFits) {
+            after.detail = neverFitsDetail(row);
+            after.state = JobState::Impossible;
+            if (!m_input.isPoolComplete || m_hosts.empty()) {
+                after.code = ResultCode::JobWaiting;
+                after.detail = "the pool has no host that could run it now";
+                after.state = JobState::Waiting;
+            }
+        }
+        if (after != row && mayChange())
+            change(index, std::move(after));
+    }
+
+    std::string neverFitsDetail(const JobRow &row) const
+    {
+        Resources most;
+        for (const PlacementHost &host : m_hosts) {
+            const Resources fill = filled(host);
+            most = {.processors = std::max(most.processors, fill.processors),
+                    .memory = std::max(most.memory, fill.memory),
+                    .accelerators = std::max(most.accelerators, fill.accelerators)};
+        }
+        return "needs " + sizeText(row.size) + "; no host of pool " + row.pool
+            + " gives that, at most " + sizeText(most);
+    }
+
+    const JobTurnInput &m_input;
+    const JobTurnOptions &m_options;
+    std::unordered_map<std::string, std::size_t> m_hostIndex;
+    std::unordered_map<std::string, std::size_t> m_teamIndex;
+    std::vector<PlacementTeam> m_teams;
+    std::vector<PlacementHost> m_hosts;
+    std::vector<std::vector<RunningJob>> m_running; // by host
+    std::vector<std::uint32_t> m_unlearned; // by host
+    std::vector<std::size_t> m_waiting[2]; // urgent, others
+    std::size_t m_starts = 0;
+    std::size_t m_changes = 0;
+    JobTurnPlan m_plan;
+};
+
+} // namespace
+
+std::string usageClass(const JobRow &row)
+{
+    return row.team + "/" + row.jobClass;
+}
+
+JobTurnPlan planJobTurn(const JobTurnInput &input, const JobTurnOptions &options)
+{
+    return TurnPlanner(input, options).run();
+}
+
+} // namespace sequoiapier
--- /dev/null
+++ b/controller/jobrunner.h
@@ -0,0 +1,104 @@
+// JobRunner: takes the turns of the pools' jobs over the table and the task service, on one loop.
+//
+//   JobRunner runner(table, tasks, {.now = BootClock::now, .configuration = ..., ...}, options);
+//   runner.turn("batch");  // on a timer, for each pool that this process takes care of
+//
+// Any number of controllers may take turns of one pool: of turns that race, one commits. A run is
+// commanded only after the commit that placed it. What it keeps is only estimates and the rows
+// parsed last, for speed; it must outlive its calls. Memory: the live jobs of its pools.
+#pragma once
+
+#include "controller/jobplanner.h"
+#include "controller/stopqueue.h"
+#include "controller/workerquarantine.h"
+#include "platform/tasks.h"
+#include "sequoiapier/configuration.h"
+#include "sequoiapier/table.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sequoiapier {
+
+class JobRunner
+{
+public:
+    // All are required.
+    struct Hooks
+    {
+        std::function<TimePoint()> now;
+        std::function<const Configuration &()> configuration;
+        // After each row that this process changed.
+        std::function<void(const JobRow &)> changed;
+        // After each turn; `isFull`: more is to be done at once.
+        std::function<void(std::string_view pool, bool isFull)> turned;
+    };
+
+    struct Options
+    {
+        std::string process; // with `incarnation`, makes write identifiers unique
+        std::uint64_t incarnation = 0;
+        Duration turnTimeout = std::chrono::seconds(2); // reads, commit and commands of a turn
+        Duration checkpointTime = std::chrono::seconds(10); // then a job is stopped without
+        JobTurnOptions turn;
+        UsageLearner::Options learner;
+        WorkerQuarantine::Options quarantine;
+        StopQueue::Options stops;
+    };
+
+    JobRunner(Table table, Tasks tasks, Hooks hooks, Options options);
+
+    // False if a turn of the pool is under way.
+    bool turn(std::string_view pool);
+    // Drops what is kept of a pool that another process takes care of.
+    void forget(std::string_view pool);
+
+private:
+    struct Turn;
+    struct Pool
+    {
+        std::map<std::string, LiveJob> rows; // by key of the table row
+        std::map<TaskId, TimePoint> firstSeen; // runs
+        std::map<TaskId, Resources> observed; // taken by the learner
+        std::vector<TaskId> running; // of the last turn
+    };
+    using TurnPtr = std::shared_ptr<Turn>;
+
+    void readWorkers(const TurnPtr &turn);
+    void readHosts(const TurnPtr &turn);
+    void readJobs(const TurnPtr &turn);
+    void readTeamCounts(const TurnPtr &turn);
+    void addHosts(Turn &turn, const std::vector<TableRow> &rows) const;
+    bool addJobs(Turn &turn, const std::vector<TableRow> &rows);
+    static bool addTeamCounts(Turn &turn, const std::vector<TableRow> &rows);
+    void learn(Turn &turn);
+    void plan(const TurnPtr &turn);
+    void commitAll(const TurnPtr &turn);
+    void commitTeams(const TurnPtr &turn, std::vector<std::string> teams);
+    void commit(const TurnPtr &turn, const std::string &team,
+                std::function<void(CommitOutcome)> done);
+    static std::vector<RowWrite> writesOf(const Turn &turn, std::string_view team);
+    void onCommitted(const Turn &turn, std::string_view team);
+    void sendRepeats(Turn &turn);
+    void sendStops(Turn &turn);
+    void acknowledge(const Turn &turn);
+    void end(Turn &turn, bool isFull);
+
+    Table m_table;
+    Tasks m_tasks;
+    Hooks m_hooks;
+    Options m_options;
+    UsageLearner m_learner;
+    WorkerQuarantine m_quarantine;
+    std::map<std::string, Pool, std::less<>> m_pools;
+    std::map<std::string, StopQueue, std::less<>> m_stops; // by pool
+    std::set<std::string, std::less<>> m_underWay;
+    std::uint64_t m_writes = 0;
+};
+
+} // namespace sequoiapier
--- /dev/null
+++ b/controller/jobstep.cpp
@@ -0,0 +1,83 @@
+// A job goes back to waiting only if its run certainly never began, or if it may be run again; all
+// other ends of a run end the job.
+#include "controller/jobstep.h"
+
+#include <utility>
+
+namespace sequoiapier {
+
+namespace {
+
+JobRow ended(JobRow row, JobState state, ResultCode code, std::string detail)
+{
+    row.state = state;
+    row.code = code;
+    row.detail = std::move(detail);
+    return row;
+}
+
+JobRow waitingAgain(JobRow row, std::string detail)
+{
+    return ended(std::move(row), JobState::Waiting, ResultCode::JobWaiting, std::move(detail));
+}
+
+JobRow afterFailure(JobRow row, const JobStepOptions &options)
+{
+    const std::string worker = row.worker;
+    ++row.failures;
+    if (!row.isRerunnable || row.state == JobState::Stopping)
+        return ended(std::move(row), JobState::Failed, ResultCode::JobFailed,
+                     "failed on " + worker);
+    if (row.failures >= options.maxFailures) {
+        return ended(std::move(row), JobState::Failed, ResultCode::JobQuarantined,
+                     "every attempt failed, the last on " + worker);
+    }
+    return waitingAgain(std::move(row), "failed on " + worker);
+}
+
+// The run ended without an outcome.
+JobRow afterInterruption(JobRow row, const std::string &what)
+{
+    if (row.state == JobState::Stopping)
+        return ended(std::move(row), JobState::Cancelled, ResultCode::JobCancelled, what);
+    if (row.isRerunnable)
+        return waitingAgain(std::move(row), what);
+    return ended(std::move(row), JobState::Unknown, ResultCode::JobOutcomeUnknown, what);
+}
+
+JobRow afterNoRun(JobRow row)
+{
+    if (row.state == JobState::Stopping) {
+        return ended(std::move(row), JobState::Cancelled, ResultCode::JobCancelled,
+                     "stopped before it ran");
+    }
+    return waitingAgain(std::move(row), "its worker did not start it");
+}
+
+} // namespace
+
+std::optional<JobRow> nextJobStep(const JobRow &row, const TaskReport &report,
+                                  const JobStepOptions &options)
+{
+    if (!row.isPlaced())
+        return std::nullopt;
+    switch (report.state) {
+    case TaskState::Running:
+        if (row.state != JobState::Placed)
+            return std::nullopt;
+        return ended(row, JobState::Running, ResultCode::Ok, "");
+    case TaskState::Done:
+        return ended(row, JobState::Done, ResultCode::Ok, "");
+    case TaskState::Failed:
+        return afterFailure(row, options);
+    case TaskState::Stopped:
+        return afterInterruption(row, "stopped on " + row.worker);
+    case TaskState::Lost:
+        return afterInterruption(row, "lost with " + row.worker);
+    case TaskState::NeverRan:
+        break;
+    }
+    return afterNoRun(row);
+}
+
+} // namespace sequoiapier
--- a/controller/placement.h
+++ b/controller/placement.h
@@ -8,7 +8,7 @@
 // warm host with room; an idle host is woken only when no warm one has room. Running jobs stay.
 #pragma once
 
-#include "controller/resources.h"
+#include "sequoiapier/resources.h"
 #include "sequoiapier/resultcode.h"
 
 #include <cstddef>
--- a/controller/usagelearner.h
+++ b/controller/usagelearner.h
@@ -8,7 +8,7 @@
 // one that was observed longest ago goes first.
 #pragma once
 
-#include "controller/resources.h"
+#include "sequoiapier/resources.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/sequoiapier/resultcode.cpp
+++ b/sequoiapier/resultcode.cpp
@@ -79,6 +79,8 @@
      "A memory or count bound is reached."},
     {BudgetExhausted, "budget-exhausted", 0, RunState::NotApplicable,
      "No unit of the budget is free."},
+    {TaskServiceUnavailable, "task-service-unavailable", 0, RunState::NotApplicable,
+     "The platform's task service did not answer."},
     {HostBusy, "host-busy", 409, RunState::NotApplicable, "Another operation holds the host."},
     {HostNotEmpty, "host-not-empty", 409, RunState::NotApplicable, "The host still runs work."},
     {WaveStopped, "wave-stopped", 0, RunState::NotApplicable, "The wave stopped by its rules."},
@@ -87,6 +89,10 @@
     {JobQuarantined, "job-quarantined", 0, RunState::NotApplicable,
      "The job failed too often on different hosts."},
     {JobWaiting, "job-waiting", 0, RunState::NotApplicable, "The job waits; the detail says why."},
+    {JobOutcomeUnknown, "job-outcome-unknown", 0, RunState::NotApplicable,
+     "The worker was lost; the job may have run in part and is not run again."},
+    {JobFailed, "job-failed", 0, RunState::NotApplicable, "The job ran and failed."},
+    {JobCancelled, "job-cancelled", 0, RunState::NotApplicable, "The job was cancelled."},
 });
 
 } // namespace
--- a/sequoiapier/resultcode.h
+++ b/sequoiapier/resultcode.h
@@ -63,6 +63,7 @@
     LeaseExpired = 305,
     CapacityExceeded = 306,
     BudgetExhausted = 307,
+    TaskServiceUnavailable = 320,
 
     // 400-499: the fleet.
     HostBusy = 400,
@@ -71,6 +72,9 @@
     JobNeverFits = 403,
     JobQuarantined = 404,
     JobWaiting = 405,
+    JobOutcomeUnknown = 420,
+    JobFailed = 421,
+    JobCancelled = 422,
 };
 
 // Whether the work behind a refused request may have run.
--- a/testing/standin/main.cpp
+++ b/testing/standin/main.cpp
@@ -1,6 +1,7 @@
-// The stand-ins for the outside systems: `standin table` and `standin runner`.
+// The stand-ins for the outside systems: `standin table`, `standin runner` and `standin tasks`.
 #include "testing/standin/runnerstandin.h"
 #include "testing/standin/tablestandin.h"
+#include "testing/standin/taskstandin.h"
 
 #include <iostream>
 
@@ -26,20 +27,42 @@
     return daemon.run();
 }
 
+int runTasks(CommonSettings &settings, const TaskStandinSettings &taskSettings)
+{
+    Daemon daemon(settings);
+    const TaskStandin tasks(daemon, taskSettings);
+    daemon.setReady(true);
+    return daemon.run();
+}
+
+void addTaskSettings(SettingsParser &parser, TaskStandinSettings &settings)
+{
+    parser.addInteger("workers", settings.workers, {.min = 1, .help = "Tasks: workers"});
+    parser.addInteger("processors", settings.processors,
+                      {.unit = "cores", .min = 1, .help = "Tasks: of a worker"});
+    parser.addInteger("memory", settings.memory,
+                      {.unit = "GB", .min = 1, .help = "Tasks: of a worker"});
+    parser.addInteger("accelerators", settings.accelerators, {.help = "Tasks: of a worker"});
+    parser.addInteger("report-lag-ms", settings.reportLagMilliseconds,
+                      {.unit = "ms", .help = "Tasks: age of reports at the most"});
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     CommonSettings settings;
     RunnerSettings runner;
+    TaskStandinSettings tasks;
     std::vector<std::string> kinds;
-    SettingsParser parser("standin", "Stand-ins for the outside systems: table | runner");
+    SettingsParser parser("standin", "Stand-ins for the outside systems: table | runner | tasks");
     addCommonSettings(parser, settings);
     parser.addInteger("slots", runner.slots, {.min = 1, .help = "Requests run at once"});
     parser.addInteger("connections", runner.connections, {.min = 1, .help = "Connections at once"});
     parser.addInteger("work-ms", runner.workMilliseconds,
                       {.unit = "ms", .help = "Time of one run"});
     parser.addInteger("work-port", runner.workPort, {.max = 65'535, .help = "TCP port for work"});
+    addTaskSettings(parser, tasks);
     parser.addPositional(kinds, "KIND");
     const auto action = parser.parse({argv, std::size_t(argc)}, processEnvironment);
     if (!action) {
@@ -52,6 +75,8 @@
         return runTable(settings);
     if (kinds == std::vector<std::string>{"runner"})
         return runRunner(settings, runner);
-    std::cerr << "kinds: table | runner\n";
+    if (kinds == std::vector<std::string>{"tasks"})
+        return runTasks(settings, tasks);
+    std::cerr << "kinds: table | runner | tasks\n";
     return int(ResultCode::Usage);
 }
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -83,6 +83,13 @@
     return start("table", {STANDIN_BINARY, "table"}, 0);
 }
 
+bool LocalSystem::startTasks(const std::vector<std::string> &flags)
+{
+    std::vector<std::string> words{STANDIN_BINARY, "tasks"};
+    words.insert(words.end(), flags.begin(), flags.end());
+    return start("tasks", std::move(words), 0);
+}
+
 bool LocalSystem::startRunner(const std::string &name, const std::vector<std::string> &flags)
 {
     const std::uint16_t port = freePort();
@@ -116,6 +123,8 @@
     std::vector<std::string> words{SEQUOIAPIER_BINARY, "controller"};
     for (const std::string &flag : tableFlags())
         words.push_back(flag);
+    for (const std::string &flag : taskFlags())
+        words.push_back(flag);
     words.insert(words.end(), flags.begin(), flags.end());
     return start(name, std::move(words), 0);
 }
@@ -126,6 +135,14 @@
             std::string(Loopback) + ":" + std::to_string(m_members.at("table").adminPort)};
 }
 
+std::vector<std::string> LocalSystem::taskFlags() const
+{
+    if (!hasMember("tasks"))
+        return {};
+    return {"--tasks",
+            std::string(Loopback) + ":" + std::to_string(m_members.at("tasks").adminPort)};
+}
+
 bool LocalSystem::waitReady(const std::string &name)
 {
     return waitUntil([&] { return fetch(name, "/readyz").response.status == 200; });
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -34,6 +34,7 @@
 
     // Start a process and wait until it listens; false if it does not within Patience.
     bool startTable();
+    bool startTasks(const std::vector<std::string> &flags = {});
     bool startRunner(const std::string &name, const std::vector<std::string> &flags = {});
     bool startGateway(const std::string &name, const std::vector<std::string> &flags = {});
     bool startScheduler(const std::string &name, const std::vector<std::string> &flags = {});
@@ -72,6 +73,7 @@
 private:
     bool start(const std::string &name, std::vector<std::string> words, std::uint16_t workPort);
     std::vector<std::string> tableFlags() const;
+    std::vector<std::string> taskFlags() const; // empty without a task service
     int runTool(const std::vector<std::string> &words);
     static std::uint16_t freePort();
 
