--- a/controller/jobrunner.cpp
+++ b/controller/jobrunner.cpp
@@ -26,7 +26,7 @@
     std::vector<JobTeam> teams;
     std::map<std::string, TeamCount> teamCounts;
     JobTurnPlan plan;
-    std::set<std::string, std::less<>> *underWay = nullptr;
+    std::shared_ptr<std::set<std::string, std::less<>>> underWay; // may outlive the runner
 
     ~Turn() { underWay->erase(pool); }
 };
@@ -64,7 +64,7 @@
 
 void JobRunner::forget(std::string_view pool)
 {
-    if (m_underWay.contains(pool))
+    if (m_underWay->contains(pool))
         return;
     const auto known = m_pools.find(pool);
     if (known == m_pools.end())
@@ -75,11 +75,11 @@
 
 bool JobRunner::turn(std::string_view pool)
 {
-    if (!m_underWay.insert(std::string(pool)).second)
+    if (!m_underWay->insert(std::string(pool)).second)
         return false;
     const auto turn = std::make_shared<Turn>();
     turn->pool = pool;
-    turn->underWay = &m_underWay;
+    turn->underWay = m_underWay;
     turn->deadline = m_hooks.now() + m_options.turnTimeout;
     m_tasks.reports(turn->deadline, [this, turn](Result<std::vector<TaskReport>> reports) {
         if (!reports)
@@ -351,7 +351,7 @@
         m_tasks.start(starts, turn.deadline);
 }
 
-void JobRunner::sendRepeats(Turn &turn)
+void JobRunner::sendRepeats(const Turn &turn)
 {
     std::vector<TaskId> running;
     for (const std::size_t job : turn.plan.running)
@@ -398,9 +398,8 @@
         m_tasks.acknowledge(ended, turn.deadline);
 }
 
-void JobRunner::end(Turn &turn, bool isFull)
+void JobRunner::end(const Turn &turn, bool isFull)
 {
-    m_underWay.erase(turn.pool);
     m_hooks.turned(turn.pool, isFull);
 }
 
--- a/controller/jobrunner.h
+++ b/controller/jobrunner.h
@@ -83,10 +83,10 @@
                 std::function<void(CommitOutcome)> done);
     static std::vector<RowWrite> writesOf(const Turn &turn, std::string_view team);
     void onCommitted(const Turn &turn, std::string_view team);
-    void sendRepeats(Turn &turn);
+    void sendRepeats(const Turn &turn);
     void sendStops(const Turn &turn);
     void acknowledge(const Turn &turn);
-    void end(Turn &turn, bool isFull);
+    void end(const Turn &turn, bool isFull);
 
     Table m_table;
     Tasks m_tasks;
@@ -96,7 +96,8 @@
     WorkerQuarantine m_quarantine;
     std::map<std::string, Pool, std::less<>> m_pools;
     std::map<std::string, RunStopper, std::less<>> m_stoppers; // by pool
-    std::set<std::string, std::less<>> m_underWay;
+    std::shared_ptr<std::set<std::string, std::less<>>> m_underWay
+        = std::make_shared<std::set<std::string, std::less<>>>(); // pools
     std::uint64_t m_writes = 0;
 };
 
--- /dev/null
+++ b/testing/unit/jobsubmission_test.cpp
@@ -0,0 +1,140 @@
+#include "controller/jobcancellation.h"
+#include "controller/jobrequest.h"
+#include "controller/jobsubmission.h"
+#include "testing/support/faketable.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <functional>
+
+namespace sequoiapier {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Entry
+{
+    VirtualTime time;
+    FakeTable table{time};
+    int writes = 0;
+    JobSubmission::Hooks hooks{.table = table.hooks("c"),
+                               .now = [this] { return time.now(); },
+                               .writeId = [this] { return "w" + std::to_string(++writes); }};
+
+    static JobRow row(const std::string &id, double processors = 1)
+    {
+        return {.id = id, .team = "a", .pool = "p", .size = {processors, 1, 0}};
+    }
+
+    std::vector<ResultCode> submit(std::vector<JobRow> rows, bool isNewId = false)
+    {
+        std::vector<ResultCode> codes;
+        JobSubmission::run(hooks, std::move(rows), isNewId,
+                           [&](const auto &outcomes) { codes = codesOf(outcomes); });
+        time.runUntil(time.now() + 1min);
+        return codes;
+    }
+
+    std::vector<ResultCode> cancel(std::vector<std::string> ids)
+    {
+        std::vector<ResultCode> codes;
+        JobCancellation::run(hooks, "a", "p", std::move(ids),
+                             [&](const auto &outcomes) { codes = codesOf(outcomes); });
+        time.runUntil(time.now() + 1min);
+        return codes;
+    }
+
+    static std::vector<ResultCode> codesOf(const std::vector<JobOutcome> &outcomes)
+    {
+        std::vector<ResultCode> codes;
+        for (const JobOutcome &outcome : outcomes)
+            codes.push_back(outcome.code);
+        return codes;
+    }
+
+    std::size_t liveCount() { return table.rows().scan(liveJobPrefix("p")).size(); }
+};
+
+using Codes = std::vector<ResultCode>;
+
+TEST(JobSubmission, LostAnswerIsResolvedAndARepeatFindsTheFirstOutcome)
+{
+    Entry entry;
+    entry.table.loseNextAnswers(1);
+    EXPECT_EQ(entry.submit({Entry::row("x"), Entry::row("y")}),
+              (Codes{ResultCode::Committed, ResultCode::Committed}));
+    EXPECT_EQ(entry.submit({Entry::row("x"), Entry::row("y", 2), Entry::row("z")}),
+              (Codes{ResultCode::Committed, ResultCode::Conflict, ResultCode::Committed}));
+    EXPECT_EQ(entry.liveCount(), 3U);
+}
+
+TEST(JobSubmission, EndedJobIsNotBroughtBackByARepeat)
+{
+    Entry entry;
+    entry.submit({Entry::row("x")});
+    EXPECT_EQ(entry.cancel({"x"}), Codes{ResultCode::Committed});
+    EXPECT_EQ(entry.submit({Entry::row("x")}), Codes{ResultCode::Committed});
+    EXPECT_EQ(entry.liveCount(), 0U);
+}
+
+TEST(JobSubmission, OutageIsNeverAnsweredAsCommitted)
+{
+    Entry entry;
+    entry.table.setOutage(true);
+    EXPECT_EQ(entry.submit({Entry::row("x")}), Codes{ResultCode::CommitUnknown});
+    entry.table.setOutage(false);
+    EXPECT_EQ(entry.submit({Entry::row("x")}), Codes{ResultCode::Committed});
+}
+
+TEST(JobCancellation, TellsTheTruthForEachJob)
+{
+    Entry entry;
+    entry.submit({Entry::row("waits"), Entry::row("placed"), Entry::row("done")});
+    JobRow placed = Entry::row("placed");
+    placed.state = JobState::Placed;
+    placed.worker = "h0";
+    placed.attempt = 1;
+    JobRow done = Entry::row("done");
+    done.state = JobState::Done;
+    const auto version = [&](const JobRow &row) {
+        return entry.table.rows().read(liveJobKey(row)).front().version;
+    };
+    entry.table.rows().commit({{liveJobKey(placed), toJson(placed), version(placed)},
+                               {liveJobKey(done), std::nullopt, version(done)},
+                               {endedJobKey("a", "done"), toJson(done), 0}});
+    entry.table.loseNextAnswers(1);
+    const Codes expected{ResultCode::Committed, ResultCode::Committed, ResultCode::Conflict,
+                         ResultCode::NotFound};
+    EXPECT_EQ(entry.cancel({"waits", "placed", "done", "none"}), expected);
+    EXPECT_EQ(entry.cancel({"waits", "placed", "done", "none"}), expected);
+    const TableRow row = entry.table.rows().read(liveJobKey(placed)).front();
+    EXPECT_EQ(parseJobRow(row.value).value().state, JobState::Stopping);
+    EXPECT_EQ(entry.liveCount(), 1U);
+}
+
+TEST(JobRequest, RefusesWhatCannotStandInARow)
+{
+    const Configuration configuration{.pools = {{.name = "p"}}};
+    const auto codeOf = [&](const std::function<void(api::JobRequest &)> &change) {
+        api::JobRequest request;
+        request.id = "x";
+        request.pool = "p";
+        request.processors = 1;
+        change(request);
+        const Result<JobRow> row = parseJobRequest(request, "a", configuration);
+        return row ? ResultCode::Ok : row.error().code;
+    };
+    EXPECT_EQ(codeOf([](auto &) {}), ResultCode::Ok);
+    EXPECT_EQ(codeOf([](auto &job) { job.pool = "q"; }), ResultCode::NotFound);
+    EXPECT_EQ(codeOf([](auto &job) { job.id = "a/b"; }), ResultCode::ChangeInvalid);
+    EXPECT_EQ(codeOf([](auto &job) { job.id = std::string(65, 'x'); }), ResultCode::ChangeInvalid);
+    EXPECT_EQ(codeOf([](auto &job) { job.processors = -1; }), ResultCode::ChangeInvalid);
+    EXPECT_EQ(codeOf([](auto &job) { job.memory = std::nan(""); }), ResultCode::ChangeInvalid);
+    EXPECT_EQ(codeOf([](auto &job) { job.processors = 0; }), ResultCode::ChangeInvalid);
+    EXPECT_EQ(codeOf([](auto &job) { job.priority = 1'001; }), ResultCode::ChangeInvalid);
+    EXPECT_EQ(codeOf([](auto &job) { job.payload = "\xff"; }), ResultCode::ChangeInvalid);
+}
+
+} // namespace
+} // namespace sequoiapier
