--- a/cli/ctlcommand.h
+++ b/cli/ctlcommand.h
@@ -43,6 +43,7 @@
     std::string overdue = "skip";
     bool resumesAfterRepair = false;
     bool isJson = false;
+    std::string keyFile;
     std::vector<std::string> words;
 };
 
@@ -61,5 +62,6 @@
 std::vector<CtlCommand> ctlServiceCommands();
 std::vector<CtlCommand> ctlHostCommands();
 std::vector<CtlCommand> ctlWaveCommands();
+std::vector<CtlCommand> ctlJobCommands();
 
 } // namespace sequoiapier
--- a/controller/controller.cpp
+++ b/controller/controller.cpp
@@ -45,7 +45,12 @@
     : m_daemon(daemon)
     , m_settings(settings)
     , m_node(daemon, {.role = "controller", .table = parseEndpoint(settings.tableEndpoint).value()},
-             {.joined = [this] { startFleet(); }})
+             {.joined =
+                  [this] {
+                      startFleet();
+                      if (m_jobs)
+                          m_jobs->start();
+                  }})
     , m_pusher(daemon, m_node)
     , m_operators({.table = m_node.table(),
                    .now = &BootClock::now,
@@ -71,6 +76,8 @@
     daemon.route("/operator", [this](const std::shared_ptr<HttpExchange> &exchange) {
         m_operators.serve(exchange);
     });
+    if (!settings.jobs.taskEndpoint.empty())
+        m_jobs = std::make_unique<JobControl>(daemon, m_node, settings.jobs);
     m_node.start();
 }
 
@@ -136,6 +143,7 @@
     addCommonSettings(parser, settings.common);
     addTableSetting(parser, settings.tableEndpoint);
     addFleetSettings(parser, settings);
+    addJobSettings(parser, settings.jobs);
     const Result<ParseAction> action = parser.parse(args, processEnvironment);
     if (!action) {
         std::cerr << action.error().detail << "\n";
--- a/controller/controller.h
+++ b/controller/controller.h
@@ -6,6 +6,7 @@
 #include "controller/configurationpusher.h"
 #include "controller/fleetapi.h"
 #include "controller/fleetdriver.h"
+#include "controller/jobcontrol.h"
 #include "controller/operatorapi.h"
 #include "peer/peernode.h"
 #include "platform/hostclient.h"
@@ -21,6 +22,7 @@
     std::string hostsEndpoint; // of the platform's host interface; empty: no host is moved
     std::int64_t fleetMilliseconds = 1'000; // between steps of hosts and waves
     std::int64_t expectedOutSeconds = 300;
+    JobSettings jobs;
 };
 
 class Controller
@@ -44,6 +46,7 @@
     std::unique_ptr<HostClient> m_hosts;
     std::unique_ptr<FleetDriver> m_fleet; // once the process has an incarnation
     Timer m_fleetTimer;
+    std::unique_ptr<JobControl> m_jobs; // null without a task service
 };
 
 } // namespace sequoiapier
--- a/testing/standin/main.cpp
+++ b/testing/standin/main.cpp
@@ -1,7 +1,8 @@
-// The stand-ins for the outside systems: `standin table`, `standin runner` and `standin hosts`.
+// The stand-ins for the outside systems: `standin table`, `runner`, `hosts` and `tasks`.
 #include "testing/standin/hostsstandin.h"
 #include "testing/standin/runnerstandin.h"
 #include "testing/standin/tablestandin.h"
+#include "testing/standin/taskstandin.h"
 
 #include <iostream>
 
@@ -35,6 +36,26 @@
     return daemon.run();
 }
 
+int runTasks(CommonSettings &settings, const TaskStandinSettings &taskSettings)
+{
+    Daemon daemon(settings);
+    const TaskStandin tasks(daemon, taskSettings);
+    daemon.setReady(true);
+    return daemon.run();
+}
+
+void addTaskSettings(SettingsParser &parser, TaskStandinSettings &settings)
+{
+    parser.addInteger("workers", settings.workers, {.min = 1, .help = "Tasks: workers"});
+    parser.addInteger("processors", settings.processors,
+                      {.unit = "cores", .min = 1, .help = "Tasks: of a worker"});
+    parser.addInteger("memory", settings.memory,
+                      {.unit = "GB", .min = 1, .help = "Tasks: of a worker"});
+    parser.addInteger("accelerators", settings.accelerators, {.help = "Tasks: of a worker"});
+    parser.addInteger("report-lag-ms", settings.reportLagMilliseconds,
+                      {.unit = "ms", .help = "Tasks: age of reports at the most"});
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -42,8 +63,10 @@
     CommonSettings settings;
     RunnerSettings runner;
     HostsSettings hosts;
+    TaskStandinSettings tasks;
     std::vector<std::string> kinds;
-    SettingsParser parser("standin", "Stand-ins for the outside systems: table | runner | hosts");
+    SettingsParser parser("standin",
+                          "Stand-ins for the outside systems: table | runner | hosts | tasks");
     addCommonSettings(parser, settings);
     parser.addInteger("slots", runner.slots, {.min = 1, .help = "Requests run at once"});
     parser.addInteger("connections", runner.connections, {.min = 1, .help = "Connections at once"});
@@ -57,6 +80,7 @@
                       {.unit = "ms", .help = "Time to the end of a draining host's work"});
     parser.addInteger("reboot-ms", hosts.rebootMilliseconds,
                       {.unit = "ms", .help = "Time of a reboot"});
+    addTaskSettings(parser, tasks);
     parser.addPositional(kinds, "KIND");
     const auto action = parser.parse({argv, std::size_t(argc)}, processEnvironment);
     if (!action) {
@@ -71,6 +95,8 @@
         return runRunner(settings, runner);
     if (kinds == std::vector<std::string>{"hosts"})
         return runHosts(settings, hosts);
-    std::cerr << "kinds: table | runner | hosts\n";
+    if (kinds == std::vector<std::string>{"tasks"})
+        return runTasks(settings, tasks);
+    std::cerr << "kinds: table | runner | hosts | tasks\n";
     return int(ResultCode::Usage);
 }
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -55,6 +55,13 @@
     return start("hosts", std::move(words), 0);
 }
 
+bool LocalSystem::startTasks(const std::vector<std::string> &flags)
+{
+    std::vector<std::string> words{STANDIN_BINARY, "tasks"};
+    words.insert(words.end(), flags.begin(), flags.end());
+    return start("tasks", std::move(words), 0);
+}
+
 bool LocalSystem::startRunner(const std::string &name, const std::vector<std::string> &flags)
 {
     const std::uint16_t port = freePort();
@@ -90,6 +97,8 @@
         words.push_back(flag);
     if (hasMember("hosts"))
         words.insert(words.end(), {"--hosts", endpointOf("hosts")});
+    for (const std::string &flag : taskFlags())
+        words.push_back(flag);
     words.insert(words.end(), flags.begin(), flags.end());
     return start(name, std::move(words), 0);
 }
@@ -104,6 +113,13 @@
     return std::string(Loopback) + ":" + std::to_string(m_members.at(name).adminPort);
 }
 
+std::vector<std::string> LocalSystem::taskFlags() const
+{
+    if (!hasMember("tasks"))
+        return {};
+    return {"--tasks", endpointOf("tasks")};
+}
+
 bool LocalSystem::waitReady(const std::string &name)
 {
     return waitUntil([&] { return fetch(name, "/readyz").response.status == 200; });
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -36,6 +36,7 @@
     bool startTable();
     // The platform's host interface for these hosts; controllers started after it use it.
     bool startHosts(const std::string &names, const std::vector<std::string> &flags = {});
+    bool startTasks(const std::vector<std::string> &flags = {});
     bool startRunner(const std::string &name, const std::vector<std::string> &flags = {});
     bool startGateway(const std::string &name, const std::vector<std::string> &flags = {});
     bool startScheduler(const std::string &name, const std::vector<std::string> &flags = {});
@@ -67,6 +68,8 @@
     // Runs `sequoiapier timeline` over all members.
     int timeline();
     const std::string &output() const { return m_output; }
+    // For files that commands read.
+    const std::string &directory() const { return m_directory; }
 
     // Writes `document` through ctl, from `baseVersion`.
     int applyConfiguration(const std::string &document, std::uint64_t baseVersion,
@@ -80,6 +83,7 @@
     bool start(const std::string &name, std::vector<std::string> words, std::uint16_t workPort);
     std::vector<std::string> tableFlags() const;
     std::string endpointOf(const std::string &name) const;
+    std::vector<std::string> taskFlags() const; // empty without a task service
     int runTool(const std::vector<std::string> &words);
 
     std::string m_directory;
