Test at most once under random kills, pauses and cuts

FaultSchedule draws faults from a fixed seed; a replaced process is another incarnation on the same addresses. The runner stand-in appends each run to a file before it runs, so that the record outlives a kill.

--- a/testing/standin/main.cpp
+++ b/testing/standin/main.cpp
@@ -40,6 +40,7 @@
     parser.addInteger("work-ms", runner.workMilliseconds,
                       {.unit = "ms", .help = "Time of one run"});
     parser.addInteger("work-port", runner.workPort, {.max = 65'535, .help = "TCP port for work"});
+    parser.addText("record-file", runner.recordFile, {.help = "File of the runs, a line each"});
     parser.addPositional(kinds, "KIND");
     const auto action = parser.parse({argv, std::size_t(argc)}, processEnvironment);
     if (!action) {
--- a/testing/standin/runnerstandin.cpp
+++ b/testing/standin/runnerstandin.cpp
@@ -1,8 +1,11 @@
 #include "testing/standin/runnerstandin.h"
 
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace sequoiapier {
 
@@ -10,12 +13,17 @@
 
 constexpr int StatusUnavailable = 503;
 constexpr std::size_t MaxBodyBytes = 1024 * 1024;
+constexpr mode_t RecordFileMode = 0644;
 
 } // namespace
 
 RunnerStandin::RunnerStandin(Daemon &daemon, const RunnerSettings &settings)
     : m_daemon(daemon)
     , m_settings(settings)
+    , m_recordFile(settings.recordFile.empty()
+                       ? -1
+                       : open(settings.recordFile.c_str(),
+                              O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, RecordFileMode))
     , m_server(daemon.loop(),
                {.address = daemon.settings().address,
                 .port = std::uint16_t(settings.workPort),
@@ -35,6 +43,12 @@
     });
 }
 
+RunnerStandin::~RunnerStandin()
+{
+    if (m_recordFile >= 0)
+        close(m_recordFile);
+}
+
 void RunnerStandin::work(const std::shared_ptr<HttpExchange> &exchange)
 {
     if (m_faults.leaving || m_faults.outage || m_running >= m_settings.slots) {
@@ -48,7 +62,7 @@
     const std::vector<HttpHeader> &headers = exchange->request().headers;
     const std::string id(headerValue(headers, "x-request-id"));
     if (!id.empty())
-        ++m_runs[id];
+        record(id);
     ++m_running;
     m_peakRunning = std::max(m_peakRunning, m_running);
     const std::string workText(headerValue(headers, "x-work-ms"));
@@ -66,6 +80,16 @@
     m_timers[id2]->startAt(BootClock::now() + std::chrono::milliseconds(duration));
 }
 
+void RunnerStandin::record(const std::string &id)
+{
+    ++m_runs[id];
+    if (m_recordFile < 0)
+        return;
+    const std::string line = id + "\n";
+    if (write(m_recordFile, line.data(), line.size()) != ssize_t(line.size()))
+        std::abort();
+}
+
 void RunnerStandin::finish(const std::shared_ptr<HttpExchange> &exchange)
 {
     --m_running;
--- a/testing/standin/runnerstandin.h
+++ b/testing/standin/runnerstandin.h
@@ -1,8 +1,9 @@
 // RunnerStandin: an upstream runner with a bounded number of slots and connections.
 //
 // POST /work runs for `x-work-ms` milliseconds, or the default, and echoes the body. It keeps a
-// record of every run by request identifier, served as JSON at GET /record. A request past the
-// slots or while leaving is refused with 503 before it runs.
+// record of every run by request identifier, served as JSON at GET /record and appended to
+// `recordFile`, a line each, before the run, so that it outlives a kill. A request past the slots
+// or while leaving is refused with 503 before it runs.
 #pragma once
 
 #include "cli/daemon.h"
@@ -18,6 +19,7 @@
     std::int64_t connections = 64;
     std::int64_t workMilliseconds = 0;
     std::int64_t workPort = 0;
+    std::string recordFile; // empty: none
 };
 
 class RunnerStandin
@@ -25,10 +27,15 @@
 public:
     RunnerStandin(Daemon &daemon, const RunnerSettings &settings);
 
+    ~RunnerStandin();
+    RunnerStandin(const RunnerStandin &) = delete;
+    RunnerStandin &operator=(const RunnerStandin &) = delete;
+
     bool isListening() const { return m_server.isListening(); }
 
 private:
     void work(const std::shared_ptr<HttpExchange> &exchange);
+    void record(const std::string &id);
     void finish(const std::shared_ptr<HttpExchange> &exchange);
     void serveRecord(const std::shared_ptr<HttpExchange> &exchange) const;
 
@@ -39,6 +46,7 @@
     std::int64_t m_peakRunning = 0;
     std::uint64_t m_refused = 0;
     std::map<std::string, int> m_runs; // by request identifier
+    int m_recordFile = -1;
     std::map<std::uint64_t, std::unique_ptr<Timer>> m_timers;
     std::uint64_t m_nextTimer = 0;
     HttpServer m_server;
--- /dev/null
+++ b/testing/support/faultschedule.h
@@ -0,0 +1,78 @@
+// FaultSchedule: faults drawn at random from a fixed seed, brought about in a RelayedSystem on a
+// thread of its own while a test puts load on it.
+//
+//   FaultSchedule schedule(relayed, seed);
+//   schedule.start();
+//   const LoadResult result = runLoad(...);
+//   schedule.stop();   // heals everything
+//
+// Processes are killed and replaced on the same address, or paused and resumed, also past their
+// leases; links are cut or made silent; the table is out. Up to two faults hold at once.
+#pragma once
+
+#include "sequoiapier/bootclock.h"
+#include "testing/support/relayedsystem.h"
+
+#include <atomic>
+#include <functional>
+#include <random>
+#include <thread>
+
+namespace sequoiapier {
+
+class FaultSchedule
+{
+public:
+    // When a gateway can't have answered its callers.
+    struct Window
+    {
+        std::uint16_t callerPort = 0;
+        TimePoint from;
+        TimePoint to;
+    };
+
+    FaultSchedule(RelayedSystem &relayed, std::uint64_t seed);
+    ~FaultSchedule() { stop(); }
+    FaultSchedule(const FaultSchedule &) = delete;
+    FaultSchedule &operator=(const FaultSchedule &) = delete;
+
+    void start();
+    void stop();
+
+    // Valid after stop().
+    const std::vector<Window> &windows() const { return m_windows; }
+    const std::map<std::string, unsigned> &counts() const { return m_counts; } // by fault
+    // Processes that ended without having been killed.
+    const std::vector<std::string> &crashed() const { return m_crashed; }
+
+private:
+    struct Fault
+    {
+        std::string name;
+        std::string member;
+        std::function<void()> begin;
+        std::function<void()> end;
+    };
+
+    void run();
+    Fault draw();
+    Fault killFault(const std::string &member);
+    Fault pauseFault(const std::string &member);
+    Fault cutFault(const std::string &one, const std::string &other);
+    Fault silenceFault(const std::string &runner);
+    Fault outageFault();
+    void hold(std::chrono::milliseconds time) const;
+    void checkRuns(const std::string &member);
+    std::chrono::milliseconds drawTime(int least, int most);
+    const std::string &drawName(const std::vector<std::string> &names);
+
+    RelayedSystem &m_relayed;
+    std::mt19937_64 m_random;
+    std::thread m_thread;
+    std::atomic<bool> m_isStopped = false;
+    std::vector<Window> m_windows;
+    std::map<std::string, unsigned> m_counts;
+    std::vector<std::string> m_crashed;
+};
+
+} // namespace sequoiapier
--- a/testing/support/loadclient.cpp
+++ b/testing/support/loadclient.cpp
@@ -38,7 +38,7 @@
     void next(unsigned slot)
     {
         if (m_startedCount == m_options.requestCount) {
-            if (m_latencies.size() == m_options.requestCount)
+            if (m_endedCount == m_options.requestCount)
                 m_loop.stop();
             return;
         }
@@ -56,34 +56,58 @@
 
     void send(unsigned slot)
     {
-        const TimePoint sentAt = BootClock::now();
         const unsigned number = m_sentCount++;
         if (m_options.onStart)
             m_options.onStart(number);
-        LoadOutcome outcome;
-        HttpCall call{.address = "127.0.0.1",
-                      .port = m_options.ports[number % m_options.ports.size()]};
-        call.deadline = sentAt + m_options.deadline;
+        LoadOutcome outcome{.port = m_options.ports[number % m_options.ports.size()],
+                            .sentAt = BootClock::now()};
+        if (!m_options.requestIdPrefix.empty())
+            outcome.requestId = m_options.requestIdPrefix + std::to_string(number);
+        attempt(slot, outcome, Duration{});
+    }
+
+    void attempt(unsigned slot, const LoadOutcome &outcome, Duration age)
+    {
+        HttpCall call{.address = "127.0.0.1", .port = outcome.port};
+        call.deadline = outcome.sentAt + m_options.deadline;
         call.request = {.method = "POST",
                         .path = m_options.path,
                         .headers = m_options.headers,
                         .body = std::string(m_options.bodyBytes, 'b')};
-        if (!m_options.requestIdPrefix.empty()) {
-            outcome.requestId = m_options.requestIdPrefix + std::to_string(number);
+        if (!outcome.requestId.empty())
             call.request.headers.push_back({"x-request-id", outcome.requestId});
+        if (outcome.isRepeat) {
+            call.request.headers.push_back(
+                {"x-request-age-ms", std::to_string(age.count() / 1'000 + 1)});
         }
-        m_http.call(std::move(call), [this, slot, sentAt, outcome](const HttpAnswer &answer) {
-            onAnswer(answer, outcome, sentAt);
+        m_http.call(std::move(call), [this, slot, outcome](const HttpAnswer &answer) {
+            onAnswer(answer, outcome);
+            if (m_options.repeatsUnanswered && answer.outcome != HttpOutcome::Answered
+                && !outcome.isRepeat) {
+                repeat(slot, outcome);
+                return;
+            }
+            ++m_endedCount;
             next(slot);
         });
     }
 
-    void onAnswer(const HttpAnswer &answer, LoadOutcome outcome, TimePoint sentAt)
+    void repeat(unsigned slot, const LoadOutcome &first)
+    {
+        const auto port = std::find(m_options.ports.begin(), m_options.ports.end(), first.port);
+        const auto after = port + 1 == m_options.ports.end() ? m_options.ports.begin() : port + 1;
+        const TimePoint now = BootClock::now();
+        attempt(slot,
+                {.requestId = first.requestId, .port = *after, .sentAt = now, .isRepeat = true},
+                now - first.sentAt);
+    }
+
+    void onAnswer(const HttpAnswer &answer, LoadOutcome outcome)
     {
         outcome.outcome = answer.outcome;
         outcome.status = answer.response.status;
         outcome.runState = headerValue(answer.response.headers, "x-run-state");
-        outcome.microseconds = double((BootClock::now() - sentAt).count());
+        outcome.microseconds = double((BootClock::now() - outcome.sentAt).count());
         m_latencies.push_back(outcome.microseconds);
         const bool isOk = answer.outcome == HttpOutcome::Answered && outcome.status == 200;
         (isOk ? m_result.okCount : m_result.otherCount) += 1;
@@ -107,6 +131,7 @@
     TimePoint m_start;
     unsigned m_startedCount = 0;
     unsigned m_sentCount = 0;
+    unsigned m_endedCount = 0;
     std::vector<double> m_latencies; // microseconds
     LoadResult m_result;
 };
--- a/testing/support/loadclient.h
+++ b/testing/support/loadclient.h
@@ -28,6 +28,9 @@
     std::size_t bodyBytes = 200;
     double requestsPerSecond = 0;
     std::string requestIdPrefix; // empty: no identifiers
+    // A request that got no answer is sent once more through the next port, under its identifier
+    // and with its age.
+    bool repeatsUnanswered = false;
     std::chrono::milliseconds deadline{5'000}; // of the client; not sent
     // Called before each request with the number of those before it.
     std::function<void(unsigned startedCount)> onStart;
@@ -37,6 +40,9 @@
 struct LoadOutcome
 {
     std::string requestId;
+    std::uint16_t port = 0;
+    TimePoint sentAt;
+    bool isRepeat = false; // of the outcome before it under the same identifier
     HttpOutcome outcome = HttpOutcome::NotSent;
     int status = 0;
     std::string runState; // from the answer's header
@@ -50,7 +56,7 @@
     double requestsPerSecond = 0;
     double p50Microseconds = 0;
     double p99Microseconds = 0;
-    std::vector<LoadOutcome> outcomes;
+    std::vector<LoadOutcome> outcomes; // of every attempt
 };
 
 LoadResult runLoad(const LoadOptions &options);
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -74,7 +75,26 @@
     words.insert(words.end(), {"--name", name, "--port", std::to_string(adminPort)});
     m_members.erase(name);
     m_members.emplace(
-        name, Member{adminPort, workPort, ChildProcess(words, m_directory + "/" + name + ".log")});
+        name,
+        Member{adminPort, workPort, words, ChildProcess(words, m_directory + "/" + name + ".log")});
+    return waitListening(name);
+}
+
+void LocalSystem::replace(const std::string &name, const std::vector<std::string> &moreFlags)
+{
+    Member replaced = std::move(m_members.at(name));
+    replaced.process.signal(SIGKILL);
+    replaced.process.waitExit(Patience);
+    std::vector<std::string> words = replaced.words;
+    words.insert(words.end(), moreFlags.begin(), moreFlags.end());
+    m_members.erase(name);
+    m_members.emplace(name,
+                      Member{replaced.adminPort, replaced.workPort, replaced.words,
+                             ChildProcess(words, m_directory + "/" + name + ".log")});
+}
+
+bool LocalSystem::waitListening(const std::string &name) const
+{
     return waitUntil([&] { return fetch(name, "/healthz").outcome == HttpOutcome::Answered; });
 }
 
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -22,6 +22,7 @@
 {
     std::uint16_t adminPort = 0;
     std::uint16_t workPort = 0; // callers' or work port, 0 if it has none
+    std::vector<std::string> words; // it was started with
     ChildProcess process;
 };
 
@@ -39,11 +40,16 @@
     bool startScheduler(const std::string &name, const std::vector<std::string> &flags = {});
     bool startController(const std::string &name, const std::vector<std::string> &flags = {});
 
+    // Kills `name`, if it runs, and starts it again on the same addresses with `moreFlags`: another
+    // incarnation of the member. Does not wait.
+    void replace(const std::string &name, const std::vector<std::string> &moreFlags = {});
+    bool waitListening(const std::string &name) const;
     bool waitReady(const std::string &name);
     Member &member(const std::string &name) { return m_members.at(name); }
     bool hasMember(const std::string &name) const { return m_members.contains(name); }
     void forget(const std::string &name) { m_members.erase(name); }
     std::vector<std::string> memberNames() const;
+    const std::string &directory() const { return m_directory; }
 
     // Calls an HTTP server on loopback and waits for the end of the call.
     HttpAnswer call(std::uint16_t port, HttpRequest request,
