Send a second attempt of idempotent requests; eject runners that don't answer

Cause: an idempotent request on a connection that had gone silent waited for its deadline and was answered 'unknown'. A runner that was paused was never ejected, as nothing counted as its failure before its connection ended. When it was resumed its late answers were learned as run times, and the team's requests were refused as too late although the other runners were sound.

Change: after half of the time to the deadline an idempotent request gets a second attempt on a fresh connection, to another runner if there is one, within the retry budget and under units of its own; the first whole answer of the two is the caller's. A run that outlived its deadline is not learned if others of the team ended while it ran. A last look that forbids the send no longer counts as the runner's failure. The last look also checks that the configuration is confirmed and that the key is valid.

Ruled out: giving the first attempt up at that moment. Work that takes longer than half of its deadline would be started twice and answered by neither.

--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -16,40 +16,6 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
 constexpr std::uint32_t RetryAfterSeconds = 1;
 constexpr unsigned MaxAttempts = 8;
-constexpr int StatusServerError = 500;
-constexpr int StatusUnavailable = 503;
-
-bool isRunnerRefusal(const HttpResponse &response)
-{
-    return response.status == StatusUnavailable
-        && headerValue(response.headers, "x-run-state") == "not-run";
-}
-
-UpstreamOutcome upstreamOutcome(const HttpAnswer &answer)
-{
-    if (answer.outcome != HttpOutcome::Answered)
-        return UpstreamOutcome::Failed;
-    if (isRunnerRefusal(answer.response)) {
-        const bool isBusy = headerValue(answer.response.headers, "x-runner-state") == "busy";
-        return isBusy ? UpstreamOutcome::RefusedBusy : UpstreamOutcome::RefusedLeaving;
-    }
-    return answer.response.status >= StatusServerError ? UpstreamOutcome::Failed
-                                                       : UpstreamOutcome::Answered;
-}
-
-RequestEvent requestEvent(const HttpAnswer &answer)
-{
-    switch (answer.outcome) {
-    case HttpOutcome::NotSent:
-        return RequestEvent::ConnectionRefused;
-    case HttpOutcome::Lost:
-        return answer.response.status != 0 ? RequestEvent::PartialAnswer
-                                           : RequestEvent::ConnectionLost;
-    case HttpOutcome::Answered:
-        break;
-    }
-    return isRunnerRefusal(answer.response) ? RequestEvent::RunnerRefused : RequestEvent::Answered;
-}
 
 prometheus::Gauge &makeGauge(prometheus::Registry &registry, const char *name, const char *help)
 {
@@ -152,6 +118,8 @@
                    .deadline = request.deadline,
                    .isUrgent = request.isUrgent,
                    .bytes = held.exchange->request().body.size()};
+    if (!request.key.empty())
+        held.keyDigest = keyDigest(request.key);
     held.request = std::move(request);
     held.deadlineTimer = std::make_unique<Timer>(m_daemon.loop(), [this, id] { onDeadline(id); });
     held.deadlineTimer->startAt(held.request.deadline);
@@ -175,6 +143,8 @@
 {
     const TimePoint now = BootClock::now();
     refuseOverdue(lane, now);
+    if (m_options.mayTakeWork && !m_options.mayTakeWork())
+        return;
     while (dispatchOne(lane, now)) { }
 }
 
@@ -188,11 +158,22 @@
     refuseOverdue(lane, now);
     if (!next)
         return false;
-    m_held.at(next->id).queued = *next;
-    startAttempt(lane, next->id, now);
+    HeldRequest &held = m_held.at(next->id);
+    held.queued = *next;
+    if (isKeyValid(held)) {
+        startAttempt(lane, next->id, now);
+    } else {
+        queues->onNotRun(*next);
+        apply(next->id, held.state.onRefused(ResultCode::KeyRejected), nullptr);
+    }
     return true;
 }
 
+bool Dispatcher::isKeyValid(const HeldRequest &held) const
+{
+    return held.keyDigest.empty() || !m_options.isKeyValid || m_options.isKeyValid(held.keyDigest);
+}
+
 // The queue after the one served last that has work.
 TeamQueues *Dispatcher::nextQueue(ServiceLane &lane)
 {
@@ -239,83 +220,13 @@
     return false;
 }
 
-void Dispatcher::startAttempt(ServiceLane &lane, std::uint64_t id, TimePoint now)
-{
-    HeldRequest &held = m_held.at(id);
-    held.slot = findSlot(lane, held.queued.team, now);
-    m_loans.find(*held.slot)->tryAcquire(now);
-    if (m_ceilings.contains(held.queued.team)) {
-        held.ceiling = LoanKey{ceilingResource(held.queued.team), ""};
-        m_loans.find(*held.ceiling)->tryAcquire(now);
-    }
-    held.runner = *lane.picker.pick(now, held.avoid);
-    held.startedAt = now;
-    held.state.onStarted();
-    lane.picker.onStarted(held.runner);
-    m_daemon.httpClient().call(makeCall(id, held, lane), [this, id](HttpAnswer answer) {
-        onAttemptEnded(id, std::move(answer));
-    });
-}
-
-HttpCall Dispatcher::makeCall(std::uint64_t id, const HeldRequest &held, const ServiceLane &lane)
-{
-    const Endpoint endpoint = parseEndpoint(held.runner).value();
-    const TimePoint now = BootClock::now();
-    HttpCall call{.address = endpoint.address, .port = endpoint.port};
-    // The connection is kept past the request's deadline, since only its end frees the slot.
-    call.deadline = std::max(held.request.deadline, now + m_options.longestWork);
-    call.connectionUse
-        = held.request.isIdempotent ? ConnectionUse::ReuseProved : ConnectionUse::Fresh;
-    call.maySend = [this, id] { return onBytesLeaving(id); };
-    call.request = {.method = "POST", .path = "/work", .body = held.exchange->request().body};
-    call.request.headers
-        = {{"x-deadline-ms", std::to_string(remainingMilliseconds(held.request.deadline, now))},
-           {"x-service", lane.config.name}};
-    if (!held.request.requestId.empty())
-        call.request.headers.push_back({"x-request-id", held.request.requestId});
-    return call;
-}
-
-// The last look before a byte is written: the leases must still stand.
-bool Dispatcher::onBytesLeaving(std::uint64_t id)
-{
-    const auto found = m_held.find(id);
-    if (found == m_held.end())
-        return false;
-    HeldRequest &held = found->second;
-    const TimePoint now = BootClock::now();
-    for (const std::optional<LoanKey> &key : {held.slot, held.ceiling}) {
-        const Borrower *borrower = key ? m_loans.find(*key) : nullptr;
-        if (key && (borrower == nullptr || !borrower->isLeased(now)))
-            return false;
-    }
-    return held.state.onBytesLeft();
-}
-
-void Dispatcher::onAttemptEnded(std::uint64_t id, HttpAnswer answer)
-{
-    HeldRequest &held = m_held.at(id);
-    ServiceLane &lane = m_lanes.at(held.service);
-    const TimePoint now = BootClock::now();
-    const UpstreamOutcome outcome = upstreamOutcome(answer);
-    lane.picker.onEnded(held.runner, outcome, now);
-    TeamQueues &queues = lane.queues.at(held.request.queue);
-    if (answer.outcome == HttpOutcome::Answered && !isRunnerRefusal(answer.response)) {
-        queues.onFinished(held.queued, now - held.startedAt, now);
-        lane.retryBudget.onSuccess();
-    } else if (answer.outcome != HttpOutcome::Lost) {
-        queues.onNotRun(held.queued);
-    }
-    held.avoid = held.runner;
-    onEvent(id, requestEvent(answer), &answer.response);
-    dispatch(lane);
-}
-
 void Dispatcher::onDeadline(std::uint64_t id)
 {
     HeldRequest &held = m_held.at(id);
     if (held.state.phase() == RequestPhase::Queued)
         m_lanes.at(held.service).queues.at(held.request.queue).remove(id);
+    else if (held.state.phase() == RequestPhase::Sent)
+        reportOverdue(held);
     onEvent(id, RequestEvent::DeadlinePassed, nullptr);
 }
 
@@ -367,6 +278,8 @@
 void Dispatcher::finish(HeldRequest &held, ResultCode code, HttpResponse *response)
 {
     held.deadlineTimer->cancel();
+    if (held.patienceTimer)
+        held.patienceTimer->cancel();
     if (code == ResultCode::Ok && response != nullptr) {
         count(code);
         response->headers.push_back({"x-run-state", std::string(toString(RunState::Ran))});
@@ -388,15 +301,15 @@
 {
     const TimePoint now = BootClock::now();
     if (use == UnitUse::Return)
-        releaseUnits(held, now);
+        releaseUnits(held.units, now);
     else if (use == UnitUse::ReturnAtLongest)
-        releaseUnits(held, now + m_options.longestWork);
+        releaseUnits(held.units, now + m_options.longestWork);
 }
 
-void Dispatcher::releaseUnits(HeldRequest &held, TimePoint due)
+void Dispatcher::releaseUnits(AttemptUnits &units, TimePoint due)
 {
     const TimePoint now = BootClock::now();
-    for (std::optional<LoanKey> *key : {&held.slot, &held.ceiling}) {
+    for (std::optional<LoanKey> *key : {&units.slot, &units.ceiling}) {
         if (!*key)
             continue;
         if (due <= now)
@@ -426,7 +339,7 @@
 void Dispatcher::forgetIfDone(std::uint64_t id)
 {
     const HeldRequest &held = m_held.at(id);
-    if (held.state.phase() != RequestPhase::Finished || held.slot)
+    if (held.state.phase() != RequestPhase::Finished || held.units.slot || held.second)
         return;
     m_held.erase(id);
     if (m_held.empty() && m_drained)
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -7,7 +7,8 @@
 //
 // A request starts when its queue's turn comes, a runner takes work, and a slot of the service and
 // a unit of the team's ceiling are held under a lease that is checked again right before the first
-// byte is written. The rules of what the caller is told are RequestState's.
+// byte is written, as are its key and the configuration. The rules of what the caller is told are
+// RequestState's.
 #pragma once
 
 #include "gateway/heldrequest.h"
@@ -29,6 +30,10 @@
     {
         Duration longestWork = std::chrono::minutes(1);
         std::uint64_t seed = 1;
+        // Whether work may start at all: the configuration is confirmed. Empty: yes.
+        std::function<bool()> mayTakeWork = {};
+        // Whether the key with this digest may still hand in work. Empty: yes.
+        std::function<bool(std::string_view keyDigest)> isKeyValid = {};
         // A recorded request was refused and certainly did not run.
         std::function<void(const RequestDigest &)> onNotRun = {};
     };
@@ -63,17 +68,26 @@
     TeamQueues *nextQueue(ServiceLane &lane);
     std::optional<LoanKey> findSlot(const ServiceLane &lane, std::string_view team, TimePoint now);
     bool mayStart(const ServiceLane &lane, std::string_view team, TimePoint now);
+    AttemptUnits takeUnits(const ServiceLane &lane, std::string_view team, TimePoint now);
     void startAttempt(ServiceLane &lane, std::uint64_t id, TimePoint now);
-    HttpCall makeCall(std::uint64_t id, const HeldRequest &held, const ServiceLane &lane);
+    HttpCall makeCall(const HeldRequest &held, const std::string &runner) const;
+    bool maySend(const HeldRequest &held, const AttemptUnits &units);
     bool onBytesLeaving(std::uint64_t id);
     void onAttemptEnded(std::uint64_t id, HttpAnswer answer);
+    void startPatience(HeldRequest &held, TimePoint now);
+    void onPatienceOver(std::uint64_t id);
+    void startSecond(ServiceLane &lane, std::uint64_t id, std::string runner, TimePoint now);
+    bool onSecondBytesLeaving(std::uint64_t id);
+    void onSecondEnded(std::uint64_t id, HttpAnswer answer);
+    bool isKeyValid(const HeldRequest &held) const;
+    void reportOverdue(HeldRequest &held);
     void onDeadline(std::uint64_t id);
     void onEvent(std::uint64_t id, RequestEvent event, HttpResponse *response);
     void apply(std::uint64_t id, RequestStep step, HttpResponse *response);
     void retry(std::uint64_t id);
     void finish(HeldRequest &held, ResultCode code, HttpResponse *response);
     void settleUnits(HeldRequest &held, UnitUse use);
-    void releaseUnits(HeldRequest &held, TimePoint due);
+    void releaseUnits(AttemptUnits &units, TimePoint due);
     void release(const LoanKey &key, TimePoint now);
     void releaseLate();
     void forgetIfDone(std::uint64_t id);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -40,10 +40,13 @@
                       m_dispatcher.start();
                   }})
     , m_duplicates(daemon, m_node)
-    , m_dispatcher(daemon, m_node,
-                   {.longestWork = std::chrono::milliseconds(settings.longestWorkMilliseconds),
-                    .seed = std::random_device()(),
-                    .onNotRun = [this](const RequestDigest &d) { m_duplicates.forget(d); }})
+    , m_dispatcher(
+          daemon, m_node,
+          {.longestWork = std::chrono::milliseconds(settings.longestWorkMilliseconds),
+           .seed = std::random_device()(),
+           .mayTakeWork = [this] { return m_node.follower().isConfirmed(BootClock::now()); },
+           .isKeyValid = [this](std::string_view digest) { return isKeyValid(digest); },
+           .onNotRun = [this](const RequestDigest &d) { m_duplicates.forget(d); }})
     , m_settledTimer(daemon.loop(),
                      [this] {
                          m_isSettled = true;
@@ -136,12 +139,17 @@
             return std::string();
         return Error{ResultCode::KeyMissing, "queue '" + queue.name + "' needs a key"};
     }
-    ConfigurationFollower &follower = m_node.follower();
     const std::string digest = keyDigest(request.key);
-    const KeyConfig *key = follower.configuration().findKey(digest);
-    if (key == nullptr || follower.isDenied(digest, BootClock::now()))
+    if (!isKeyValid(digest))
         return Error{ResultCode::KeyRejected, "the key is unknown or withdrawn"};
-    return key->team;
+    return m_node.follower().configuration().findKey(digest)->team;
+}
+
+bool Gateway::isKeyValid(std::string_view digest)
+{
+    ConfigurationFollower &follower = m_node.follower();
+    return follower.configuration().findKey(digest) != nullptr
+        && !follower.isDenied(digest, BootClock::now());
 }
 
 void Gateway::drain(std::function<void()> done)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -32,6 +32,7 @@
     void submitOnce(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request,
                     const Admission &admission);
     Result<Admission> admit(const CallerRequest &request);
+    bool isKeyValid(std::string_view digest);
     Result<std::string> findTeam(const CallerRequest &request, const QueueConfig &queue);
 
     Daemon &m_daemon;
--- a/gateway/heldrequest.h
+++ b/gateway/heldrequest.h
@@ -6,9 +6,9 @@
 
 #include "gateway/callerrequest.h"
 #include "gateway/duplicatefilter.h"
-#include "gateway/loanclient.h"
 #include "gateway/queuedrequest.h"
 #include "gateway/requeststate.h"
+#include "gateway/secondattempt.h"
 #include "net/httpexchange.h"
 #include "net/timer.h"
 
@@ -23,14 +23,18 @@
     CallerRequest request;
     QueuedRequest queued;
     std::string service;
+    std::string keyDigest; // empty without a key
     std::optional<RequestDigest> digest; // if it is recorded against repeats
     RequestState state;
     std::unique_ptr<Timer> deadlineTimer;
     std::string runner; // of the current attempt
     std::string avoid; // runner of the failed attempt
     TimePoint startedAt; // of the current attempt
-    std::optional<LoanKey> slot; // that the current attempt holds a unit of
-    std::optional<LoanKey> ceiling;
+    AttemptUnits units; // of the current attempt
+    bool isVetoed = false; // the last look before a byte was written forbade the current attempt
+    bool isOverdue = false; // the runner of the current attempt was reported as not answering
+    std::unique_ptr<Timer> patienceTimer; // to the second attempt; idempotent requests only
+    std::optional<SecondAttempt> second;
 };
 
 } // namespace sequoiapier
--- a/gateway/requeststate.cpp
+++ b/gateway/requeststate.cpp
@@ -42,6 +42,24 @@
     }
 }
 
+bool RequestState::onSecondBytesLeft()
+{
+    if (m_phase != RequestPhase::Sent || !m_options.isIdempotent)
+        return false;
+    m_mayHaveRun = true;
+    return true;
+}
+
+RequestStep RequestState::onSecondAnswer()
+{
+    if (m_phase == RequestPhase::Finished)
+        return {RequestAction::DropLate, ResultCode::Ok, UnitUse::None};
+    if (m_phase == RequestPhase::Sent)
+        return finish(ResultCode::Ok, UnitUse::Keep);
+    const bool heldUnit = std::exchange(m_holdsUnit, false);
+    return finish(ResultCode::Ok, heldUnit ? UnitUse::Return : UnitUse::None);
+}
+
 RequestStep RequestState::onAttemptOver(RequestEvent event)
 {
     if (m_phase == RequestPhase::Queued)
--- a/gateway/requeststate.h
+++ b/gateway/requeststate.h
@@ -74,6 +74,11 @@
     // Connecting only, immediately before the first byte. False: it is finished and none may leave.
     bool onBytesLeft();
     RequestStep onEvent(RequestEvent event);
+    // A second attempt, beside the current one, of an idempotent request; it holds a unit of its
+    // own. Immediately before its first byte; false: none may leave.
+    bool onSecondBytesLeft();
+    // A whole answer to it. The unit of the step is that of the current attempt.
+    RequestStep onSecondAnswer();
     // Queued only: it can't go on, as the queue, the retry budget or another bound refused it.
     RequestStep onRefused(ResultCode reason);
 
--- a/gateway/runtimeestimate.h
+++ b/gateway/runtimeestimate.h
@@ -18,6 +18,7 @@
     static constexpr Duration HalfLifeWithoutNews = std::chrono::seconds(1);
 
     void learn(Duration ran, TimePoint now);
+    bool hasLearntSince(TimePoint time) const { return m_hasLearnt && m_lastLearnt >= time; }
     // The mean of recent run times; Initial before the first.
     Duration mean() const { return m_mean; }
     // The mean plus twice the mean deviation, halved for each HalfLifeWithoutNews since the last
--- a/gateway/teamqueues.cpp
+++ b/gateway/teamqueues.cpp
@@ -329,8 +329,12 @@
     const auto found = m_teams.find(request.team);
     if (found == m_teams.end())
         return;
+    // A run that outlived its deadline while others of the team ended tells of its runner alone.
+    RunTimeEstimate &runTime = found->second.runTime;
+    if (now > request.deadline && runTime.hasLearntSince(now - ran))
+        return;
     unrank(found->second);
-    found->second.runTime.learn(ran, now);
+    runTime.learn(ran, now);
     rank(found->second);
 }
 
--- a/gateway/teamqueues.h
+++ b/gateway/teamqueues.h
@@ -89,7 +89,8 @@
     // Everything, for a shutdown.
     std::vector<QueuedRequest> takeAll();
 
-    // After the run of a popped request: corrects what was charged and learns the run time.
+    // After the run of a popped request: corrects what was charged and learns the run time, unless
+    // it outlived its deadline while others of the team ended.
     void onFinished(const QueuedRequest &request, Duration ran, TimePoint now);
     // After a popped request that certainly did not run: takes the charge back.
     void onNotRun(const QueuedRequest &request);
--- a/gateway/upstreampicker.cpp
+++ b/gateway/upstreampicker.cpp
@@ -162,6 +162,12 @@
         m_runners.erase(found);
 }
 
+void UpstreamPicker::onOverdue(std::string_view name, TimePoint now)
+{
+    if (Runner *runner = find(name); runner != nullptr)
+        onFailed(*runner, now);
+}
+
 void UpstreamPicker::onAnswered(Runner &runner, TimePoint now)
 {
     if (now < runner.ejectedUntil)
--- a/gateway/upstreampicker.h
+++ b/gateway/upstreampicker.h
@@ -35,6 +35,7 @@
     Failed, // no connection, connection lost, partial answer, server error or timeout
     RefusedLeaving, // "not run": the runner is leaving
     RefusedBusy, // "not run": the runner has no free slot; says nothing about its health
+    Unjudged, // nothing that tells of the runner's health: not sent, or counted by onOverdue()
 };
 
 struct UpstreamRunner
@@ -74,6 +75,9 @@
     std::optional<std::string_view> pick(TimePoint now, std::string_view avoid = {});
     void onStarted(std::string_view name);
     void onEnded(std::string_view name, UpstreamOutcome outcome, TimePoint now);
+    // A request that still runs there was not answered in time: counts as a failure. Report its end
+    // as UpstreamOutcome::Unjudged unless it is answered.
+    void onOverdue(std::string_view name, TimePoint now);
 
     std::uint32_t outstanding(std::string_view name) const;
     bool isEjected(std::string_view name, TimePoint now) const;
--- a/testing/process/chaos_test.cpp
+++ b/testing/process/chaos_test.cpp
@@ -71,12 +71,26 @@
         return false;
     }
 
-    void expectAnsweredInTime(const LoadOutcome &outcome) const
+    static std::string describe(const LoadOutcome &outcome, const FaultSchedule &schedule)
     {
-        EXPECT_EQ(outcome.outcome, HttpOutcome::Answered)
-            << outcome.requestId << " after " << outcome.microseconds << " us";
+        std::string text = outcome.requestId + " after "
+            + std::to_string(std::int64_t(outcome.microseconds)) + " us";
+        const auto milli = [&](TimePoint time) {
+            return std::to_string((time - outcome.sentAt).count() / 1'000);
+        };
+        for (const FaultSchedule::Window &window : schedule.windows()) {
+            if (window.callerPort == outcome.port)
+                text += "; " + window.fault + " from " + milli(window.from) + " ms to "
+                    + milli(window.to) + " ms";
+        }
+        return text;
+    }
+
+    static void expectAnsweredInTime(const LoadOutcome &outcome, const FaultSchedule &schedule)
+    {
+        EXPECT_EQ(outcome.outcome, HttpOutcome::Answered) << describe(outcome, schedule);
         const auto bound = std::chrono::microseconds(RequestDeadline + AnswerMargin);
-        EXPECT_LE(outcome.microseconds, double(bound.count())) << outcome.requestId;
+        EXPECT_LE(outcome.microseconds, double(bound.count())) << describe(outcome, schedule);
     }
 
     // `last` is the last outcome under its identifier.
@@ -127,7 +141,7 @@
         if (isDisturbed(outcome, schedule))
             ++disturbed;
         else
-            expectAnsweredInTime(outcome);
+            expectAnsweredInTime(outcome, schedule);
     }
     for (const auto &[id, outcome] : last)
         expectTruthful(outcome, runCount(id));
--- a/testing/support/faultschedule.cpp
+++ b/testing/support/faultschedule.cpp
@@ -106,7 +106,8 @@
                 [=, this, &system] {
                     system.replace(member);
                     system.waitListening(member);
-                    m_windows.push_back({system.member(member).workPort, *from, BootClock::now()});
+                    m_windows.push_back(
+                        {"kill", system.member(member).workPort, *from, BootClock::now()});
                 }};
 }
 
@@ -124,7 +125,8 @@
             .end =
                 [=, this, &system] {
                     system.member(member).process.signal(SIGCONT);
-                    m_windows.push_back({system.member(member).workPort, *from, BootClock::now()});
+                    m_windows.push_back(
+                        {"pause", system.member(member).workPort, *from, BootClock::now()});
                 }};
 }
 
--- a/testing/support/faultschedule.h
+++ b/testing/support/faultschedule.h
@@ -26,6 +26,7 @@
     // When a gateway can't have answered its callers.
     struct Window
     {
+        std::string fault;
         std::uint16_t callerPort = 0;
         TimePoint from;
         TimePoint to;
--- a/testing/unit/requeststate_test.cpp
+++ b/testing/unit/requeststate_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
 #include <vector>
 
 namespace sequoiapier {
@@ -11,7 +12,9 @@
 constexpr int StartOrRefuse = EventCount; // what the gateway does while it is queued
 constexpr int BytesLeave = EventCount + 1;
 constexpr int RefuseQueued = EventCount + 2;
-constexpr int OperationCount = EventCount + 3;
+constexpr int SecondBytesLeave = EventCount + 3;
+constexpr int SecondAnswer = EventCount + 4;
+constexpr int OperationCount = EventCount + 5;
 
 // What an onlooker on the wire knows, to hold the state machine against.
 class Onlooker
@@ -47,6 +50,8 @@
             check(m_state.onRefused(ResultCode::RetryBudgetEmpty), RequestEvent::CallerGone);
             return true;
         }
+        if (operation == SecondBytesLeave || operation == SecondAnswer)
+            return applySecond(operation, before);
         const auto event = RequestEvent(operation);
         if (event == RequestEvent::Answered && before == RequestPhase::Connecting)
             return false;
@@ -58,6 +63,22 @@
     bool isFinished() const { return m_state.phase() == RequestPhase::Finished; }
 
 private:
+    bool applySecond(int operation, RequestPhase before)
+    {
+        if (operation == SecondAnswer) {
+            if (!std::exchange(m_isSecondOnWire, false))
+                return false;
+            check(m_state.onSecondAnswer(), RequestEvent::Answered);
+            return true;
+        }
+        if (m_isSecondOnWire)
+            return false;
+        m_isSecondOnWire = m_state.onSecondBytesLeft();
+        EXPECT_EQ(m_isSecondOnWire, before == RequestPhase::Sent && m_options.isIdempotent);
+        m_doubt = m_doubt || m_isSecondOnWire;
+        return m_isSecondOnWire;
+    }
+
     void check(const RequestStep &step, RequestEvent event)
     {
         if (event == RequestEvent::RunnerRefused)
@@ -94,6 +115,7 @@
     int m_unitsHeld = 0;
     int m_finishes = 0;
     bool m_isOnWire = false; // bytes of the current attempt left
+    bool m_isSecondOnWire = false; // bytes of the second attempt left
     bool m_doubt = false; // bytes left that the runner did not refuse
 };
 
--- a/testing/unit/teamqueues_test.cpp
+++ b/testing/unit/teamqueues_test.cpp
@@ -294,5 +294,23 @@
     EXPECT_TRUE(queues.push(request, later)) << "an estimate without news refuses for good";
 }
 
+TEST(TeamQueues, RunStuckOnOneRunnerDoesNotMakeOthersTooLate)
+{
+    TeamQueues queues({});
+    const auto request = [](std::uint64_t id, TimePoint arrival) {
+        return QueuedRequest{
+            .id = id, .team = "pricing", .arrival = arrival, .deadline = arrival + 500ms};
+    };
+    ASSERT_TRUE(queues.push(request(1, Start), Start));
+    const std::optional<QueuedRequest> stuck = queues.pop(Start, Always);
+    ASSERT_TRUE(stuck);
+    const TimePoint later = Start + 4s;
+    ASSERT_TRUE(queues.push(request(2, later), later));
+    queues.onFinished(*queues.pop(later, Always), 20ms, later + 20ms);
+    queues.onFinished(*stuck, 4s, later + 30ms);
+    EXPECT_TRUE(queues.push(request(3, later + 40ms), later + 40ms));
+    EXPECT_TRUE(queues.pop(later + 40ms, Always));
+}
+
 } // namespace
 } // namespace sequoiapier
--- a/testing/unit/upstreampicker_test.cpp
+++ b/testing/unit/upstreampicker_test.cpp
@@ -55,6 +55,23 @@
     EXPECT_TRUE(picker.isEjected("r0", later + 9s)) << "twice as long the second time";
 }
 
+TEST(UpstreamPicker, RunnerThatDoesNotAnswerInTimeIsEjected)
+{
+    UpstreamPicker picker({.ejectAfter = 2, .maxEjectedPart = 0.5}, 1);
+    picker.setRunners(makeRunners(2, 8));
+    for (int i = 0; i < 2; ++i) {
+        picker.onStarted("r0");
+        picker.onOverdue("r0", Start);
+    }
+    EXPECT_TRUE(picker.isEjected("r0", Start));
+    EXPECT_EQ(picker.outstanding("r0"), 2U) << "they still run";
+    const TimePoint later = Start + 6s;
+    for (int i = 0; i < 2; ++i)
+        picker.onEnded("r0", UpstreamOutcome::Unjudged, later);
+    EXPECT_FALSE(picker.isEjected("r0", later)) << "the late end says nothing new";
+    EXPECT_EQ(picker.outstanding("r0"), 0U);
+}
+
 TEST(UpstreamPicker, RemovedRunnerIsForgottenAfterItsLastRequest)
 {
     UpstreamPicker picker({}, 1);
