--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -81,6 +81,7 @@
                                .connections = service.connectionsPerRunner});
         }
         lane.picker.setRunners(runners);
+        markLeaving(lane);
         keys.insert({slotResource(service.name), ""});
         for (const TeamConfig &team : configuration.teams)
             keys.insert({slotResource(service.name), team.name});
@@ -95,6 +96,23 @@
     m_loans.setLoans(keys);
 }
 
+void Dispatcher::setLeavingHosts(const LiveListClient::Addresses &addresses)
+{
+    m_leavingHosts = addresses;
+    for (auto &[name, lane] : m_lanes) {
+        markLeaving(lane);
+        dispatch(lane);
+    }
+}
+
+void Dispatcher::markLeaving(ServiceLane &lane) const
+{
+    for (const RunnerConfig &runner : lane.config.runners) {
+        lane.picker.setLeaving(toString(Endpoint{runner.address, runner.port}),
+                               m_leavingHosts.contains(runner.address));
+    }
+}
+
 void Dispatcher::submit(std::shared_ptr<HttpExchange> exchange, CallerRequest request,
                         const std::string &queue, std::string team,
                         std::optional<RequestDigest> digest)
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -13,6 +13,7 @@
 
 #include "gateway/heldrequest.h"
 #include "gateway/servicelane.h"
+#include "platform/livelistclient.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -43,6 +44,8 @@
     // Starts to borrow; the node must have joined.
     void start();
     void configure(const Configuration &configuration);
+    // Hosts, by IP number, whose runners get nothing new.
+    void setLeavingHosts(const LiveListClient::Addresses &addresses);
     // Takes a request that was admitted to `queue` for `team` (empty without a key). `digest` is
     // set if it is recorded against repeats.
     void submit(std::shared_ptr<HttpExchange> exchange, CallerRequest request,
@@ -80,6 +83,7 @@
     bool onSecondBytesLeaving(std::uint64_t id);
     void onSecondEnded(std::uint64_t id, HttpAnswer answer);
     bool isKeyValid(const HeldRequest &held) const;
+    void markLeaving(ServiceLane &lane) const;
     void reportOverdue(HeldRequest &held);
     void onDeadline(std::uint64_t id);
     void onEvent(std::uint64_t id, RequestEvent event, HttpResponse *response);
@@ -101,6 +105,7 @@
     LoanClient m_loans;
     std::map<std::string, ServiceLane, std::less<>> m_lanes; // by service
     std::set<std::string, std::less<>> m_ceilings; // teams that have one
+    LiveListClient::Addresses m_leavingHosts;
     Held m_held;
     std::uint64_t m_nextId = 1;
     std::deque<LateRelease> m_lateReleases; // by due time
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -56,6 +56,27 @@
                [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
 {
     m_node.start();
+    if (!settings.liveListEndpoint.empty())
+        startLiveList();
+}
+
+void Gateway::startLiveList()
+{
+    const auto onLeaving = [this](const LiveListClient::Addresses &addresses) {
+        std::string text;
+        for (const std::string &address : addresses)
+            text += (text.empty() ? "" : " ") + address;
+        m_daemon.report("hosts.leaving", {.detail = text});
+        m_dispatcher.setLeavingHosts(addresses);
+    };
+    const auto onError = [this](const Error &error) {
+        m_daemon.report("livelist.failed", {.detail = error.detail});
+    };
+    m_liveList = std::make_unique<LiveListClient>(
+        m_daemon.loop(), m_daemon.httpClient(),
+        LiveListClient::Options{.endpoint = parseEndpoint(m_settings.liveListEndpoint).value()},
+        LiveListClient::Hooks{.onLeaving = onLeaving, .onError = onError});
+    m_liveList->start();
 }
 
 void Gateway::applyConfiguration(const Configuration &configuration)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -27,6 +27,7 @@
         std::string team; // empty on an open queue without a key
     };
 
+    void startLiveList();
     void applyConfiguration(const Configuration &configuration);
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void submitOnce(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request,
@@ -43,6 +44,7 @@
     bool m_isConfigured = false;
     bool m_isSettled = false; // the record of sent requests has begun
     Timer m_settledTimer;
+    std::unique_ptr<LiveListClient> m_liveList;
     HttpServer m_server;
     std::unique_ptr<Timer> m_lastTurn;
 };
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -17,6 +17,10 @@
         "read-timeout-s", settings.common.readTimeoutSeconds,
         {.unit = "s", .min = 1, .max = 300, .help = "Longest time to send a request"});
     addTableSetting(parser, settings.tableEndpoint);
+    parser.addText("live-list", settings.liveListEndpoint,
+                   {.isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
+                    .expected = "IP-number:port",
+                    .help = "The platform's list of live and leaving hosts"});
     parser.addInteger("longest-work-ms", settings.longestWorkMilliseconds,
                       {.unit = "ms",
                        .min = 100,
--- a/gateway/gatewaysettings.h
+++ b/gateway/gatewaysettings.h
@@ -15,6 +15,7 @@
     std::int64_t maxBodyBytes = 1024 * 1024;
     std::int64_t maxCallerConnections = 1024;
     std::string tableEndpoint;
+    std::string liveListEndpoint; // empty: no list is read
     std::int64_t longestWorkMilliseconds = 60'000;
 };
 
--- /dev/null
+++ b/testing/process/leavingrunner_test.cpp
@@ -0,0 +1,157 @@
+// A runner's host that is leaving, told by the platform's lagging list, by the runner's own
+// refusals, or by both. The runner's record of what reached it is the judge.
+#include "testing/support/loadclient.h"
+#include "testing/support/localsystem.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+namespace sequoiapier {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr seconds LeavingBound{5}; // from the notice to the last new request
+constexpr milliseconds WatchTime{4'000}; // past the bound
+constexpr const char *LeavingAddress = "127.0.0.11";
+constexpr const char *StayingAddress = "127.0.0.12";
+
+class LeavingRunner : public testing::Test
+{
+protected:
+    LeavingRunner()
+        : m_system(std::string("LeavingRunner.")
+                   + testing::UnitTest::GetInstance()->current_test_info()->name())
+    { }
+
+    void SetUp() override
+    {
+        ASSERT_TRUE(m_system.startTable());
+        ASSERT_TRUE(m_system.startLiveList({"--lag-ms", "2000"}));
+        const auto startRunner = [this](const char *name, const char *address) {
+            return m_system.startRunner(name, {"--work-address", address, "--work-ms", "200"});
+        };
+        ASSERT_TRUE(startRunner("leaving", LeavingAddress));
+        ASSERT_TRUE(startRunner("staying", StayingAddress));
+        ASSERT_TRUE(m_system.startController("controller-1"));
+        ASSERT_TRUE(m_system.startScheduler("scheduler-1"));
+        ASSERT_TRUE(m_system.startGateway(
+            "gateway-1",
+            {"--live-list", "127.0.0.1:" + std::to_string(m_system.member("livelist").adminPort)}));
+        Configuration configuration;
+        configuration.teams = {{.name = "pricing"}};
+        configuration.keys = {{.digest = keyDigest("key"), .team = "pricing"}};
+        configuration.services
+            = {{.name = "prices",
+                .runners = {{LeavingAddress, m_system.member("leaving").workPort},
+                            {StayingAddress, m_system.member("staying").workPort}}}};
+        configuration.queues = {{.name = "prices", .service = "prices"}};
+        ASSERT_EQ(m_system.applyConfiguration(toJson(configuration), 0, "first"), 0);
+        ASSERT_TRUE(m_system.waitReady("gateway-1"));
+        m_load = std::thread([this] { m_result = runLoad(load()); });
+        ASSERT_TRUE(LocalSystem::waitUntil([this] { return received("leaving") >= 10; }));
+    }
+
+    void TearDown() override
+    {
+        if (m_load.joinable())
+            m_load.join();
+    }
+
+    LoadOptions load()
+    {
+        return {.ports = {m_system.member("gateway-1").workPort},
+                .path = "/v1/queues/prices",
+                .headers = {{"authorization", "Bearer key"}, {"x-deadline-ms", "4000"}},
+                .concurrency = 6,
+                .requestCount = 330,
+                .requestsPerSecond = 25, // 13 s
+                .requestIdPrefix = "settle-"};
+    }
+
+    // Requests that reached the runner, run or refused.
+    std::size_t received(const std::string &runner) const
+    {
+        const HttpAnswer answer = m_system.fetch(runner, "/record");
+        const auto record = nlohmann::json::parse(answer.response.body);
+        return record.at("runs").size() + record.at("refused").get<std::size_t>();
+    }
+
+    bool tellList(const std::string &state)
+    {
+        return m_system
+                   .call(m_system.member("livelist").adminPort,
+                         {.method = "POST",
+                          .path = "/hosts",
+                          .body
+                          = nlohmann::json{{"address", LeavingAddress}, {"state", state}}.dump()})
+                   .response.status
+            == 200;
+    }
+
+    bool refuse(bool isLeaving)
+    {
+        return m_system.setFaults("leaving", isLeaving ? R"({"leaving": true})" : "{}");
+    }
+
+    void expectNothingNew(Clock::time_point notice)
+    {
+        std::this_thread::sleep_until(notice + LeavingBound);
+        const std::size_t before = received("leaving");
+        std::this_thread::sleep_for(WatchTime);
+        EXPECT_EQ(received("leaving"), before);
+        m_load.join();
+        EXPECT_EQ(m_result.okCount, 330U) << "all others, and what ran at the notice";
+    }
+
+    LocalSystem m_system;
+    std::thread m_load;
+    LoadResult m_result;
+};
+
+TEST_F(LeavingRunner, ToldByTheListAloneGetsNothingNewUntilItIsBack)
+{
+    const auto notice = Clock::now();
+    ASSERT_TRUE(tellList("leaving"));
+    expectNothingNew(notice);
+    ASSERT_TRUE(tellList("live"));
+    const std::size_t before = received("leaving");
+    int sent = 0;
+    EXPECT_TRUE(LocalSystem::waitUntil([&] {
+        const std::string id = "back-" + std::to_string(sent++);
+        m_system.work("gateway-1", "prices", "key", "x",
+                      {{"x-deadline-ms", "2000"}, {"x-request-id", id}});
+        return received("leaving") > before;
+    }));
+}
+
+TEST_F(LeavingRunner, ToldByItsRefusalsAloneGetsNothingNew)
+{
+    const auto notice = Clock::now();
+    ASSERT_TRUE(refuse(true));
+    expectNothingNew(notice);
+}
+
+TEST_F(LeavingRunner, ToldByBothGetsNothingNew)
+{
+    const auto notice = Clock::now();
+    ASSERT_TRUE(refuse(true));
+    ASSERT_TRUE(tellList("leaving"));
+    expectNothingNew(notice);
+}
+
+TEST_F(LeavingRunner, OutageOfTheListDoesNotBringItBack)
+{
+    const auto notice = Clock::now();
+    ASSERT_TRUE(tellList("leaving"));
+    std::this_thread::sleep_until(notice + LeavingBound);
+    ASSERT_TRUE(m_system.setFaults("livelist", R"({"outage": true})"));
+    expectNothingNew(notice);
+}
+
+} // namespace
+} // namespace sequoiapier
--- a/testing/standin/runnerstandin.cpp
+++ b/testing/standin/runnerstandin.cpp
@@ -25,7 +25,7 @@
                        : open(settings.recordFile.c_str(),
                               O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, RecordFileMode))
     , m_server(daemon.loop(),
-               {.address = daemon.settings().address,
+               {.address = settings.workAddress,
                 .port = std::uint16_t(settings.workPort),
                 .maxBodyBytes = MaxBodyBytes,
                 .maxConnections = std::size_t(settings.connections),
--- a/testing/standin/runnerstandin.h
+++ b/testing/standin/runnerstandin.h
@@ -19,6 +19,7 @@
     std::int64_t connections = 64;
     std::int64_t workMilliseconds = 0;
     std::int64_t workPort = 0;
+    std::string workAddress = "127.0.0.1";
     std::string recordFile; // empty: none
 };
 
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -103,6 +103,13 @@
     return start("table", {STANDIN_BINARY, "table"}, 0);
 }
 
+bool LocalSystem::startLiveList(const std::vector<std::string> &flags)
+{
+    std::vector<std::string> words{STANDIN_BINARY, "livelist"};
+    words.insert(words.end(), flags.begin(), flags.end());
+    return start("livelist", std::move(words), 0);
+}
+
 bool LocalSystem::startRunner(const std::string &name, const std::vector<std::string> &flags)
 {
     const std::uint16_t port = freePort();
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -35,6 +35,7 @@
 
     // Start a process and wait until it listens; false if it does not within Patience.
     bool startTable();
+    bool startLiveList(const std::vector<std::string> &flags = {});
     bool startRunner(const std::string &name, const std::vector<std::string> &flags = {});
     bool startGateway(const std::string &name, const std::vector<std::string> &flags = {});
     bool startScheduler(const std::string &name, const std::vector<std::string> &flags = {});
--- a/testing/support/relayedsystem.cpp
+++ b/testing/support/relayedsystem.cpp
@@ -35,7 +35,8 @@
     addPeerLinks();
     Configuration configuration;
     configuration.teams = {{.name = "pricing"}};
-    configuration.keys = {{.digest = keyDigest("key"), .team = "pricing"}};
+    configuration.keys = {{.digest = keyDigest("key"), .team = "pricing"},
+                          {.digest = keyDigest("other"), .team = "pricing"}};
     configuration.services = {{.name = "prices", .runners = m_runnerLinks}};
     configuration.queues = {{.name = "prices", .service = "prices"}};
     configuration.maxGateways = m_options.gateways;
@@ -117,9 +118,9 @@
     return ports;
 }
 
-bool RelayedSystem::isServing(const std::string &gateway)
+bool RelayedSystem::isServing(const std::string &gateway, const std::string &key)
 {
-    return m_system.work(gateway, "prices", "key", "x", {{"x-deadline-ms", "1000"}}).response.status
+    return m_system.work(gateway, "prices", key, "x", {{"x-deadline-ms", "3000"}}).response.status
         == 200;
 }
 
--- a/testing/support/relayedsystem.h
+++ b/testing/support/relayedsystem.h
@@ -5,7 +5,8 @@
 //   ASSERT_TRUE(relayed.start());
 //   relayed.network().cut("gateway-1", "table", true);
 //
-// There is one service "prices" with a keyed queue of the same name; its key is "key". Links are
+// There is one service "prices" with a keyed queue of the same name; its keys are
+// "key" and "other". Links are
 // named after the processes; the caller of all links to runners is "gateways". The runners append
 // their runs to files, which outlive them.
 #pragma once
@@ -41,7 +42,7 @@
     const std::vector<std::string> &schedulers() const { return m_schedulers; }
     const std::vector<std::string> &runners() const { return m_runners; }
     std::vector<std::uint16_t> callerPorts();
-    bool isServing(const std::string &gateway);
+    bool isServing(const std::string &gateway, const std::string &key = "key");
 
     // Runs by request identifier over all runners, or of one.
     std::map<std::string, int> runs() const;
