--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -39,10 +39,13 @@
                       m_dispatcher.start();
                   }})
     , m_duplicates(daemon, m_node)
-    , m_dispatcher(daemon, m_node,
-                   {.longestWork = std::chrono::milliseconds(settings.longestWorkMilliseconds),
-                    .seed = std::random_device()(),
-                    .onNotRun = [this](const RequestDigest &d) { m_duplicates.forget(d); }})
+    , m_dispatcher(
+          daemon, m_node,
+          {.longestWork = std::chrono::milliseconds(settings.longestWorkMilliseconds),
+           .seed = std::random_device()(),
+           .mayTakeWork = [this] { return m_node.follower().isConfirmed(BootClock::now()); },
+           .isKeyValid = [this](std::string_view digest) { return isKeyValid(digest); },
+           .onNotRun = [this](const RequestDigest &d) { m_duplicates.forget(d); }})
     , m_settledTimer(daemon.loop(),
                      [this] {
                          m_isSettled = true;
@@ -52,6 +55,27 @@
                [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
 {
     m_node.start();
+    if (!settings.liveListEndpoint.empty())
+        startLiveList();
+}
+
+void Gateway::startLiveList()
+{
+    const auto onLeaving = [this](const LiveListClient::Addresses &addresses) {
+        std::string text;
+        for (const std::string &address : addresses)
+            text += (text.empty() ? "" : " ") + address;
+        m_daemon.report("hosts.leaving", {.detail = text});
+        m_dispatcher.setLeavingHosts(addresses);
+    };
+    const auto onError = [this](const Error &error) {
+        m_daemon.report("livelist.failed", {.detail = error.detail});
+    };
+    m_liveList = std::make_unique<LiveListClient>(
+        m_daemon.loop(), m_daemon.httpClient(),
+        LiveListClient::Options{.endpoint = parseEndpoint(m_settings.liveListEndpoint).value()},
+        LiveListClient::Hooks{.onLeaving = onLeaving, .onError = onError});
+    m_liveList->start();
 }
 
 void Gateway::applyConfiguration(const Configuration &configuration)
@@ -135,12 +159,17 @@
             return std::string();
         return Error{ResultCode::KeyMissing, "queue '" + queue.name + "' needs a key"};
     }
-    ConfigurationFollower &follower = m_node.follower();
     const std::string digest = keyDigest(request.key);
-    const KeyConfig *key = follower.configuration().findKey(digest);
-    if (key == nullptr || follower.isDenied(digest, BootClock::now()))
+    if (!isKeyValid(digest))
         return Error{ResultCode::KeyRejected, "the key is unknown or withdrawn"};
-    return key->team;
+    return m_node.follower().configuration().findKey(digest)->team;
+}
+
+bool Gateway::isKeyValid(std::string_view digest)
+{
+    ConfigurationFollower &follower = m_node.follower();
+    return follower.configuration().findKey(digest) != nullptr
+        && !follower.isDenied(digest, BootClock::now());
 }
 
 void Gateway::drain(std::function<void()> done)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -29,11 +29,13 @@
         std::string team; // empty on an open queue without a key
     };
 
+    void startLiveList();
     void applyConfiguration(const Configuration &configuration);
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void submitOnce(const std::shared_ptr<HttpExchange> &exchange, const CallerRequest &request,
                     const Admission &admission);
     Result<Admission> admit(const CallerRequest &request);
+    bool isKeyValid(std::string_view digest);
     Result<std::string> findTeam(const CallerRequest &request, const QueueConfig &queue);
 
     Daemon &m_daemon;
@@ -44,6 +46,7 @@
     bool m_isConfigured = false;
     bool m_isSettled = false; // the record of sent requests has begun
     Timer m_settledTimer;
+    std::unique_ptr<LiveListClient> m_liveList;
     HttpServer m_server;
     std::unique_ptr<QuietTimer> m_quiet; // while draining
 };
--- a/testing/standin/main.cpp
+++ b/testing/standin/main.cpp
@@ -1,5 +1,6 @@
-// The stand-ins for the outside systems: `standin table`, `runner`, `hosts` and `tasks`.
+// The stand-ins for the outside systems: `standin table`, `runner`, `hosts`, `tasks`, `livelist`.
 #include "testing/standin/hostsstandin.h"
+#include "testing/standin/liveliststandin.h"
 #include "testing/standin/runnerstandin.h"
 #include "testing/standin/tablestandin.h"
 #include "testing/standin/taskstandin.h"
@@ -10,6 +11,8 @@
 
 using namespace sequoiapier;
 
+constexpr const char *Kinds = "table | runner | hosts | tasks | livelist";
+
 int runTable(CommonSettings &settings)
 {
     Daemon daemon(settings);
@@ -18,6 +21,14 @@
     return daemon.run();
 }
 
+int runLiveList(CommonSettings &settings, std::int64_t lagMilliseconds)
+{
+    Daemon daemon(settings);
+    const LiveListStandin liveList(daemon, lagMilliseconds);
+    daemon.setReady(true);
+    return daemon.run();
+}
+
 int runRunner(CommonSettings &settings, const RunnerSettings &runnerSettings)
 {
     Daemon daemon(settings);
@@ -65,8 +76,7 @@
     HostsSettings hosts;
     TaskStandinSettings tasks;
     std::vector<std::string> kinds;
-    SettingsParser parser("standin",
-                          "Stand-ins for the outside systems: table | runner | hosts | tasks");
+    SettingsParser parser("standin", std::string("Stand-ins for the outside systems: ") + Kinds);
     addCommonSettings(parser, settings);
     parser.addInteger("slots", runner.slots, {.min = 1, .help = "Requests run at once"});
     parser.addInteger("connections", runner.connections, {.min = 1, .help = "Connections at once"});
@@ -75,12 +85,14 @@
     parser.addInteger("work-port", runner.workPort, {.max = 65'535, .help = "TCP port for work"});
     parser.addText("hosts", hosts.names, {.expected = "NAME,...", .help = "Hosts of the fleet"});
     parser.addInteger("lag-ms", hosts.lagMilliseconds,
-                      {.unit = "ms", .help = "Lag of the list of live hosts"});
+                      {.unit = "ms", .help = "Hosts, livelist: lag of the list of live hosts"});
     parser.addInteger("end-ms", hosts.endMilliseconds,
                       {.unit = "ms", .help = "Time to the end of a draining host's work"});
     parser.addInteger("reboot-ms", hosts.rebootMilliseconds,
                       {.unit = "ms", .help = "Time of a reboot"});
     addTaskSettings(parser, tasks);
+    parser.addText("work-address", runner.workAddress, {.help = "IP number for work"});
+    parser.addText("record-file", runner.recordFile, {.help = "File of the runs, a line each"});
     parser.addPositional(kinds, "KIND");
     const auto action = parser.parse({argv, std::size_t(argc)}, processEnvironment);
     if (!action) {
@@ -97,6 +109,8 @@
         return runHosts(settings, hosts);
     if (kinds == std::vector<std::string>{"tasks"})
         return runTasks(settings, tasks);
-    std::cerr << "kinds: table | runner | hosts | tasks\n";
+    if (kinds == std::vector<std::string>{"livelist"})
+        return runLiveList(settings, hosts.lagMilliseconds);
+    std::cerr << "kinds: " << Kinds << "\n";
     return int(ResultCode::Usage);
 }
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -3,6 +3,7 @@
 #include "cli/onecall.h"
 #include "testing/support/freeport.h"
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -39,27 +40,46 @@
     words.insert(words.end(), {"--name", name, "--port", std::to_string(adminPort)});
     m_members.erase(name);
     m_members.emplace(
-        name, Member{adminPort, workPort, ChildProcess(words, m_directory + "/" + name + ".log")});
+        name,
+        Member{adminPort, workPort, words, ChildProcess(words, m_directory + "/" + name + ".log")});
+    return waitListening(name);
+}
+
+void LocalSystem::replace(const std::string &name, const std::vector<std::string> &moreFlags)
+{
+    Member replaced = std::move(m_members.at(name));
+    replaced.process.signal(SIGKILL);
+    replaced.process.waitExit(Patience);
+    std::vector<std::string> words = replaced.words;
+    words.insert(words.end(), moreFlags.begin(), moreFlags.end());
+    m_members.erase(name);
+    m_members.emplace(name,
+                      Member{replaced.adminPort, replaced.workPort, replaced.words,
+                             ChildProcess(words, m_directory + "/" + name + ".log")});
+}
+
+bool LocalSystem::waitListening(const std::string &name) const
+{
     return waitUntil([&] { return fetch(name, "/healthz").outcome == HttpOutcome::Answered; });
 }
 
 bool LocalSystem::startTable()
 {
-    return start("table", {STANDIN_BINARY, "table"}, 0);
+    return startStandin("table", {});
 }
 
 bool LocalSystem::startHosts(const std::string &names, const std::vector<std::string> &flags)
 {
-    std::vector<std::string> words{STANDIN_BINARY, "hosts", "--hosts", names};
+    std::vector<std::string> words{"--hosts", names};
     words.insert(words.end(), flags.begin(), flags.end());
-    return start("hosts", std::move(words), 0);
+    return startStandin("hosts", words);
 }
 
-bool LocalSystem::startTasks(const std::vector<std::string> &flags)
+bool LocalSystem::startStandin(const std::string &kind, const std::vector<std::string> &flags)
 {
-    std::vector<std::string> words{STANDIN_BINARY, "tasks"};
+    std::vector<std::string> words{STANDIN_BINARY, kind};
     words.insert(words.end(), flags.begin(), flags.end());
-    return start("tasks", std::move(words), 0);
+    return start(kind, std::move(words), 0);
 }
 
 bool LocalSystem::startRunner(const std::string &name, const std::vector<std::string> &flags)
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -22,6 +22,7 @@
 {
     std::uint16_t adminPort = 0;
     std::uint16_t workPort = 0; // callers' or work port, 0 if it has none
+    std::vector<std::string> words; // it was started with
     ChildProcess process;
 };
 
@@ -36,17 +37,29 @@
     bool startTable();
     // The platform's host interface for these hosts; controllers started after it use it.
     bool startHosts(const std::string &names, const std::vector<std::string> &flags = {});
-    bool startTasks(const std::vector<std::string> &flags = {});
+    bool startTasks(const std::vector<std::string> &flags = {})
+    {
+        return startStandin("tasks", flags);
+    }
+    bool startLiveList(const std::vector<std::string> &flags = {})
+    {
+        return startStandin("livelist", flags);
+    }
     bool startRunner(const std::string &name, const std::vector<std::string> &flags = {});
     bool startGateway(const std::string &name, const std::vector<std::string> &flags = {});
     bool startScheduler(const std::string &name, const std::vector<std::string> &flags = {});
     bool startController(const std::string &name, const std::vector<std::string> &flags = {});
 
+    // Kills `name`, if it runs, and starts it again on the same addresses with `moreFlags`: another
+    // incarnation of the member. Does not wait.
+    void replace(const std::string &name, const std::vector<std::string> &moreFlags = {});
+    bool waitListening(const std::string &name) const;
     bool waitReady(const std::string &name);
     Member &member(const std::string &name) { return m_members.at(name); }
     bool hasMember(const std::string &name) const { return m_members.contains(name); }
     void forget(const std::string &name) { m_members.erase(name); }
     std::vector<std::string> memberNames() const;
+    const std::string &directory() const { return m_directory; }
 
     // Calls an HTTP server on loopback and waits for the end of the call.
     HttpAnswer call(std::uint16_t port, HttpRequest request,
@@ -68,8 +81,6 @@
     // Runs `sequoiapier timeline` over all members.
     int timeline();
     const std::string &output() const { return m_output; }
-    // For files that commands read.
-    const std::string &directory() const { return m_directory; }
 
     // Writes `document` through ctl, from `baseVersion`.
     int applyConfiguration(const std::string &document, std::uint64_t baseVersion,
@@ -80,6 +91,7 @@
                           std::chrono::milliseconds patience = Patience);
 
 private:
+    bool startStandin(const std::string &kind, const std::vector<std::string> &flags);
     bool start(const std::string &name, std::vector<std::string> words, std::uint16_t workPort);
     std::vector<std::string> tableFlags() const;
     std::string endpointOf(const std::string &name) const;
