Measure what control costs a node; let an idle gateway tick seldom

In perf a third of the gateway's samples were poll over its connections: its dispatcher woke the loop every 20 ms though nothing was held.

Change: with no request held and no late release due the dispatcher ticks every 500 ms; the first request brings the 20 ms back.

Ruled out: the pause detector's 50 ms timer, which the leases need.

--- /dev/null
+++ b/bench/node_bench.cpp
@@ -0,0 +1,143 @@
+// What control costs a node: processor time and resident memory of the gateway, the scheduler and
+// the controller of one entry host, without callers, while NodeCount hosts run the system.
+#include "bench/support/report.h"
+#include "testing/support/localsystem.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace sequoiapier;
+
+constexpr std::array<const char *, 3> Roles{"gateway", "scheduler", "controller"};
+constexpr auto SettleTime = std::chrono::seconds(5);
+constexpr auto MeasuredTime = std::chrono::seconds(10);
+
+struct Load
+{
+    const char *label;
+    unsigned nodes;
+    unsigned services;
+    unsigned teams;
+};
+
+constexpr std::array<Load, 3> Loads{{
+    {"3 nodes, 5 services, 6 teams", 3, 5, 6},
+    {"9 nodes, 5 services, 6 teams", 9, 5, 6},
+    {"9 nodes, 28 services, 100 teams", 9, 28, 100},
+}};
+
+struct ProcessUse
+{
+    double processorSeconds = 0;
+    double residentMegabytes = 0;
+};
+
+ProcessUse processUse(pid_t pid)
+{
+    const std::string directory = "/proc/" + std::to_string(pid);
+    std::ifstream stat(directory + "/stat");
+    std::string field;
+    double ticks = 0;
+    constexpr int UserTimeField = 14; // of proc(5), counted from 1; system time follows
+    for (int i = 1; i <= UserTimeField + 1 && stat >> field; ++i)
+        ticks += i >= UserTimeField ? std::stod(field) : 0;
+    std::ifstream memory(directory + "/statm");
+    double totalPages = 0;
+    double residentPages = 0;
+    memory >> totalPages >> residentPages;
+    return {ticks / double(sysconf(_SC_CLK_TCK)),
+            residentPages * double(sysconf(_SC_PAGESIZE)) / 1e6};
+}
+
+std::string nameOf(const char *role, unsigned node)
+{
+    return std::string(role) + "-" + std::to_string(node);
+}
+
+Configuration configurationOf(const Load &load, std::uint16_t runnerPort)
+{
+    Configuration configuration;
+    configuration.maxGateways = int(load.nodes);
+    for (unsigned i = 0; i < load.teams; ++i)
+        configuration.teams.push_back({.name = "team-" + std::to_string(i), .ceiling = 1'000});
+    for (unsigned i = 0; i < load.services; ++i) {
+        const std::string name = "service-" + std::to_string(i);
+        configuration.services.push_back({.name = name, .runners = {{"127.0.0.1", runnerPort}}});
+        configuration.queues.push_back({.name = name, .service = name});
+    }
+    return configuration;
+}
+
+bool startSystem(LocalSystem &system, const Load &load)
+{
+    if (!system.startTable() || !system.startRunner("runner-1"))
+        return false;
+    for (unsigned node = 1; node <= load.nodes; ++node) {
+        if (!system.startController(nameOf("controller", node))
+            || !system.startScheduler(nameOf("scheduler", node))
+            || !system.startGateway(nameOf("gateway", node))) {
+            return false;
+        }
+    }
+    const Configuration configuration = configurationOf(load, system.member("runner-1").workPort);
+    if (system.applyConfiguration(toJson(configuration), 0, "bench") != 0)
+        return false;
+    for (unsigned node = 1; node <= load.nodes; ++node) {
+        if (!system.waitReady(nameOf("gateway", node)))
+            return false;
+    }
+    return true;
+}
+
+// Means over the nodes, of each role and of all three.
+void measure(Report &report, LocalSystem &system, const Load &load)
+{
+    std::this_thread::sleep_for(SettleTime);
+    std::map<std::string, ProcessUse> before;
+    for (const std::string &name : system.memberNames())
+        before[name] = processUse(system.member(name).process.pid());
+    std::this_thread::sleep_for(MeasuredTime);
+    const double seconds = double(std::chrono::seconds(MeasuredTime).count());
+    ProcessUse all;
+    for (const char *role : Roles) {
+        ProcessUse mean;
+        for (unsigned node = 1; node <= load.nodes; ++node) {
+            const std::string name = nameOf(role, node);
+            const ProcessUse use = processUse(system.member(name).process.pid());
+            mean.processorSeconds
+                += (use.processorSeconds - before[name].processorSeconds) / load.nodes;
+            mean.residentMegabytes += use.residentMegabytes / load.nodes;
+        }
+        all.processorSeconds += mean.processorSeconds;
+        all.residentMegabytes += mean.residentMegabytes;
+        report.add(std::string(load.label) + ", " + role,
+                   {{"core_percent", mean.processorSeconds / seconds * 100},
+                    {"resident_MB", mean.residentMegabytes}});
+    }
+    report.add(std::string(load.label) + ", node",
+               {{"core_percent", all.processorSeconds / seconds * 100},
+                {"resident_MB", all.residentMegabytes}});
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Report report("node", argc, argv);
+    for (const Load &load : Loads) {
+        LocalSystem system("node-bench");
+        if (!startSystem(system, load)) {
+            std::fprintf(stderr, "the system did not start: %s\n", system.output().c_str());
+            return 1;
+        }
+        measure(report, system, load);
+    }
+    return report.finish();
+}
--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
+constexpr Duration IdleTickInterval = std::chrono::milliseconds(500); // with nothing held
 constexpr std::uint32_t RetryAfterSeconds = 1;
 constexpr unsigned MaxAttempts = 8;
 
@@ -142,6 +143,8 @@
     held.deadlineTimer = std::make_unique<Timer>(m_daemon.loop(), [this, id] { onDeadline(id); });
     held.deadlineTimer->startAt(held.request.deadline);
     held.exchange->onClosed([this, id] { onEvent(id, RequestEvent::CallerGone, nullptr); });
+    if (m_held.empty())
+        m_tickTimer.startAt(BootClock::now() + TickInterval);
     m_held.emplace(id, std::move(held));
     enqueue(id);
 }
@@ -385,7 +388,8 @@
     }
     m_queuedGauge.Set(double(queued));
     m_heldGauge.Set(double(m_held.size()));
-    m_tickTimer.startAt(BootClock::now() + TickInterval);
+    const bool isIdle = m_held.empty() && m_lateReleases.empty();
+    m_tickTimer.startAt(BootClock::now() + (isIdle ? IdleTickInterval : TickInterval));
 }
 
 std::int64_t Dispatcher::demand(const LoanKey &key)
