--- a/testing/process/fleet_test.cpp
+++ b/testing/process/fleet_test.cpp
@@ -61,6 +61,18 @@
     EXPECT_EQ(reboots(), HostCount) << "each host is rebooted once";
 }
 
+TEST_F(FleetTest, WaveGoesOnFromTheTableAloneAfterAllControllersDied)
+{
+    declareWave("spring");
+    ASSERT_TRUE(waitFor([&] { return doneOf("spring") >= 2; })) << wave("spring");
+    kill("controller-1");
+    kill("controller-2");
+    startController("controller-3");
+    EXPECT_TRUE(waitFor([&] { return isFinished("spring"); })) << wave("spring");
+    EXPECT_EQ(doneOf("spring"), HostCount);
+    EXPECT_EQ(reboots(), HostCount);
+}
+
 TEST_F(FleetTest, WaveEndsThoughAControllerIsPaused)
 {
     declareWave("spring");
