Refuse jobs past a pool's bound and read a turn's rows in JobTurn

Cause: nothing bounded a pool's live jobs; past 16 MB its scan would fail and the pool stand still. Change: a turn marks a pool with 12,000 live jobs as full, in a row that comes with its scan; submissions to it are refused as capacity-exceeded, a repeat of a job that was taken still finds its outcome. Weighed: a count written by each submission is exact, but makes submissions and turns conflict. The mark is late by a turn; what comes in between is bounded by the table's several hundred writes a second. Parsing moves out of JobRunner.

--- a/controller/jobrow.cpp
+++ b/controller/jobrow.cpp
@@ -31,6 +31,11 @@
     return std::string(JobKeyPrefix) + "live/" + std::string(pool) + "/";
 }
 
+std::string fullPoolKey(std::string_view pool)
+{
+    return liveJobPrefix(pool);
+}
+
 std::string liveJobKey(const JobRow &row)
 {
     return liveJobPrefix(row.pool) + row.team + "/" + row.id;
--- a/controller/jobrow.h
+++ b/controller/jobrow.h
@@ -76,6 +76,8 @@
 std::string jobRecordKey(std::string_view team, std::string_view id);
 std::string liveJobPrefix(std::string_view pool);
 std::string liveJobKey(const JobRow &row);
+// A row that is there while the pool takes no more jobs. It comes with a scan of liveJobPrefix().
+std::string fullPoolKey(std::string_view pool);
 std::string endedJobKey(std::string_view team, std::string_view id);
 // The job's name at the platform's task service: POOL/TEAM/ID.
 std::string taskName(const JobRow &row);
--- a/controller/jobrunner.cpp
+++ b/controller/jobrunner.cpp
@@ -13,24 +13,6 @@
 
 namespace sequoiapier {
 
-struct JobRunner::Turn
-{
-    std::string pool;
-    TimePoint deadline;
-    std::vector<TaskReport> reports;
-    TaskReports newestReports;
-    std::map<std::string, WorkerReport> workers;
-    std::vector<JobHost> hosts;
-    bool isPoolComplete = true;
-    std::vector<LiveJob> jobs;
-    std::vector<JobTeam> teams;
-    std::map<std::string, TeamCount> teamCounts;
-    JobTurnPlan plan;
-    std::shared_ptr<std::set<std::string, std::less<>>> underWay; // may outlive the runner
-
-    ~Turn() { underWay->erase(pool); }
-};
-
 namespace {
 
 TaskId taskOf(const JobRow &row)
@@ -77,19 +59,14 @@
 {
     if (!m_underWay->insert(std::string(pool)).second)
         return false;
-    const auto turn = std::make_shared<Turn>();
+    const auto turn = std::make_shared<JobTurn>();
     turn->pool = pool;
     turn->underWay = m_underWay;
     turn->deadline = m_hooks.now() + m_options.turnTimeout;
     m_tasks.reports(turn->deadline, [this, turn](Result<std::vector<TaskReport>> reports) {
         if (!reports)
             return;
-        turn->reports = std::move(reports.value());
-        for (const TaskReport &report : turn->reports) {
-            const auto [known, isNew] = turn->newestReports.emplace(report.id.job, report);
-            if (!isNew && known->second.id.attempt < report.id.attempt)
-                known->second = report;
-        }
+        turn->addReports(std::move(reports.value()));
         readWorkers(turn);
     });
     return true;
@@ -114,7 +91,7 @@
                          m_tasks.renew(m_pools[turn->pool].running, turn->deadline);
                          return;
                      }
-                     addHosts(*turn, rows.value());
+                     turn->addHosts(rows.value());
                      readJobs(turn);
                  });
 }
@@ -123,7 +100,7 @@
 {
     m_table.scan(liveJobPrefix(turn->pool), turn->deadline,
                  [this, turn](const Result<std::vector<TableRow>> &rows) {
-                     if (rows && addJobs(*turn, rows.value()))
+                     if (rows && turn->addJobs(rows.value(), m_pools[turn->pool].rows))
                          readTeamCounts(turn);
                      else
                          m_tasks.renew(m_pools[turn->pool].running, turn->deadline);
@@ -134,74 +111,30 @@
 {
     m_table.scan(TeamCountPrefix, turn->deadline,
                  [this, turn](const Result<std::vector<TableRow>> &rows) {
-                     if (rows && addTeamCounts(*turn, rows.value()))
+                     if (rows && turn->addTeamCounts(rows.value()))
                          plan(turn);
                      else
                          m_tasks.renew(m_pools[turn->pool].running, turn->deadline);
                  });
 }
 
-// A row that can't be parsed, or a host whose worker is not known, makes the pool incomplete.
-void JobRunner::addHosts(Turn &turn, const std::vector<TableRow> &rows) const
-{
-    for (const TableRow &row : rows) {
-        const Result<HostRow> parsed = parseHostRow(row.value);
-        if (!parsed) {
-            turn.isPoolComplete = false;
-            continue;
-        }
-        const HostRow &host = parsed.value();
-        if (host.pool != turn.pool)
-            continue;
-        const auto worker = turn.workers.find(host.host);
-        if (worker == turn.workers.end()) {
-            turn.isPoolComplete = false;
-            continue;
-        }
-        turn.hosts.push_back({.name = host.host,
-                              .capacity = worker->second.capacity,
-                              .isOpen = host.state == HostState::Serving && worker->second.isLive,
-                              .isDraining = host.state == HostState::Draining});
-    }
-}
-
-// Parses only rows that changed since the last turn. False if one can't be parsed.
-bool JobRunner::addJobs(Turn &turn, const std::vector<TableRow> &rows)
+// Marks the pool as full, or takes the mark away once a tenth of the room is free.
+void JobRunner::markFull(const JobTurn &turn)
 {
-    std::map<std::string, LiveJob> &known = m_pools[turn.pool].rows;
-    std::map<std::string, LiveJob> current;
-    for (const TableRow &row : rows) {
-        auto node = known.extract(row.key);
-        if (!node.empty() && node.mapped().version == row.version) {
-            current.insert(current.end(), std::move(node));
-            continue;
-        }
-        Result<JobRow> parsed = parseJobRow(row.value);
-        if (!parsed)
-            return false;
-        current.emplace_hint(current.end(), row.key,
-                             LiveJob{std::move(parsed.value()), row.version});
-    }
-    known = std::move(current);
-    turn.jobs.reserve(known.size());
-    for (const auto &[key, job] : known)
-        turn.jobs.push_back(job);
-    return true;
-}
-
-bool JobRunner::addTeamCounts(Turn &turn, const std::vector<TableRow> &rows)
-{
-    for (const TableRow &row : rows) {
-        const Result<std::uint32_t> placed = parseTeamCount(row.value);
-        if (!placed)
-            return false;
-        turn.teamCounts[row.key.substr(TeamCountPrefix.size())] = {placed.value(), row.version};
-    }
-    return true;
+    const bool isMarked = turn.fullMark != 0;
+    const std::size_t limit = m_options.maxLiveJobs - (isMarked ? m_options.maxLiveJobs / 10 : 0);
+    const bool isFull = turn.jobs.size() >= limit;
+    if (isFull == isMarked)
+        return;
+    RowWrite write{.key = fullPoolKey(turn.pool), .baseVersion = turn.fullMark};
+    if (isFull)
+        write.value = "full";
+    m_table.commit({.writeId = nextWriteId(), .writes = {std::move(write)}}, turn.deadline,
+                   [](const CommitAnswer &) {});
 }
 
 // Takes each new report of a run's use once, and notes when runs were first seen.
-void JobRunner::learn(Turn &turn)
+void JobRunner::learn(JobTurn &turn)
 {
     Pool &pool = m_pools[turn.pool];
     std::map<TaskId, TimePoint> firstSeen;
@@ -249,6 +182,7 @@
     sendRepeats(*turn);
     sendStops(*turn);
     acknowledge(*turn);
+    markFull(*turn);
     if (turn->plan.changes.empty())
         end(*turn, false);
     else
@@ -291,9 +225,7 @@
 void JobRunner::commit(const TurnPtr &turn, const std::string &team,
                        std::function<void(CommitOutcome)> done)
 {
-    Commit commit{.writeId = m_options.process + "/" + std::to_string(m_options.incarnation)
-                      + "/jobs/" + std::to_string(++m_writes),
-                  .writes = writesOf(*turn, team)};
+    Commit commit{.writeId = nextWriteId(), .writes = writesOf(*turn, team)};
     m_table.commit(std::move(commit), turn->deadline,
                    [this, turn, team, done = std::move(done)](const CommitAnswer &answer) {
                        if (answer.outcome == CommitOutcome::Committed)
@@ -302,7 +234,7 @@
                    });
 }
 
-std::vector<RowWrite> JobRunner::writesOf(const Turn &turn, std::string_view team)
+std::vector<RowWrite> JobRunner::writesOf(const JobTurn &turn, std::string_view team)
 {
     std::vector<RowWrite> writes;
     for (const JobChange &change : turn.plan.changes) {
@@ -331,7 +263,7 @@
 }
 
 // A process that was paused after its commit sends no start: the next turn, of any process, does.
-void JobRunner::onCommitted(const Turn &turn, std::string_view team)
+void JobRunner::onCommitted(const JobTurn &turn, std::string_view team)
 {
     const TimePoint now = m_hooks.now();
     std::vector<TaskStart> starts;
@@ -351,7 +283,7 @@
         m_tasks.start(starts, turn.deadline);
 }
 
-void JobRunner::sendRepeats(const Turn &turn)
+void JobRunner::sendRepeats(const JobTurn &turn)
 {
     std::vector<TaskId> running;
     for (const std::size_t job : turn.plan.running)
@@ -366,7 +298,7 @@
     m_pools[turn.pool].running = std::move(running);
 }
 
-void JobRunner::sendStops(const Turn &turn)
+void JobRunner::sendStops(const JobTurn &turn)
 {
     std::vector<const JobRow *> unwanted;
     for (const std::size_t job : turn.plan.stops)
@@ -380,7 +312,7 @@
 }
 
 // Reports of ended runs whose end is in the table.
-void JobRunner::acknowledge(const Turn &turn)
+void JobRunner::acknowledge(const JobTurn &turn)
 {
     std::set<TaskId> live;
     for (const LiveJob &job : turn.jobs) {
@@ -398,7 +330,13 @@
         m_tasks.acknowledge(ended, turn.deadline);
 }
 
-void JobRunner::end(const Turn &turn, bool isFull)
+std::string JobRunner::nextWriteId()
+{
+    return m_options.process + "/" + std::to_string(m_options.incarnation) + "/jobs/"
+        + std::to_string(++m_writes);
+}
+
+void JobRunner::end(const JobTurn &turn, bool isFull)
 {
     m_hooks.turned(turn.pool, isFull);
 }
--- a/controller/jobrunner.h
+++ b/controller/jobrunner.h
@@ -8,7 +8,7 @@
 // parsed last, for speed; it must outlive its calls. Memory: the live jobs of its pools.
 #pragma once
 
-#include "controller/jobplanner.h"
+#include "controller/jobturn.h"
 #include "controller/runstopper.h"
 #include "controller/workerquarantine.h"
 #include "platform/tasks.h"
@@ -44,6 +44,8 @@
         std::string process; // with `incarnation`, makes write identifiers unique
         std::uint64_t incarnation = 0;
         Duration turnTimeout = std::chrono::seconds(2); // reads, commit and commands of a turn
+        // Of a pool; more are refused. A scan of them must fit into one response of the table.
+        std::size_t maxLiveJobs = 12'000;
         JobTurnOptions turn;
         UsageLearner::Options learner;
         WorkerQuarantine::Options quarantine;
@@ -58,7 +60,6 @@
     void forget(std::string_view pool);
 
 private:
-    struct Turn;
     struct Pool
     {
         std::map<std::string, LiveJob> rows; // by key of the table row
@@ -66,27 +67,26 @@
         std::map<TaskId, Resources> observed; // taken by the learner
         std::vector<TaskId> running; // of the last turn
     };
-    using TurnPtr = std::shared_ptr<Turn>;
+    using TurnPtr = std::shared_ptr<JobTurn>;
 
     void readWorkers(const TurnPtr &turn);
     void readHosts(const TurnPtr &turn);
     void readJobs(const TurnPtr &turn);
     void readTeamCounts(const TurnPtr &turn);
-    void addHosts(Turn &turn, const std::vector<TableRow> &rows) const;
-    bool addJobs(Turn &turn, const std::vector<TableRow> &rows);
-    static bool addTeamCounts(Turn &turn, const std::vector<TableRow> &rows);
-    void learn(Turn &turn);
+    void markFull(const JobTurn &turn);
+    void learn(JobTurn &turn);
     void plan(const TurnPtr &turn);
     void commitAll(const TurnPtr &turn);
     void commitTeams(const TurnPtr &turn, std::vector<std::string> teams);
     void commit(const TurnPtr &turn, const std::string &team,
                 std::function<void(CommitOutcome)> done);
-    static std::vector<RowWrite> writesOf(const Turn &turn, std::string_view team);
-    void onCommitted(const Turn &turn, std::string_view team);
-    void sendRepeats(const Turn &turn);
-    void sendStops(const Turn &turn);
-    void acknowledge(const Turn &turn);
-    void end(const Turn &turn, bool isFull);
+    static std::vector<RowWrite> writesOf(const JobTurn &turn, std::string_view team);
+    void onCommitted(const JobTurn &turn, std::string_view team);
+    void sendRepeats(const JobTurn &turn);
+    void sendStops(const JobTurn &turn);
+    void acknowledge(const JobTurn &turn);
+    std::string nextWriteId();
+    void end(const JobTurn &turn, bool isFull);
 
     Table m_table;
     Tasks m_tasks;
--- a/controller/jobsubmission.cpp
+++ b/controller/jobsubmission.cpp
@@ -26,7 +26,7 @@
         return;
     }
     std::make_shared<JobSubmission>(hooks, std::move(rows), isNewId, std::move(answer))
-        ->commitAll();
+        ->readNextMark();
 }
 
 JobSubmission::JobSubmission(const Hooks &hooks, std::vector<JobRow> rows, bool isNewId,
@@ -35,7 +35,35 @@
     , m_rows(std::move(rows))
     , m_isNewId(isNewId)
     , m_answer(std::move(answer))
-{ }
+{
+    std::set<std::string> pools;
+    for (const JobRow &row : m_rows)
+        pools.insert(row.pool);
+    m_poolsToRead.assign(pools.begin(), pools.end());
+}
+
+void JobSubmission::readNextMark()
+{
+    if (m_poolsToRead.empty()) {
+        if (m_fullPools.empty())
+            commitAll();
+        else
+            resolveNext();
+        return;
+    }
+    m_hooks.table.read(fullPoolKey(m_poolsToRead.back()), deadline(),
+                       [self = shared_from_this()](const Result<std::optional<TableRow>> &mark) {
+                           if (!mark) {
+                               self->m_answer(std::vector<JobOutcome>(
+                                   self->m_rows.size(), self->unreachable(!self->m_isNewId)));
+                               return;
+                           }
+                           if (mark.value())
+                               self->m_fullPools.insert(self->m_poolsToRead.back());
+                           self->m_poolsToRead.pop_back();
+                           self->readNextMark();
+                       });
+}
 
 void JobSubmission::commit(std::vector<RowWrite> writes, std::function<void(CommitOutcome)> done)
 {
@@ -100,6 +128,10 @@
 
 void JobSubmission::commitOne()
 {
+    if (m_fullPools.contains(m_rows[m_outcomes.size()].pool)) {
+        settle({ResultCode::CapacityExceeded, "the pool has too many jobs; nothing was written"});
+        return;
+    }
     commit(writesOf(m_rows[m_outcomes.size()]), [this](CommitOutcome outcome) {
         if (outcome == CommitOutcome::Committed)
             settle({ResultCode::Committed, ""});
--- a/controller/jobsubmission.h
+++ b/controller/jobsubmission.h
@@ -3,8 +3,9 @@
 //   JobSubmission::run(hooks, rows, isNewId, [](const std::vector<JobOutcome> &outcomes) { ... });
 //
 // Outcomes: Committed; Conflict, if the identifier is that of another job; NotCommitted;
-// CommitUnknown. A repeat of a job finds its record and is Committed. Table use: one commit for all
-// jobs; after a conflict or a lost answer, a read and at most a commit for each job.
+// CommitUnknown; CapacityExceeded for a pool that its turns marked as full. A repeat of a job finds
+// its record and is Committed. Table use: a read for each pool and one commit for all jobs; after a
+// conflict or a lost answer, and with a full pool, a read and at most a commit for each job.
 #pragma once
 
 #include "controller/jobrow.h"
@@ -12,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +43,7 @@
     JobSubmission(const Hooks &hooks, std::vector<JobRow> rows, bool isNewId, Answer answer);
 
 private:
+    void readNextMark();
     void commitAll();
     void resolveNext();
     void readRecord();
@@ -54,6 +57,8 @@
     std::vector<JobRow> m_rows;
     bool m_isNewId;
     Answer m_answer;
+    std::vector<std::string> m_poolsToRead; // whose mark is not read yet
+    std::set<std::string> m_fullPools;
     std::vector<JobOutcome> m_outcomes; // of the first jobs
     int m_attempts = 0; // of the job that is being resolved
     bool m_isWriteLost = false; // an answer to a commit was lost
--- /dev/null
+++ b/controller/jobturn.h
@@ -0,0 +1,43 @@
+// JobTurn: what one turn of a pool's jobs has read, and the plan that it came to.
+#pragma once
+
+#include "controller/jobplanner.h"
+#include "platform/tasks.h"
+#include "sequoiapier/table.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sequoiapier {
+
+struct JobTurn
+{
+    std::string pool;
+    TimePoint deadline;
+    std::vector<TaskReport> reports;
+    TaskReports newestReports;
+    std::map<std::string, WorkerReport> workers;
+    std::vector<JobHost> hosts;
+    bool isPoolComplete = true;
+    std::vector<LiveJob> jobs;
+    std::uint64_t fullMark = 0; // version of the mark, 0: none
+    std::vector<JobTeam> teams;
+    std::map<std::string, TeamCount> teamCounts;
+    JobTurnPlan plan;
+    std::shared_ptr<std::set<std::string, std::less<>>> underWay; // may outlive the runner
+
+    ~JobTurn() { underWay->erase(pool); }
+
+    void addReports(std::vector<TaskReport> all);
+    // A row that can't be parsed, or a host whose worker is not known, makes the pool incomplete.
+    void addHosts(const std::vector<TableRow> &rows);
+    // `known` are the rows of the turn before, by key; only those that changed are parsed. False if
+    // one can't be parsed.
+    bool addJobs(const std::vector<TableRow> &rows, std::map<std::string, LiveJob> &known);
+    bool addTeamCounts(const std::vector<TableRow> &rows);
+};
+
+} // namespace sequoiapier
--- a/testing/unit/jobrunner_test.cpp
+++ b/testing/unit/jobrunner_test.cpp
@@ -29,8 +29,10 @@
                                  .writeId = [this] { return "w" + std::to_string(++writes); }};
     std::vector<std::pair<std::string, bool>> jobs; // task name, may run again
     int writes = 0;
+    std::size_t maxLiveJobs;
 
-    JobFleet()
+    explicit JobFleet(std::size_t maxLiveJobs = 1'000)
+        : maxLiveJobs(maxLiveJobs)
     {
         for (int i = 0; i < 4; ++i) {
             const HostRow row{
@@ -51,19 +53,31 @@
                              = [this]() -> const Configuration & { return configuration; },
                              .changed = [](const JobRow &) {},
                              .turned = [](std::string_view, bool) {}},
-            JobRunner::Options{.process = process, .incarnation = std::uint64_t(++writes)});
+            JobRunner::Options{.process = process,
+                               .incarnation = std::uint64_t(++writes),
+                               .maxLiveJobs = maxLiveJobs});
     }
 
-    void submit(const std::string &team, bool isRerunnable)
+    JobRow submit(const std::string &team, bool isRerunnable)
     {
-        JobRow row{.id = "j" + std::to_string(jobs.size()),
-                   .team = team,
-                   .pool = Pool,
-                   .size = {2, 2, 0},
-                   .isRerunnable = isRerunnable,
-                   .hasCheckpoints = isRerunnable};
+        const JobRow row{.id = "j" + std::to_string(jobs.size()),
+                         .team = team,
+                         .pool = Pool,
+                         .size = {2, 2, 0},
+                         .isRerunnable = isRerunnable,
+                         .hasCheckpoints = isRerunnable};
         jobs.emplace_back(taskName(row), isRerunnable);
         JobSubmission::run(changes, {row}, false, [](const auto &) {});
+        return row;
+    }
+
+    ResultCode codeOfRepeat(const JobRow &row)
+    {
+        ResultCode code = ResultCode::InternalError;
+        JobSubmission::run(changes, {row}, false,
+                           [&](const auto &outcomes) { code = outcomes.front().code; });
+        time.runUntil(time.now() + 100ms);
+        return code;
     }
 
     void cancel(std::size_t index)
@@ -177,6 +191,23 @@
     EXPECT_EQ(fleet.ended("a", "j0").state, JobState::Done);
 }
 
+TEST(JobRunner, FullPoolTakesNoMoreJobsUntilSomeHaveEnded)
+{
+    JobFleet fleet(10);
+    const JobRow first = fleet.submit("a", false);
+    for (int i = 0; i < 9; ++i)
+        fleet.submit("a", false);
+    fleet.time.runUntil(fleet.time.now() + 100ms);
+    fleet.runners[0]->turn(Pool);
+    fleet.time.runUntil(fleet.time.now() + 1s);
+    JobRow more = first;
+    more.id = "more";
+    EXPECT_EQ(fleet.codeOfRepeat(more), ResultCode::CapacityExceeded);
+    EXPECT_EQ(fleet.codeOfRepeat(first), ResultCode::Committed) << "taken before";
+    fleet.heal();
+    EXPECT_EQ(fleet.codeOfRepeat(more), ResultCode::Committed);
+}
+
 TEST(JobRunner, RunningJobLeavesADrainingHostOnlyIfItMayRunAgain)
 {
     JobFleet fleet;
