Make room for urgent jobs on a full pool

Cause: an urgent job waited for as long as others ran; its start within 2.6 s held only where the pool had room. Change: UrgentRoom picks the fewest runs on one host that may run again; they are checkpointed and stopped, and their room is reserved. The property's scripts have urgent jobs, too. Weighed: room kept free for urgent jobs; it keeps hosts warm for nothing.

--- a/controller/jobapi.cpp
+++ b/controller/jobapi.cpp
@@ -55,6 +55,7 @@
 std::vector<api::JobAnswer> refuseAll(const Items &items, IdOf idOf, const Error &error)
 {
     std::vector<api::JobAnswer> answers;
+    answers.reserve(items.size());
     for (const auto &item : items)
         answers.push_back(toAnswer(idOf(item), error.code, error.detail));
     return answers;
--- a/controller/jobcancellation.cpp
+++ b/controller/jobcancellation.cpp
@@ -201,7 +201,8 @@
 {
     for (const std::string &id : m_ids) {
         if (m_isWriteLost)
-            m_outcomes.try_emplace(id, ResultCode::CommitUnknown, "an answer was lost; ask again");
+            m_outcomes.try_emplace(
+                id, JobOutcome{ResultCode::CommitUnknown, "an answer was lost; ask again"});
         else
             m_outcomes.try_emplace(id, ResultCode::NotCommitted,
                                    "this call cancelled nothing; ask again");
--- a/controller/jobplanner.cpp
+++ b/controller/jobplanner.cpp
@@ -1,10 +1,12 @@
 // First what reports show is taken in; it may free units of the teams' ceilings. Then urgent jobs
-// are placed, then the others, on the hosts' loads by the rows and the newest reports. A job is
+// are placed, then the others, on the hosts' loads by the rows and the newest reports. An urgent
+// job without room has runs stopped that may be run again, and its room is reserved. A job is
 // impossible only if neither its declared size nor what its class was seen to use fits any host,
 // open or not.
 #include "controller/jobplanner.h"
 
 #include "controller/hostload.h"
+#include "controller/urgentroom.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -35,6 +37,7 @@
     TurnPlanner(const JobTurnInput &input, const JobTurnOptions &options)
         : m_input(input)
         , m_options(options)
+        , m_urgentRoom(input.hosts.size())
     {
         for (std::size_t i = 0; i < input.hosts.size(); ++i)
             m_hostIndex[input.hosts[i].name] = i;
@@ -99,14 +102,33 @@
                 return;
             }
         }
-        addLoad(row, report);
+        const RunningJob run{.estimate = estimate(row),
+                             .startedAt = m_input.startedAt({taskName(row), row.attempt}),
+                             .reported = report != nullptr ? report->used : std::nullopt};
+        addLoad(row, run);
         if (report != nullptr && report->state != TaskState::Running)
             return;
         m_plan.running.push_back(index);
-        if (row.state == JobState::Stopping || mustLeave(row))
+        const bool isLeaving = row.state == JobState::Stopping || mustLeave(row);
+        if (isLeaving)
             m_plan.stops.push_back(index);
         else if (report == nullptr && row.state == JobState::Placed)
             m_plan.startAgain.push_back(index);
+        noteForUrgent(index, run, isLeaving);
+    }
+
+    void noteForUrgent(std::size_t index, const RunningJob &run, bool isLeaving)
+    {
+        const JobRow &row = m_input.jobs[index].row;
+        const auto host = m_hostIndex.find(row.worker);
+        if (host == m_hostIndex.end())
+            return;
+        const Resources load = hostLoad({&run, 1}, m_input.now, m_options.reportLag);
+        if (isLeaving)
+            m_urgentRoom.addLeaving(host->second, load);
+        else if (row.isRerunnable && !row.isUrgent)
+            m_urgentRoom.addRun(host->second,
+                                {.job = index, .priority = row.priority, .load = load});
     }
 
     bool mayChange()
@@ -141,17 +163,13 @@
         return m_input.learner.estimate(usageClass(row), row.size);
     }
 
-    void addLoad(const JobRow &row, const TaskReport *report)
+    void addLoad(const JobRow &row, const RunningJob &run)
     {
-        const Resources need = estimate(row);
-        m_teams[teamOf(row)].used += need;
+        m_teams[teamOf(row)].used += run.estimate;
         const auto host = m_hostIndex.find(row.worker);
         if (host == m_hostIndex.end())
             return;
-        m_running[host->second].push_back(
-            {.estimate = need,
-             .startedAt = m_input.startedAt({taskName(row), row.attempt}),
-             .reported = report != nullptr ? report->used : std::nullopt});
+        m_running[host->second].push_back(run);
         m_unlearned[host->second] += m_input.learner.isLearned(usageClass(row)) ? 0 : 1;
     }
 
@@ -207,8 +225,19 @@
                                                  m_options.placement);
         for (const Assignment &assignment : plan.assignments)
             assign(indexes[assignment.job], jobs[assignment.job], m_hosts[assignment.host]);
-        for (const WaitingJob &waiting : plan.waiting)
+        for (const WaitingJob &waiting : plan.waiting) {
             explain(indexes[waiting.job], waiting);
+            const bool hasNoRoom = waiting.code == ResultCode::JobWaiting;
+            if (hasNoRoom && m_input.jobs[indexes[waiting.job]].row.isUrgent)
+                makeRoom(jobs[waiting.job]);
+        }
+    }
+
+    void makeRoom(const PlacementJob &job)
+    {
+        const std::vector<std::size_t> stops
+            = m_urgentRoom.make(job.estimate, m_hosts, m_options.placement.fillLimit);
+        m_plan.stops.insert(m_plan.stops.end(), stops.begin(), stops.end());
     }
 
     void assign(std::size_t index, const PlacementJob &job, PlacementHost &host)
@@ -273,6 +302,7 @@
     std::vector<PlacementHost> m_hosts;
     std::vector<std::vector<RunningJob>> m_running; // by host
     std::vector<std::uint32_t> m_unlearned; // by host
+    UrgentRoom m_urgentRoom;
     std::vector<std::size_t> m_waiting[2]; // urgent, others
     std::size_t m_starts = 0;
     std::size_t m_changes = 0;
--- a/testing/process/jobs_test.cpp
+++ b/testing/process/jobs_test.cpp
@@ -148,6 +148,35 @@
     EXPECT_LE(steady_clock::now() - begin, UrgentStart);
 }
 
+TEST_F(Jobs, UrgentJobStartsInTimeOnAFullPool)
+{
+    std::vector<api::JobRequest> jobs;
+    for (int i = 0; i < 8; ++i) {
+        jobs.push_back(rerunnable("j" + std::to_string(i), R"({"runMs": 60000})"));
+        jobs.back().processors = 7; // 2 on a worker
+        jobs.back().hasCheckpoints = true;
+    }
+    ASSERT_EQ(submit(jobs), std::vector<int>(8, Committed));
+    for (const api::JobRequest &request : jobs)
+        ASSERT_TRUE(waitState(request.id, "running")) << request.id;
+    api::JobRequest urgent = job("urgent");
+    urgent.processors = 7;
+    urgent.isUrgent = true;
+    const auto begin = steady_clock::now();
+    ASSERT_EQ(submit({urgent}, "rounds-key"), std::vector<int>{Committed});
+    EXPECT_TRUE(LocalSystem::waitUntil([&] { return runs("urgent", "rounds").size() == 1; }));
+    EXPECT_LE(steady_clock::now() - begin, UrgentStart);
+    int stopped = 0;
+    const nlohmann::json allRuns = record().at("runs");
+    for (const auto &[id, attempts] : allRuns.items()) {
+        if (attempts[0].at("state") == "stopped") {
+            ++stopped;
+            EXPECT_EQ(attempts[0].at("isCheckpointed"), true) << id;
+        }
+    }
+    EXPECT_EQ(stopped, 1);
+}
+
 TEST_F(Jobs, CancelledRunningJobIsCheckpointedThenStopped)
 {
     api::JobRequest longJob = job("long", R"({"runMs": 60000})");
--- a/testing/unit/jobplanner_test.cpp
+++ b/testing/unit/jobplanner_test.cpp
@@ -92,6 +92,26 @@
     EXPECT_EQ(plan.changes.front().after.team, "a");
 }
 
+TEST(JobPlanner, UrgentJobWithoutRoomStopsTheFewestRunsThatMayRunAgain)
+{
+    Pool pool;
+    for (int i = 0; i < 18; ++i) {
+        pool.addRunning("a", i < 9 ? "h0" : "h1", TaskState::Running);
+        pool.jobs.back().row.isRerunnable = i >= 6 && i < 12;
+        pool.jobs.back().row.priority = std::uint32_t(20 - i);
+    }
+    pool.add("b", {2, 2, 0}).isUrgent = true;
+    pool.add("a", {1, 1, 0}); // gets nothing of the room that is made
+    const JobTurnPlan plan = pool.plan();
+    EXPECT_EQ(Pool::countOf(plan, JobState::Placed), 0U);
+    EXPECT_EQ(plan.stops, (std::vector<std::size_t>{8, 7})) << "lowest priority on h0 first";
+    pool.jobs[8].row.state = JobState::Stopping; // cancelled meanwhile
+    EXPECT_EQ(pool.plan().stops, (std::vector<std::size_t>{8, 7}));
+    for (LiveJob &job : pool.jobs)
+        job.row.isRerunnable = false;
+    EXPECT_EQ(pool.plan().stops, std::vector<std::size_t>{8}) << "only the cancelled one";
+}
+
 TEST(JobPlanner, OtherChangesDoNotTakeAwayStarts)
 {
     Pool pool;
--- a/testing/unit/jobrunner_test.cpp
+++ b/testing/unit/jobrunner_test.cpp
@@ -58,12 +58,13 @@
                                .maxLiveJobs = maxLiveJobs});
     }
 
-    JobRow submit(const std::string &team, bool isRerunnable)
+    JobRow submit(const std::string &team, bool isRerunnable, bool isUrgent = false)
     {
         const JobRow row{.id = "j" + std::to_string(jobs.size()),
                          .team = team,
                          .pool = Pool,
                          .size = {2, 2, 0},
+                         .isUrgent = isUrgent,
                          .isRerunnable = isRerunnable,
                          .hasCheckpoints = isRerunnable};
         jobs.emplace_back(taskName(row), isRerunnable);
@@ -102,7 +103,7 @@
         switch (operation % 16) {
         case 0:
         case 1:
-            submit(argument % 2 == 0 ? "a" : "b", argument % 3 == 0);
+            submit(argument % 2 == 0 ? "a" : "b", argument % 3 == 0, argument % 5 == 0);
             break;
         case 2:
             cancel(std::size_t(argument));
