Say on how many workers a job failed, and mend what the linter found

Cause: the detail of a job that is given up read its row after the move; the linter showed it, no test did. Change: the detail is made first, with a test of it. A call that cancels only some jobs no longer says that it cancelled nothing.

--- a/controller/jobcancellation.cpp
+++ b/controller/jobcancellation.cpp
@@ -199,14 +199,11 @@
 
 void JobCancellation::failOpen()
 {
-    for (const std::string &id : m_ids) {
-        if (m_isWriteLost)
-            m_outcomes.try_emplace(
-                id, JobOutcome{ResultCode::CommitUnknown, "an answer was lost; ask again"});
-        else
-            m_outcomes.try_emplace(id, ResultCode::NotCommitted,
-                                   "this call cancelled nothing; ask again");
-    }
+    const JobOutcome outcome = m_isWriteLost
+        ? JobOutcome{ResultCode::CommitUnknown, "an answer was lost; ask again"}
+        : JobOutcome{ResultCode::NotCommitted, "this call cancelled nothing more; ask again"};
+    for (const std::string &id : m_ids)
+        m_outcomes.try_emplace(id, outcome);
     m_isConflict = false;
     finish();
 }
--- a/controller/jobstep.cpp
+++ b/controller/jobstep.cpp
@@ -32,9 +32,9 @@
         return ended(std::move(row), JobState::Failed, ResultCode::JobFailed,
                      "failed on " + worker);
     if (row.failures >= options.maxFailures || row.failedOn.size() >= options.maxFailedWorkers) {
-        return ended(std::move(row), JobState::Failed, ResultCode::JobQuarantined,
-                     "failed on " + std::to_string(row.failedOn.size()) + " workers, the last "
-                         + worker);
+        const std::string detail
+            = "failed on " + std::to_string(row.failedOn.size()) + " workers, the last " + worker;
+        return ended(std::move(row), JobState::Failed, ResultCode::JobQuarantined, detail);
     }
     return waitingAgain(std::move(row), "failed on " + worker);
 }
--- a/testing/unit/jobplanner_test.cpp
+++ b/testing/unit/jobplanner_test.cpp
@@ -182,6 +182,22 @@
     EXPECT_NEAR(a / b, 2, 0.1) << a << " " << b;
 }
 
+TEST(JobStep, JobThatFailsOnThreeWorkersIsGivenUpWithTheReason)
+{
+    JobRow row{.id = "j", .team = "a", .pool = "p", .isRerunnable = true, .attempt = 4};
+    row.state = JobState::Running;
+    row.worker = "h2";
+    row.failures = 3;
+    row.failedOn = {"h0", "h1"}; // one of them twice
+    const TaskReport report{.id = {taskName(row), 4}, .worker = "h2", .state = TaskState::Failed};
+    const JobRow next = nextJobStep(row, report, {}).value();
+    EXPECT_EQ(next.state, JobState::Failed);
+    EXPECT_EQ(next.code, ResultCode::JobQuarantined);
+    EXPECT_EQ(next.detail, "failed on 3 workers, the last h2");
+    row.failedOn = {"h2"};
+    EXPECT_EQ(nextJobStep(row, report, {})->state, JobState::Waiting) << "one bad worker";
+}
+
 // Whatever the reports say, one attempt ends before the next, and only what may run again does.
 RC_GTEST_PROP(JobStep, RaisesNoAttemptAndRunsAgainOnlyWhatMay, ())
 {
