--- a/testing/process/jobs_test.cpp
+++ b/testing/process/jobs_test.cpp
@@ -88,6 +88,7 @@
     ASSERT_TRUE(
         system().setFaults("table", R"({"lostCommits": 6, "lostCommitsOf": "controller"})"));
     std::vector<api::JobRequest> jobs;
+    jobs.reserve(4);
     for (int i = 0; i < 4; ++i)
         jobs.push_back(job("j" + std::to_string(i)));
     EXPECT_EQ(submit(jobs), std::vector<int>(4, Committed));
--- a/testing/unit/jobsubmission_test.cpp
+++ b/testing/unit/jobsubmission_test.cpp
@@ -48,6 +48,7 @@
     static std::vector<ResultCode> codesOf(const std::vector<JobOutcome> &outcomes)
     {
         std::vector<ResultCode> codes;
+        codes.reserve(outcomes.size());
         for (const JobOutcome &outcome : outcomes)
             codes.push_back(outcome.code);
         return codes;
