--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -304,9 +304,13 @@
         held.exchange->reply(std::move(*response));
         return;
     }
+    const auto answer = [this, code, exchange = held.exchange] {
+        refuse(*exchange, {code, std::string(resultInfo(code).meaning)});
+    };
     if (held.digest && m_options.onNotRun && resultInfo(code).runState == RunState::NotRun)
-        m_options.onNotRun(*held.digest);
-    refuse(*held.exchange, {code, std::string(resultInfo(code).meaning)});
+        m_options.onNotRun(*held.digest, answer);
+    else
+        answer();
 }
 
 void Dispatcher::refuse(HttpExchange &exchange, const Error &error)
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -35,8 +35,8 @@
         std::function<bool()> mayTakeWork = {};
         // Whether the key with this digest may still hand in work. Empty: yes.
         std::function<bool(std::string_view keyDigest)> isKeyValid = {};
-        // A recorded request was refused and certainly did not run.
-        std::function<void(const RequestDigest &)> onNotRun = {};
+        // A recorded request certainly did not run; its caller is told so by `done`.
+        std::function<void(const RequestDigest &, std::function<void()> done)> onNotRun = {};
     };
 
     Dispatcher(Daemon &daemon, PeerNode &node, Options options);
--- a/gateway/duplicateguard.cpp
+++ b/gateway/duplicateguard.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration RecordDeadline = std::chrono::milliseconds(300);
+// The caller's refusal waits for it, also at the request's deadline.
+constexpr Duration ForgetDeadline = std::chrono::milliseconds(50);
 
 RequestDigest toDigest(std::int64_t low, std::int64_t high)
 {
@@ -89,28 +91,39 @@
         inquiry.callback(combinedVerdict(inquiry.verdicts));
 }
 
-void DuplicateGuard::forget(const RequestDigest &digest)
+void DuplicateGuard::forget(const RequestDigest &digest, std::function<void()> done)
 {
-    for (const std::string &home : homes(digest)) {
-        if (home == m_node.self().name)
+    const std::vector<std::string> names = homes(digest);
+    const auto onEnded
+        = [waiting = std::make_shared<std::size_t>(names.size()), done = std::move(done)] {
+              if (--*waiting == 0)
+                  done();
+          };
+    for (const std::string &home : names) {
+        if (home == m_node.self().name) {
             m_filter->forget(digest);
-        else
-            forgetAtPeer(home, digest);
+            onEnded();
+        } else {
+            forgetAtPeer(home, digest, onEnded);
+        }
     }
 }
 
-void DuplicateGuard::forgetAtPeer(const std::string &home, const RequestDigest &digest)
+void DuplicateGuard::forgetAtPeer(const std::string &home, const RequestDigest &digest,
+                                  const std::function<void()> &onEnded)
 {
     const std::optional<Endpoint> endpoint = m_node.endpointOf(home);
-    if (!endpoint)
+    if (!endpoint) {
+        onEnded();
         return;
+    }
     api::PeerService_forget_args args;
     args.sender = m_node.sender();
     args.low = std::int64_t(digest.low);
     args.high = std::int64_t(digest.high);
     m_node.rpcClient().call<api::PeerService_forget_args, api::PeerService_forget_result>(
-        *endpoint, PeerPath, "forget", args, BootClock::now() + RecordDeadline,
-        [](const RpcAnswer<api::PeerService_forget_result> &) {});
+        *endpoint, PeerPath, "forget", args, BootClock::now() + ForgetDeadline,
+        [onEnded](const RpcAnswer<api::PeerService_forget_result> &) { onEnded(); });
 }
 
 void DuplicateGuard::addMethods()
--- a/gateway/duplicateguard.h
+++ b/gateway/duplicateguard.h
@@ -2,7 +2,7 @@
 // was sent before.
 //
 //   guard.check(digest, firstSent, [](DuplicateVerdict verdict) { ... });
-//   guard.forget(digest);   // it certainly did not run
+//   guard.forget(digest, [] { ... });   // it certainly did not run; then tell the caller
 //
 // The homes are chosen among the live gateways, this one included. The verdict comes within
 // RecordDeadline; a home that does not answer by then has no say.
@@ -30,7 +30,9 @@
     // Begins the record; the node must have joined.
     void start();
     void check(const RequestDigest &digest, TimePoint firstSent, const Callback &callback);
-    void forget(const RequestDigest &digest);
+    // Calls `done` once the homes have forgotten it, so that the caller's repeat is a new request,
+    // or after ForgetDeadline.
+    void forget(const RequestDigest &digest, std::function<void()> done);
 
 private:
     struct Inquiry
@@ -43,7 +45,8 @@
     std::vector<std::string> homes(const RequestDigest &digest);
     void askPeer(const std::string &home, const RequestDigest &digest, TimePoint firstSent,
                  const std::shared_ptr<Inquiry> &inquiry);
-    void forgetAtPeer(const std::string &home, const RequestDigest &digest);
+    void forgetAtPeer(const std::string &home, const RequestDigest &digest,
+                      const std::function<void()> &onEnded);
     static void onVerdict(Inquiry &inquiry, std::optional<DuplicateVerdict> verdict);
     void addMethods();
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -46,7 +46,9 @@
            .seed = std::random_device()(),
            .mayTakeWork = [this] { return m_node.follower().isConfirmed(BootClock::now()); },
            .isKeyValid = [this](std::string_view digest) { return isKeyValid(digest); },
-           .onNotRun = [this](const RequestDigest &d) { m_duplicates.forget(d); }})
+           .onNotRun
+           = [this](const RequestDigest &digest,
+                    std::function<void()> done) { m_duplicates.forget(digest, std::move(done)); }})
     , m_settledTimer(daemon.loop(),
                      [this] {
                          m_isSettled = true;
