Share by team first, then among its gateways, and hold to it over time

The lender shared whole units among 24 borrowers at once, so rounding took a small team's units (1.2 of 2).

Change: borrowers of one group share the group's part (planShares); units that rounding leaves move by turns of a second; what a group had in use is held against its part. The lender works the shares out at most once in 10 us times its borrowers instead of at each report, and keeps the sum of what is lent up. Grants tell whether a resource is contended; idle units of it are then returned by the next report. A team without a unit of its ceiling does not keep its idle slots from the others at its gateway. TeamDemand is gone: its part is the group's.

--- a/api/peer.thrift
+++ b/api/peer.thrift
@@ -65,6 +65,7 @@
   5: i64 termMilliseconds
   6: i32 code
   7: string borrower  // of the report it answers
+  8: bool isContended
 }
 
 struct LendAnswer {
--- /dev/null
+++ b/bench/shares_bench.cpp
@@ -0,0 +1,97 @@
+// Closeness to share, ceilings, urgent starts and goodput of a whole system in real processes on
+// loopback, judged by the runners' record of what ran.
+//
+// --gateways N, --runners N (of each of two services), --seconds N and --ceiling N (of one small
+// team) set the sizes.
+#include "bench/support/report.h"
+#include "testing/support/fullsystem.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+#include <map>
+
+namespace {
+
+using namespace sequoiapier;
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t Seed = 20261204;
+constexpr Duration FillTime = 1s; // from the first request until all is full
+
+unsigned numberOption(int argc, char **argv, const char *name, unsigned absent)
+{
+    for (int i = 1; i + 1 < argc; ++i) {
+        if (std::strcmp(argv[i], name) == 0)
+            return unsigned(std::atoi(argv[i + 1]));
+    }
+    return absent;
+}
+
+void printTeams(const FullSystem &full, const RunSpans &spans, TimePoint from, TimePoint until)
+{
+    const double seconds = std::chrono::duration<double>(until - from).count();
+    for (const std::string &queue : full.services()) {
+        double total = 0;
+        for (const TeamSetup &team : full.options().teams) {
+            const double slots = spans.slotSeconds({team.name, queue}, from, until) / seconds;
+            total += slots;
+            std::printf("  %s.%s: %.2f slots\n", team.name.c_str(), queue.c_str(), slots);
+        }
+        std::printf("  %s: %.2f of %d slots\n", queue.c_str(), total, int(full.slotsPerService()));
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Report report("shares", argc, argv);
+    const auto length = std::chrono::seconds(numberOption(argc, argv, "--seconds", 30));
+    FullSystem full("shares-bench",
+                    {.gateways = numberOption(argc, argv, "--gateways", 8),
+                     .runnersPerService = numberOption(argc, argv, "--runners", 10),
+                     .teams = FullSystem::sixTeams(numberOption(argc, argv, "--ceiling", 0))});
+    if (!full.start()) {
+        std::fprintf(stderr, "the system did not start\n");
+        return 1;
+    }
+    std::vector<TeamStream> streams = full.streams(2);
+    streams.push_back(full.urgentStream("vans"));
+    TeamLoad load(streams, Seed);
+    const TimePoint began = BootClock::now();
+    load.run({{.length = FillTime + length}});
+    const auto spans = full.spans();
+    if (!spans) {
+        std::fprintf(stderr, "a runner's record could not be read\n");
+        return 1;
+    }
+    std::map<std::string, TimePoint> starts;
+    for (const RunSpan &span : spans->all())
+        starts.emplace(span.id, span.start);
+    double latest = 0;
+    std::map<std::string, int> codes;
+    for (const LoadedRequest &request : load.requests()) {
+        ++codes[std::to_string(request.status) + "/" + request.code];
+        if (!load.streams()[request.stream].isUrgent)
+            continue;
+        const auto start = starts.find(request.id);
+        const double waited = start == starts.end()
+            ? 1e9
+            : std::chrono::duration<double>(start->second - request.sentAt).count();
+        latest = std::max(latest, waited);
+        if (start == starts.end())
+            std::printf("  urgent %s not run: %d/%s\n", request.id.c_str(), request.status,
+                        request.code.c_str());
+    }
+    for (const auto &[code, count] : codes)
+        std::printf("  %s: %d\n", code.c_str(), count);
+    printTeams(full, *spans, began + FillTime, began + FillTime + length);
+    const WorstShare worst = worstShare(full, *spans, began + FillTime, began + FillTime + length);
+    std::printf("  worst: %s\n", worst.what.c_str());
+    report.add("full",
+               {{"worst_share_pct", 100 * worst.part},
+                {"ceiling_peak", double(spans->peak({.team = "recalls"}))},
+                {"urgent_start_worst_s", latest}});
+    return report.finish();
+}
--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -218,24 +218,29 @@
     if (borrower != nullptr && borrower->available(now) > 0)
         return own;
     return m_loans.findIdle(resource, now, [&](std::string_view other) {
-        return std::any_of(lane.queues.begin(), lane.queues.end(),
+        return hasCeilingUnit(other, now)
+            && std::any_of(lane.queues.begin(), lane.queues.end(),
                            [&](const auto &queue) { return queue.second.count(other) > 0; });
     });
 }
 
+bool Dispatcher::hasCeilingUnit(std::string_view team, TimePoint now)
+{
+    if (!m_ceilings.contains(team))
+        return true;
+    const Borrower *borrower = m_loans.find({ceilingResource(team), ""});
+    return borrower != nullptr && borrower->available(now) > 0;
+}
+
 bool Dispatcher::mayStart(const ServiceLane &lane, std::string_view team, TimePoint now)
 {
     if (!findSlot(lane, team, now)) {
         m_loans.onDemandChanged({slotResource(lane.config.name), std::string(team)});
         return false;
     }
-    if (!m_ceilings.contains(team))
-        return true;
-    const LoanKey ceiling{ceilingResource(team), ""};
-    const Borrower *borrower = m_loans.find(ceiling);
-    if (borrower != nullptr && borrower->available(now) > 0)
+    if (hasCeilingUnit(team, now))
         return true;
-    m_loans.onDemandChanged(ceiling);
+    m_loans.onDemandChanged({ceilingResource(team), ""});
     return false;
 }
 
@@ -410,8 +415,11 @@
 void Dispatcher::release(const LoanKey &key, TimePoint now)
 {
     Borrower *borrower = m_loans.find(key);
-    if (borrower != nullptr)
-        borrower->release(now);
+    if (borrower == nullptr)
+        return;
+    borrower->release(now);
+    if (borrower->isContended())
+        m_loans.onDemandChanged(key);
 }
 
 void Dispatcher::releaseLate()
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -62,6 +62,7 @@
     bool dispatchOne(ServiceLane &lane, TimePoint now);
     TeamQueues *nextQueue(ServiceLane &lane);
     std::optional<LoanKey> findSlot(const ServiceLane &lane, std::string_view team, TimePoint now);
+    bool hasCeilingUnit(std::string_view team, TimePoint now);
     bool mayStart(const ServiceLane &lane, std::string_view team, TimePoint now);
     void startAttempt(ServiceLane &lane, std::uint64_t id, TimePoint now);
     HttpCall makeCall(std::uint64_t id, const HeldRequest &held, const ServiceLane &lane);
--- a/gateway/loanclient.h
+++ b/gateway/loanclient.h
@@ -54,6 +54,7 @@
     std::optional<LoanKey>
     findIdle(std::string_view resource, TimePoint now,
              const std::function<bool(std::string_view team)> &needsIt) const;
+    // Reports the loan soon: more units are wanted, or others want what was released.
     void onDemandChanged(const LoanKey &key);
     // Reports at once, for instance with no demand at shutdown.
     void flush();
--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -1211,6 +1211,10 @@
 void LoanGrantMessage::__set_borrower(const std::string& val) {
   this->borrower = val;
 }
+
+void LoanGrantMessage::__set_isContended(const bool val) {
+  this->isContended = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoanGrantMessage& obj)
 {
   obj.printTo(out);
@@ -1295,6 +1299,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isContended);
+          this->__isset.isContended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1340,6 +1352,10 @@
   xfer += oprot->writeString(this->borrower);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isContended", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->isContended);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1354,6 +1370,7 @@
   swap(a.termMilliseconds, b.termMilliseconds);
   swap(a.code, b.code);
   swap(a.borrower, b.borrower);
+  swap(a.isContended, b.isContended);
   swap(a.__isset, b.__isset);
 }
 
@@ -1365,6 +1382,7 @@
   termMilliseconds = other20.termMilliseconds;
   code = other20.code;
   borrower = other20.borrower;
+  isContended = other20.isContended;
   __isset = other20.__isset;
 }
 LoanGrantMessage& LoanGrantMessage::operator=(const LoanGrantMessage& other21) {
@@ -1375,6 +1393,7 @@
   termMilliseconds = other21.termMilliseconds;
   code = other21.code;
   borrower = other21.borrower;
+  isContended = other21.isContended;
   __isset = other21.__isset;
   return *this;
 }
@@ -1388,6 +1407,7 @@
   out << ", " << "termMilliseconds=" << to_string(termMilliseconds);
   out << ", " << "code=" << to_string(code);
   out << ", " << "borrower=" << to_string(borrower);
+  out << ", " << "isContended=" << to_string(isContended);
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -514,7 +514,7 @@
 std::ostream& operator<<(std::ostream& out, const LoanReportMessage& obj);
 
 typedef struct _LoanGrantMessage__isset {
-  _LoanGrantMessage__isset() : resource(false), sequence(false), epoch(false), amount(false), termMilliseconds(false), code(false), borrower(false) {}
+  _LoanGrantMessage__isset() : resource(false), sequence(false), epoch(false), amount(false), termMilliseconds(false), code(false), borrower(false), isContended(false) {}
   bool resource :1;
   bool sequence :1;
   bool epoch :1;
@@ -522,6 +522,7 @@
   bool termMilliseconds :1;
   bool code :1;
   bool borrower :1;
+  bool isContended :1;
 } _LoanGrantMessage__isset;
 
 class LoanGrantMessage : public virtual ::apache::thrift::TBase {
@@ -536,7 +537,8 @@
                      amount(0),
                      termMilliseconds(0),
                      code(0),
-                     borrower() {
+                     borrower(),
+                     isContended(0) {
   }
 
   virtual ~LoanGrantMessage() noexcept;
@@ -547,6 +549,7 @@
   int64_t termMilliseconds;
   int32_t code;
   std::string borrower;
+  bool isContended;
 
   _LoanGrantMessage__isset __isset;
 
@@ -564,6 +567,8 @@
 
   void __set_borrower(const std::string& val);
 
+  void __set_isContended(const bool val);
+
   bool operator == (const LoanGrantMessage & rhs) const
   {
     if (!(resource == rhs.resource))
@@ -580,6 +585,8 @@
       return false;
     if (!(borrower == rhs.borrower))
       return false;
+    if (!(isContended == rhs.isContended))
+      return false;
     return true;
   }
   bool operator != (const LoanGrantMessage &rhs) const {
--- a/peer/peerwire.cpp
+++ b/peer/peerwire.cpp
@@ -117,6 +117,7 @@
     wire.amount = grant.amount;
     wire.termMilliseconds = grant.termMilliseconds;
     wire.code = std::int32_t(grant.code);
+    wire.isContended = grant.isContended;
     return wire;
 }
 
@@ -127,6 +128,7 @@
             .epoch = std::uint64_t(grant.epoch),
             .amount = grant.amount,
             .termMilliseconds = grant.termMilliseconds,
+            .isContended = grant.isContended,
             .code = ResultCode(grant.code)};
 }
 
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -10,6 +10,11 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
+// Working out the shares takes less than a microsecond a borrower, so at most a tenth of this time.
+constexpr Duration PlanInterval = std::chrono::microseconds(10);
+constexpr Duration TurnLength = std::chrono::seconds(1);
+// A team's gateways share its part by demand; requests without a team are one team.
+constexpr const char *TeamGroupPrefix = "team/";
 
 } // namespace
 
@@ -93,7 +98,9 @@
                             .term = milliseconds(m_settings.leaseMilliseconds),
                             .outageTerm = milliseconds(m_settings.outageLeaseMilliseconds),
                             .suspicion = milliseconds(m_settings.leaseMilliseconds / 2),
-                            .longestWork = milliseconds(m_settings.longestWorkMilliseconds)};
+                            .longestWork = milliseconds(m_settings.longestWorkMilliseconds),
+                            .turnLength = TurnLength,
+                            .planInterval = PlanInterval};
     if (resource.epoch > 1) {
         options.priorCapacity = capacity;
         options.priorBorrowers = teamBorrowers(resource);
@@ -130,9 +137,10 @@
             .resource = report.resource, .sequence = report.sequence, .code = ResultCode::NotOwner};
     }
     const TimePoint now = BootClock::now();
-    const auto share = m_shares.find(teamOfBorrower(report.borrower.name));
-    report.weight = m_demands[report.resource].weight(
-        report, share != m_shares.end() ? share->second : 1, now);
+    const std::string team = teamOfBorrower(report.borrower.name);
+    const auto share = m_shares.find(team);
+    report.weight = share != m_shares.end() ? share->second : 1;
+    report.group = TeamGroupPrefix + team;
     lender->second.setOwnedUntil(m_ownership->ownedUntil());
     return lender->second.report(report, now);
 }
--- a/scheduler/scheduler.h
+++ b/scheduler/scheduler.h
@@ -4,7 +4,6 @@
 #include "peer/lendableresources.h"
 #include "peer/peernode.h"
 #include "scheduler/schedulersettings.h"
-#include "scheduler/teamdemand.h"
 #include "sequoiapier/lender.h"
 #include "sequoiapier/ownership.h"
 
@@ -36,7 +35,6 @@
     std::unique_ptr<Ownership> m_ownership;
     std::map<std::string, std::int64_t> m_capacities;
     std::map<std::string, std::uint32_t, std::less<>> m_shares; // by team
-    std::map<std::string, TeamDemand, std::less<>> m_demands; // by resource
     std::map<std::string, Lender, std::less<>> m_lenders;
     std::function<void()> m_drained;
     Timer m_tickTimer;
--- a/sequoiapier/borrower.cpp
+++ b/sequoiapier/borrower.cpp
@@ -36,6 +36,8 @@
 {
     if (now >= m_leaseEnd && !m_options.faults.ignoreLease)
         m_held = std::min(m_held, m_inUse);
+    if (m_isContended)
+        m_held = std::min(m_held, std::max(m_inUse, wanted));
     LoanReport report{.resource = m_options.resource, .borrower = m_options.self};
     report.sequence = ++m_sequence;
     report.epoch = m_epoch;
@@ -64,6 +66,7 @@
     m_accepted = grant.sequence;
     m_epoch = grant.epoch;
     m_held = answersLatest ? grant.amount : std::min(grant.amount, m_held);
+    m_isContended = grant.isContended;
     m_leaseEnd = leaseEnd;
     return now < leaseEnd ? ResultCode::Ok : ResultCode::LeaseExpired;
 }
--- a/sequoiapier/borrower.h
+++ b/sequoiapier/borrower.h
@@ -66,6 +66,9 @@
     std::int64_t available(TimePoint now) const;
     std::int64_t held() const { return m_held; }
     std::int64_t inUse() const { return m_inUse; }
+    // More units are wanted by all borrowers than there are: what is idle is given back by the next
+    // report.
+    bool isContended() const { return m_isContended; }
     std::uint64_t epoch() const { return m_epoch; }
     TimePoint leaseEnd() const { return m_leaseEnd; }
     const Options &options() const { return m_options; }
@@ -77,6 +80,7 @@
     std::uint64_t m_accepted = 0;
     std::uint64_t m_epoch = 0;
     std::int64_t m_held = 0;
+    bool m_isContended = false;
     std::int64_t m_inUse = 0;
     TimePoint m_leaseEnd{};
 };
--- a/sequoiapier/lender.cpp
+++ b/sequoiapier/lender.cpp
@@ -3,8 +3,10 @@
 // it holds only by the answer to its latest report. Units become free when this figure falls, which
 // is when the next report shows that a lower grant was taken.
 //
-// Each report recomputes the shares, O(n log n) for n borrowers. At n = 64 this is a few
-// microseconds.
+// Shares are worked out for all borrowers at once, O(n log n), at most once in planInterval times
+// n, and kept in the records. What is lent in all is kept up with each change of a record. A report
+// that works nothing out costs O(log n): the look-up of its record. A share that is behind the
+// reports moves units later; what may be lent is bounded by the records of that moment alone.
 #include "sequoiapier/lender.h"
 
 #include "sequoiapier/maxminshare.h"
@@ -47,14 +49,6 @@
         m_unaccounted = 0;
 }
 
-std::int64_t Lender::lent() const
-{
-    std::int64_t units = m_unaccounted;
-    for (const auto &[borrower, record] : m_records)
-        units += record.exposure();
-    return units;
-}
-
 std::int64_t Lender::wanted() const
 {
     std::int64_t units = 0;
@@ -102,8 +96,15 @@
     const Duration elapsed = record.last.sequence != 0 ? now - record.reportedAt : Duration{};
     record.averageDemand = averaged(record.averageDemand, report.wanted, elapsed);
     record.reportedAt = now;
+    m_exposure -= record.exposure();
     takeIn(record, report);
-    return makeGrant(record, now);
+    m_exposure += record.exposure();
+    plan(record, now);
+    const std::int64_t before = record.exposure();
+    const LoanGrant grant = makeGrant(record, now);
+    m_exposure += record.exposure() - before;
+    m_nextReclaim = std::min(m_nextReclaim, nextReclaim(record, now));
+    return grant;
 }
 
 // From here on no grant older than the one that will answer `report` can raise what is held.
@@ -136,29 +137,101 @@
         m_adopted.clear();
 }
 
-std::int64_t Lender::shareOf(const Record &record, TimePoint now) const
+TimePoint Lender::nextReclaim(const Record &record, TimePoint now) const
+{
+    return now < record.loanEnd ? record.loanEnd : record.loanEnd + m_options.longestWork;
+}
+
+bool Lender::isLapsed(const Record &record, TimePoint now) const
+{
+    return now >= record.loanEnd && mayReclaim(now);
+}
+
+// Works out what each borrower is to hold. `reporting` is about to get a lease.
+void Lender::plan(const Record &reporting, TimePoint now)
 {
+    if (now < m_planDue)
+        return;
+    m_planDue = now + m_options.planInterval * std::int64_t(m_records.size());
+    advanceTurns(now);
     std::int64_t capacity = m_options.capacity - m_unaccounted;
-    std::vector<ShareDemand> demands;
-    std::vector<ShareDemand> surplusDemands;
-    std::size_t index = 0;
-    for (const auto &[borrower, other] : m_records) {
-        if (&other == &record)
-            index = demands.size();
-        else if (now >= other.loanEnd && mayReclaim(now)) {
-            capacity -= other.exposure();
+    capacity -= planGroups(reporting, now, capacity);
+    if (m_options.lendSurplus && capacity > 0)
+        planSurplus(capacity);
+}
+
+void Lender::advanceTurns(TimePoint now)
+{
+    if (m_options.turnLength <= Duration{})
+        return;
+    const bool isOver = now >= m_turnEnd;
+    if (isOver)
+        m_turnEnd = now + m_options.turnLength;
+    const double turns = double((now - m_plannedAt).count()) / double(m_options.turnLength.count());
+    m_plannedAt = now;
+    const auto advance = [&](ShareTurn &turn) {
+        turn.advance(turns);
+        if (isOver)
+            turn.change();
+    };
+    for (auto &[borrower, record] : m_records) {
+        advance(record.turn);
+        advance(record.groupTurn);
+    }
+    for (auto &[group, turn] : m_groupTurns)
+        advance(turn);
+}
+
+// Returns the units planned, with those of lapsed leases.
+std::int64_t Lender::planGroups(const Record &reporting, TimePoint now, std::int64_t capacity)
+{
+    std::vector<PlanGroup> groups;
+    std::vector<PlanMember> members;
+    std::vector<Record *> records;
+    std::map<std::string_view, std::size_t> indexes;
+    const bool takesTurns = m_options.turnLength > Duration{};
+    std::int64_t lapsed = 0;
+    for (auto &[borrower, record] : m_records) {
+        record.share = 0;
+        if (&record != &reporting && isLapsed(record, now)) {
+            lapsed += record.exposure();
             continue;
         }
-        demands.push_back({other.last.wanted, other.last.weight});
-        surplusDemands.push_back(
-            {m_options.capacity, std::uint32_t(1 + other.averageDemand * SurplusScale)});
+        const std::string &name = record.last.group;
+        const auto [found, isNew] = indexes.try_emplace(name, groups.size());
+        const std::size_t index = name.empty() ? groups.size() : found->second;
+        if (isNew || name.empty()) {
+            ShareTurn *turn = name.empty() ? &record.groupTurn : &m_groupTurns[name];
+            groups.push_back({record.last.weight, takesTurns ? turn : nullptr});
+        }
+        groups[index].inUse += record.last.inUse;
+        members.push_back({record.last.wanted, index, takesTurns ? &record.turn : nullptr});
+        records.push_back(&record);
     }
-    const std::vector<std::int64_t> shares = maxMinShare(capacity, demands);
-    if (!m_options.lendSurplus)
-        return shares[index];
-    for (const std::int64_t share : shares)
-        capacity -= share;
-    return shares[index] + maxMinShare(capacity, surplusDemands)[index];
+    std::erase_if(m_groupTurns, [&](const auto &entry) { return !indexes.contains(entry.first); });
+    planShares(capacity - lapsed, groups, members);
+    std::int64_t planned = lapsed;
+    m_isContended = false;
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        records[i]->share = members[i].share;
+        planned += members[i].share;
+        m_isContended
+            = m_isContended || (m_unaccounted == 0 && members[i].share < members[i].wanted);
+    }
+    return planned;
+}
+
+// Units that no one wants now go to those that wanted most lately.
+void Lender::planSurplus(std::int64_t capacity)
+{
+    std::vector<ShareDemand> demands;
+    demands.reserve(m_records.size());
+    for (const auto &[borrower, record] : m_records)
+        demands.push_back({capacity, std::uint32_t(1 + record.averageDemand * SurplusScale)});
+    const std::vector<std::int64_t> surplus = maxMinShare(capacity, demands);
+    std::size_t index = 0;
+    for (auto &[borrower, record] : m_records)
+        record.share += surplus[index++];
 }
 
 LoanGrant Lender::makeGrant(Record &record, TimePoint now)
@@ -168,13 +241,14 @@
     const std::int64_t ownUnits = std::max(report.held, report.inUse);
     const std::int64_t othersLent = lent() - record.exposure();
     const std::int64_t bound = m_options.capacity - othersLent;
-    std::int64_t amount = std::min(shareOf(record, now), std::max(bound, report.held));
+    std::int64_t amount = std::min(record.share, std::max(bound, report.held));
     // Until it is adopted its loan stays as it is, so that its part of the old loans stays known.
     if (!isAdopted(report.borrower))
         amount = report.held;
     LoanGrant grant{.resource = report.resource, .sequence = report.sequence};
     grant.epoch = m_options.epoch;
     grant.amount = std::max<std::int64_t>(0, amount);
+    grant.isContended = m_isContended;
     grant.termMilliseconds = std::chrono::floor<std::chrono::milliseconds>(term).count();
     record.grant = grant;
     record.grantEnd = now + term;
@@ -199,10 +273,18 @@
         m_unaccounted = 0;
     if (m_unaccounted == 0)
         m_adopted.clear();
+    if (now < m_nextReclaim)
+        return;
+    m_nextReclaim = TimePoint::max();
     std::erase_if(m_records, [&](const auto &entry) {
         const Record &record = entry.second;
-        return now >= record.loanEnd + m_options.longestWork
+        const bool isOver = now >= record.loanEnd + m_options.longestWork
             || (now >= record.loanEnd && record.exposure() == 0);
+        if (isOver)
+            m_exposure -= record.exposure();
+        else
+            m_nextReclaim = std::min(m_nextReclaim, nextReclaim(record, now));
+        return isOver;
     });
 }
 
@@ -211,8 +293,12 @@
     const auto found = m_records.find(borrower);
     if (found == m_records.end() || now < found->second.loanEnd || !mayReclaim(now))
         return;
-    found->second.isLimited = true;
-    found->second.limit = remaining;
+    Record &record = found->second;
+    m_exposure -= record.exposure();
+    record.isLimited = true;
+    record.limit = remaining;
+    m_exposure += record.exposure();
+    m_nextReclaim = std::min(m_nextReclaim, now);
 }
 
 } // namespace sequoiapier
--- a/sequoiapier/lender.h
+++ b/sequoiapier/lender.h
@@ -53,6 +53,11 @@
         Duration longestWork{}; // work is taken to have ended this long after its lease
         double clockRateMargin = 0.01; // part of a term that clocks may drift apart
         std::size_t maxBorrowers = 1024;
+        // Time after which the units left by rounding shares move on; zero: never.
+        Duration turnLength{};
+        // Shares are worked out anew at most once in this time for each borrower, so that reports
+        // cost the same whatever the number of borrowers; zero: at each report.
+        Duration planInterval{};
         bool lendSurplus = true; // lends units that no one wants, by average demand
         std::int64_t priorCapacity = 0; // most that earlier lenders may have lent; 0: first lender
         std::optional<std::vector<MemberId>> priorBorrowers; // all that may hold such loans
@@ -63,19 +68,24 @@
 
     // Takes in a report and answers it. Codes other than Ok grant nothing: NotFound (another
     // resource), EpochStale (an older report than the last, or this lender was succeeded), NotOwner
-    // (past ownedUntil and outageTerm), CapacityExceeded (maxBorrowers). O(n log n) in borrowers.
+    // (past ownedUntil and outageTerm), CapacityExceeded (maxBorrowers). O(log n) in borrowers, and
+    // O(n log n) for the report that works out the shares.
     LoanGrant report(const LoanReport &report, TimePoint now);
-    // Reclaims what has lapsed. O(n).
+    // Reclaims what has lapsed. O(1), and O(n) when something has.
     void tick(TimePoint now);
 
-    void setCapacity(std::int64_t capacity) { m_options.capacity = capacity; }
+    void setCapacity(std::int64_t capacity)
+    {
+        m_options.capacity = capacity;
+        m_planDue = {};
+    }
     // No other lender takes over before `until`. The default is never.
     void setOwnedUntil(TimePoint until) { m_ownedUntil = until; }
     // At most `remaining` units of work started by a borrower whose lease has lapsed still run.
     void workEnded(const MemberId &borrower, std::int64_t remaining, TimePoint now);
 
     // Units that may be in use by borrowers, with those of earlier lenders.
-    std::int64_t lent() const;
+    std::int64_t lent() const { return m_unaccounted + m_exposure; }
     // Units of earlier lenders that no borrower accounts for yet.
     std::int64_t unaccounted() const { return m_unaccounted; }
     // Demand of all borrowers, in units.
@@ -94,9 +104,14 @@
     void takeIn(Record &record, const LoanReport &report);
     void adopt(const LoanReport &report);
     bool isAdopted(const MemberId &borrower) const;
-    std::int64_t shareOf(const Record &record, TimePoint now) const;
+    void plan(const Record &reporting, TimePoint now);
+    std::int64_t planGroups(const Record &reporting, TimePoint now, std::int64_t capacity);
+    void planSurplus(std::int64_t capacity);
+    void advanceTurns(TimePoint now);
     LoanGrant makeGrant(Record &record, TimePoint now);
     bool mayReclaim(TimePoint now) const;
+    bool isLapsed(const Record &record, TimePoint now) const;
+    TimePoint nextReclaim(const Record &record, TimePoint now) const;
 
     Options m_options;
     TimePoint m_ownedUntil = TimePoint::max();
@@ -106,6 +121,13 @@
     std::set<MemberId> m_adopted; // their part is off m_unaccounted; empty once that is 0
     bool m_isSuperseded = false;
     std::map<MemberId, Record> m_records;
+    std::int64_t m_exposure = 0; // of all records
+    TimePoint m_nextReclaim = TimePoint::max(); // nothing is to be reclaimed before
+    bool m_isContended = false; // more was wanted than there was at the last plan
+    TimePoint m_planDue{};
+    TimePoint m_plannedAt{};
+    TimePoint m_turnEnd{};
+    std::map<std::string, ShareTurn, std::less<>> m_groupTurns;
 };
 
 } // namespace sequoiapier
--- a/sequoiapier/loangrant.h
+++ b/sequoiapier/loangrant.h
@@ -15,6 +15,7 @@
     std::uint64_t epoch = 0; // of the lender's ownership
     std::int64_t amount = 0; // units lent in all, in place of what was held before
     std::int64_t termMilliseconds = 0; // from the moment at which the report was sent
+    bool isContended = false; // more is wanted than there is: idle units are to be returned at once
     ResultCode code = ResultCode::Ok; // all else is to be ignored unless Ok
 };
 
--- a/sequoiapier/loanrecord.h
+++ b/sequoiapier/loanrecord.h
@@ -4,6 +4,7 @@
 #include "sequoiapier/bootclock.h"
 #include "sequoiapier/loangrant.h"
 #include "sequoiapier/loanreport.h"
+#include "sequoiapier/shareplan.h"
 
 #include <algorithm>
 
@@ -19,6 +20,9 @@
     bool isLimited = false;
     double averageDemand = 0; // units
     TimePoint reportedAt{};
+    std::int64_t share = 0; // by the last plan
+    ShareTurn turn = {}; // within its group
+    ShareTurn groupTurn = {}; // if it is of no group
 
     // Units that the borrower may use now or after any grant still on its way.
     std::int64_t exposure() const
--- a/sequoiapier/loanreport.h
+++ b/sequoiapier/loanreport.h
@@ -20,7 +20,10 @@
     std::int64_t held = 0; // units under which work may be started
     std::int64_t inUse = 0; // units with work started and not shown to have ended
     std::int64_t wanted = 0; // demand in units, with those in use
-    std::uint32_t weight = 1; // share when all is full; 0 counts as 1
+    std::uint32_t weight = 1; // share when all is full, of the group if it has one; 0 counts as 1
+    // Borrowers of one group share its part in proportion to their demand; empty: a group of its
+    // own. Set by the lender's process.
+    std::string group = {};
     std::uint64_t accepted = 0; // sequence of the last grant accepted, 0 if none
 };
 
--- a/testing/standin/runnerstandin.cpp
+++ b/testing/standin/runnerstandin.cpp
@@ -10,6 +10,16 @@
 
 constexpr int StatusUnavailable = 503;
 constexpr std::size_t MaxBodyBytes = 1024 * 1024;
+constexpr std::string_view WorkPrefix = "work-ms=";
+
+// What the request says of its own length; empty if nothing.
+std::string workMilliseconds(const HttpRequest &request)
+{
+    const std::string_view header = headerValue(request.headers, "x-work-ms");
+    if (header.empty() && request.body.starts_with(WorkPrefix))
+        return request.body.substr(WorkPrefix.size());
+    return std::string(header);
+}
 
 } // namespace
 
@@ -27,6 +37,8 @@
     m_daemon.route("/record", [this](const std::shared_ptr<HttpExchange> &exchange) {
         serveRecord(exchange);
     });
+    m_daemon.route("/spans",
+                   [this](const std::shared_ptr<HttpExchange> &exchange) { serveSpans(exchange); });
     m_daemon.route("/faults", [this](const std::shared_ptr<HttpExchange> &exchange) {
         const Result<Faults> faults = parseFaults(exchange->request().body);
         if (faults)
@@ -51,24 +63,29 @@
         ++m_runs[id];
     ++m_running;
     m_peakRunning = std::max(m_peakRunning, m_running);
-    const std::string workText(headerValue(headers, "x-work-ms"));
+    const std::string workText = workMilliseconds(exchange->request());
+    const TimePoint startedAt = BootClock::now();
     const std::int64_t duration
         = workText.empty() ? m_settings.workMilliseconds : std::atoll(workText.c_str());
     if (duration <= 0) {
-        finish(exchange);
+        finish(exchange, startedAt);
         return;
     }
     const std::uint64_t id2 = m_nextTimer++;
-    m_timers[id2] = std::make_unique<Timer>(m_daemon.loop(), [this, exchange, id2] {
-        finish(exchange);
+    m_timers[id2] = std::make_unique<Timer>(m_daemon.loop(), [this, exchange, startedAt, id2] {
+        finish(exchange, startedAt);
         m_timers.erase(id2);
     });
-    m_timers[id2]->startAt(BootClock::now() + std::chrono::milliseconds(duration));
+    m_timers[id2]->startAt(startedAt + std::chrono::milliseconds(duration));
 }
 
-void RunnerStandin::finish(const std::shared_ptr<HttpExchange> &exchange)
+void RunnerStandin::finish(const std::shared_ptr<HttpExchange> &exchange, TimePoint startedAt)
 {
     --m_running;
+    m_spans.push_back({std::string(headerValue(exchange->request().headers, "x-request-id")),
+                       startedAt, BootClock::now()});
+    if (m_spans.size() > MaxSpans)
+        m_spans.pop_front();
     if (m_faults.silent || m_faults.lostAnswers > 0) {
         m_faults.lostAnswers = std::max(0, m_faults.lostAnswers - 1);
         return;
@@ -76,6 +93,16 @@
     exchange->reply({.body = exchange->request().body});
 }
 
+void RunnerStandin::serveSpans(const std::shared_ptr<HttpExchange> &exchange) const
+{
+    nlohmann::json spans = nlohmann::json::array();
+    for (const Span &span : m_spans) {
+        spans.push_back({span.requestId, span.start.time_since_epoch().count(),
+                         span.end.time_since_epoch().count()});
+    }
+    exchange->reply({.body = spans.dump() + "\n"});
+}
+
 void RunnerStandin::serveRecord(const std::shared_ptr<HttpExchange> &exchange) const
 {
     const nlohmann::json record{{"runs", m_runs},
--- /dev/null
+++ b/testing/support/teamload.h
@@ -0,0 +1,91 @@
+// TeamLoad: callers of several teams who don't wait for each other's answers (an open loop), from
+// one loop, for tests and benchmarks with real processes.
+//
+//   TeamLoad load({{.team = "depot", .key = "k1", .queue = "prices", .requestsPerSecond = 100,
+//                   .gateways = {{port1, 7}, {port2, 1}}}}, seed);
+//   load.run({{.length = seconds(10), .factor = 2}});
+//   for (const LoadedRequest &request : load.requests()) ...
+//
+// Arrivals are Poisson from a fixed seed. Identifiers are "<team>.<queue>.<number>"; a runner's
+// record of its runs has the same ones.
+#pragma once
+
+#include "net/httpclient.h"
+#include "net/timer.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace sequoiapier {
+
+// A gateway's part of a stream's callers.
+struct GatewayPart
+{
+    std::uint16_t port = 0;
+    double weight = 1;
+};
+
+struct TeamStream
+{
+    std::string team;
+    std::string key;
+    std::string queue;
+    double requestsPerSecond = 1;
+    std::vector<GatewayPart> gateways;
+    std::chrono::milliseconds meanWork{100}; // uniform from half to one and a half of it
+    std::chrono::milliseconds deadline{2'000};
+    bool isUrgent = false;
+    bool isSteady = false; // the same rate in every phase
+};
+
+struct LoadPhase
+{
+    Duration length;
+    double factor = 1; // of the streams' rates
+};
+
+struct LoadedRequest
+{
+    std::string id;
+    std::size_t stream = 0;
+    TimePoint sentAt;
+    TimePoint endedAt; // epoch: not answered
+    int status = 0;
+    std::string code; // x-sequoiapier-code of a refusal
+};
+
+class TeamLoad
+{
+public:
+    TeamLoad(std::vector<TeamStream> streams, std::uint64_t seed);
+
+    // Sends through all phases, and waits for the answers, at most for the longest deadline and a
+    // second.
+    void run(const std::vector<LoadPhase> &phases);
+    // Of all runs, in the order of their sending.
+    const std::vector<LoadedRequest> &requests() const { return m_requests; }
+    const std::vector<TeamStream> &streams() const { return m_streams; }
+
+private:
+    void startPhase();
+    void scheduleNext(std::size_t stream, TimePoint due);
+    void send(std::size_t stream);
+    void stop();
+
+    std::vector<TeamStream> m_streams;
+    std::mt19937_64 m_random;
+    Loop m_loop;
+    HttpClient m_http;
+    std::vector<std::unique_ptr<Timer>> m_arrivals; // by stream
+    std::vector<TimePoint> m_due; // by stream
+    Timer m_phaseTimer;
+    std::vector<LoadPhase> m_phases;
+    std::size_t m_phase = 0;
+    std::size_t m_unanswered = 0;
+    bool m_isOver = false;
+    std::vector<LoadedRequest> m_requests;
+};
+
+} // namespace sequoiapier
