--- a/api/peer.thrift
+++ b/api/peer.thrift
@@ -55,6 +55,7 @@
   8: i64 wanted
   9: i32 weight
   10: i64 accepted
+  11: i64 servedMicroseconds
 }
 
 struct LoanGrantMessage {
--- a/bench/lending_bench.cpp
+++ b/bench/lending_bench.cpp
@@ -18,6 +18,7 @@
 using std::chrono::seconds;
 
 constexpr int Rounds = 600; // reports of each borrower
+constexpr int MostReports = 60'000; // of all borrowers
 constexpr double ReportsPerSecond = 10;
 
 double processorMicroseconds()
@@ -49,8 +50,12 @@
     return (heapBytes() - before) / double(copies.size());
 }
 
-std::vector<Measure> measureLending(int members, std::int64_t units)
+// Members of a hundredth of all stand for a team each where `planInterval` is set, as in a
+// scheduler.
+std::vector<Measure> measureLending(int members, std::int64_t units, Duration planInterval = {})
 {
+    constexpr int Teams = 100;
+    const int rounds = std::clamp(MostReports / members, 4, Rounds);
     const TimePoint start{std::chrono::hours(1)};
     std::mt19937_64 random(1);
     std::vector<Borrower> borrowers;
@@ -59,11 +64,15 @@
         const MemberId self{"gateway-" + std::to_string(i), 1};
         borrowers.push_back(Borrower({.resource = "slots/pricing", .self = self}));
     }
-    Lender lender({.resource = "slots/pricing", .capacity = units}, start);
+    Lender lender({.resource = "slots/pricing",
+                   .capacity = units,
+                   .maxBorrowers = std::size_t(members),
+                   .planInterval = planInterval},
+                  start);
     double lenderTime = 0;
     double borrowerTime = 0;
     std::size_t bytes = 0;
-    for (int round = 0; round < Rounds; ++round) {
+    for (int round = 0; round < rounds; ++round) {
         const TimePoint now = start + round * milliseconds(100);
         std::vector<LoanReport> reports;
         reports.reserve(borrowers.size());
@@ -73,8 +82,13 @@
         for (Borrower &borrower : borrowers)
             reports.push_back(borrower.makeReport(std::int64_t(random() % 20) * units / 64, now));
         const double reported = processorMicroseconds();
-        for (const LoanReport &report : reports)
-            grants.push_back(lender.report(report, now));
+        for (std::size_t i = 0; i < reports.size(); ++i) {
+            if (planInterval > Duration{})
+                reports[i].group = "team/" + std::to_string(i % Teams);
+            // Reports come spread over the time between rounds.
+            const TimePoint at = now + milliseconds(100) * std::int64_t(i) / members;
+            grants.push_back(lender.report(reports[i], at));
+        }
         const double granted = processorMicroseconds();
         for (std::size_t i = 0; i < grants.size(); ++i) {
             borrowers[i].accept(grants[i], now, now);
@@ -83,7 +97,7 @@
         lenderTime += granted - reported;
         borrowerTime += processorMicroseconds() - granted + reported - began;
     }
-    const double reportCount = double(Rounds) * members;
+    const double reportCount = double(rounds) * members;
     const double perSecond = ReportsPerSecond / reportCount;
     return {{"messages_per_s_borrower", 2 * ReportsPerSecond},
             {"bytes_per_s_borrower", double(bytes) * perSecond},
@@ -157,6 +171,14 @@
                        measureLending(members, units));
         }
     }
+    for (const int members : {64, 1'000, 4'500}) {
+        if (members < 4'500) { // a minute and more
+            report.add("plain members=" + std::to_string(members) + " units=400",
+                       measureLending(members, 400));
+        }
+        report.add("at intervals members=" + std::to_string(members) + " units=400",
+                   measureLending(members, 400, std::chrono::microseconds(10)));
+    }
     for (const int members : {2, 8, 64}) {
         for (const int resources : {10, 100, 1'000}) {
             report.add("table members=" + std::to_string(members)
--- a/bench/shares_bench.cpp
+++ b/bench/shares_bench.cpp
@@ -17,7 +17,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint64_t Seed = 20261204;
-constexpr Duration FillTime = 1s; // from the first request until all is full
+constexpr Duration FillTime = 2s; // from the first request until all is full
 
 unsigned numberOption(int argc, char **argv, const char *name, unsigned absent)
 {
--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -61,13 +61,15 @@
 Dispatcher::Dispatcher(Daemon &daemon, PeerNode &node, Options options)
     : m_daemon(daemon)
     , m_options(std::move(options))
-    , m_loans(daemon, node,
-              {.demand = [this](const LoanKey &key) { return demand(key); },
-               .onGranted =
-                   [this](const LoanKey &) {
-                       for (auto &[name, lane] : m_lanes)
-                           dispatch(lane);
-                   }})
+    , m_loans(
+          daemon, node,
+          {.demand = [this](const LoanKey &key) { return demand(key); },
+           .served = [this](const LoanKey &key, TimePoint now) { return m_served[key].total(now); },
+           .onGranted =
+               [this](const LoanKey &) {
+                   for (auto &[name, lane] : m_lanes)
+                       dispatch(lane);
+               }})
     , m_tickTimer(daemon.loop(), [this] { tick(); })
     , m_drainTimer(daemon.loop(),
                    [this] {
@@ -183,8 +185,9 @@
     TeamQueues *queues = nextQueue(lane);
     if (queues == nullptr || !lane.picker.pick(now))
         return false;
-    const std::optional<QueuedRequest> next
-        = queues->pop(now, [&](std::string_view team) { return mayStart(lane, team, now); });
+    const std::optional<QueuedRequest> next = queues->pop(
+        now, [&](std::string_view team) { return mayStart(lane, team, false, now); },
+        [&](std::string_view team) { return mayStart(lane, team, true, now); });
     refuseOverdue(lane, now);
     if (!next)
         return false;
@@ -208,9 +211,10 @@
     return nullptr;
 }
 
-// A loan with a free unit: the team's own, or one of a team with nothing waiting here.
+// A loan with a free unit: the team's own, one of a team that can start nothing here, or for urgent
+// work any; the team is charged for it all the same.
 std::optional<LoanKey> Dispatcher::findSlot(const ServiceLane &lane, std::string_view team,
-                                            TimePoint now)
+                                            bool isUrgent, TimePoint now)
 {
     const std::string resource = slotResource(lane.config.name);
     const LoanKey own{resource, std::string(team)};
@@ -218,7 +222,7 @@
     if (borrower != nullptr && borrower->available(now) > 0)
         return own;
     return m_loans.findIdle(resource, now, [&](std::string_view other) {
-        return hasCeilingUnit(other, now)
+        return !isUrgent && hasCeilingUnit(other, now)
             && std::any_of(lane.queues.begin(), lane.queues.end(),
                            [&](const auto &queue) { return queue.second.count(other) > 0; });
     });
@@ -232,9 +236,10 @@
     return borrower != nullptr && borrower->available(now) > 0;
 }
 
-bool Dispatcher::mayStart(const ServiceLane &lane, std::string_view team, TimePoint now)
+bool Dispatcher::mayStart(const ServiceLane &lane, std::string_view team, bool isUrgent,
+                          TimePoint now)
 {
-    if (!findSlot(lane, team, now)) {
+    if (!findSlot(lane, team, isUrgent, now)) {
         m_loans.onDemandChanged({slotResource(lane.config.name), std::string(team)});
         return false;
     }
@@ -247,11 +252,13 @@
 void Dispatcher::startAttempt(ServiceLane &lane, std::uint64_t id, TimePoint now)
 {
     HeldRequest &held = m_held.at(id);
-    held.slot = findSlot(lane, held.queued.team, now);
+    held.slot = findSlot(lane, held.queued.team, held.queued.isUrgent, now);
     m_loans.find(*held.slot)->tryAcquire(now);
+    m_served[{held.slot->resource, held.queued.team}].start(now);
     if (m_ceilings.contains(held.queued.team)) {
         held.ceiling = LoanKey{ceilingResource(held.queued.team), ""};
         m_loans.find(*held.ceiling)->tryAcquire(now);
+        m_served[*held.ceiling].start(now);
     }
     held.runner = *lane.picker.pick(now, held.avoid);
     held.startedAt = now;
@@ -401,6 +408,10 @@
 void Dispatcher::releaseUnits(HeldRequest &held, TimePoint due)
 {
     const TimePoint now = BootClock::now();
+    if (held.slot)
+        m_served[{held.slot->resource, held.queued.team}].end(now);
+    if (held.ceiling)
+        m_served[*held.ceiling].end(now);
     for (std::optional<LoanKey> *key : {&held.slot, &held.ceiling}) {
         if (!*key)
             continue;
@@ -467,8 +478,8 @@
 
 std::int64_t Dispatcher::demand(const LoanKey &key)
 {
-    const Borrower *borrower = m_loans.find(key);
-    std::int64_t units = borrower != nullptr ? borrower->inUse() : 0;
+    // Units that other teams use on this loan are no demand of its team.
+    std::int64_t units = m_served[key].units();
     const bool isSlot = isSlotResource(key.resource);
     for (const auto &[service, lane] : m_lanes) {
         if (isSlot && slotResource(service) != key.resource)
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -12,6 +12,7 @@
 
 #include "gateway/heldrequest.h"
 #include "gateway/servicelane.h"
+#include "sequoiapier/servedtime.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -61,9 +62,10 @@
     void dispatch(ServiceLane &lane);
     bool dispatchOne(ServiceLane &lane, TimePoint now);
     TeamQueues *nextQueue(ServiceLane &lane);
-    std::optional<LoanKey> findSlot(const ServiceLane &lane, std::string_view team, TimePoint now);
+    std::optional<LoanKey> findSlot(const ServiceLane &lane, std::string_view team, bool isUrgent,
+                                    TimePoint now);
     bool hasCeilingUnit(std::string_view team, TimePoint now);
-    bool mayStart(const ServiceLane &lane, std::string_view team, TimePoint now);
+    bool mayStart(const ServiceLane &lane, std::string_view team, bool isUrgent, TimePoint now);
     void startAttempt(ServiceLane &lane, std::uint64_t id, TimePoint now);
     HttpCall makeCall(std::uint64_t id, const HeldRequest &held, const ServiceLane &lane);
     bool onBytesLeaving(std::uint64_t id);
@@ -90,6 +92,7 @@
     std::set<std::string, std::less<>> m_ceilings; // teams that have one
     Held m_held;
     std::uint64_t m_nextId = 1;
+    std::map<LoanKey, ServedTime> m_served; // for work of the team
     std::deque<LateRelease> m_lateReleases; // by due time
     Timer m_tickTimer;
     Timer m_drainTimer;
--- a/gateway/loanclient.cpp
+++ b/gateway/loanclient.cpp
@@ -172,7 +172,9 @@
     for (const LoanKey &key : keys) {
         Loan &loan = m_loans.at(key);
         loan.isUrgent = false;
-        args.reports.push_back(toWire(loan.borrower.makeReport(m_hooks.demand(key), sentAt)));
+        LoanReport report = loan.borrower.makeReport(m_hooks.demand(key), sentAt);
+        report.servedMicroseconds = m_hooks.served(key, sentAt).count();
+        args.reports.push_back(toWire(report));
     }
     m_asked.insert(owner);
     m_node.rpcClient().call<api::PeerService_lend_args, api::PeerService_lend_result>(
--- a/gateway/loanclient.h
+++ b/gateway/loanclient.h
@@ -39,6 +39,8 @@
     {
         // Units wanted of a resource, with those in use.
         std::function<std::int64_t(const LoanKey &)> demand;
+        // Time that units of a resource were in use for work of the team, on whatever loan.
+        std::function<Duration(const LoanKey &, TimePoint now)> served;
         // Units may have become free.
         std::function<void(const LoanKey &)> onGranted;
     };
--- a/gateway/teamqueues.cpp
+++ b/gateway/teamqueues.cpp
@@ -282,10 +282,12 @@
     return request;
 }
 
-std::optional<QueuedRequest> TeamQueues::pop(TimePoint now, const MayStart &mayStart)
+std::optional<QueuedRequest> TeamQueues::pop(TimePoint now, const MayStart &mayStart,
+                                             const MayStart &mayStartUrgent)
 {
     refuseLate(now);
-    if (Team *team = pickUrgent(mayStart); team != nullptr)
+    const MayStart &mayUrgent = mayStartUrgent ? mayStartUrgent : mayStart;
+    if (Team *team = pickUrgent(mayUrgent); team != nullptr)
         return start(*team);
     while (Team *team = pickByShare(mayStart)) {
         dropStale(*team, now);
--- a/gateway/teamqueues.h
+++ b/gateway/teamqueues.h
@@ -79,8 +79,10 @@
 
     // QueueFull, DeadlineExpired or DeadlineTooClose, all "not run". O(log n).
     Result<void> push(QueuedRequest request, TimePoint now);
-    // The next request to send. O(log n), plus O(log n) for each team that may not start.
-    std::optional<QueuedRequest> pop(TimePoint now, const MayStart &mayStart);
+    // The next request to send; `mayStartUrgent`, if set, is asked for urgent ones in place of
+    // `mayStart`. O(log n), plus O(log n) for each team that may not start.
+    std::optional<QueuedRequest> pop(TimePoint now, const MayStart &mayStart,
+                                     const MayStart &mayStartUrgent = {});
     // Requests that expired, were shed or gave way. O(log n) each plus O(teams with
     // work).
     std::vector<RefusedRequest> takeRefused(TimePoint now);
--- a/gateway/upstreampicker.cpp
+++ b/gateway/upstreampicker.cpp
@@ -66,10 +66,12 @@
     return runner.outstanding < std::min(runner.limits.slots, runner.limits.connections);
 }
 
-UpstreamPicker::Runner *UpstreamPicker::lessBusy(Runner *first, Runner *second)
+UpstreamPicker::Runner *UpstreamPicker::lessBusy(Runner *first, Runner *second, TimePoint now)
 {
     if (first == nullptr)
         return second;
+    if (first->busyUntil > now || second->busyUntil > now)
+        return second->busyUntil < first->busyUntil ? second : first;
     const double firstPart = busyPart(first->outstanding, first->limits.slots);
     const double secondPart = busyPart(second->outstanding, second->limits.slots);
     return secondPart < firstPart ? second : first;
@@ -94,7 +96,7 @@
     for (int i = 0; i < 2; ++i) {
         Runner *runner = m_named[draw(m_random)];
         if (takesWork(*runner, now) && runner->limits.name != avoid)
-            best = lessBusy(best, runner);
+            best = lessBusy(best, runner, now);
     }
     return best != nullptr ? best : pickLeastOfAll(now, avoid);
 }
@@ -110,7 +112,7 @@
     for (std::size_t i = 0; i < m_named.size(); ++i) {
         Runner *runner = m_named[(from + i) % m_named.size()];
         if (takesWork(*runner, now) && runner->limits.name != avoid)
-            best = lessBusy(best, runner);
+            best = lessBusy(best, runner, now);
     }
     return best;
 }
@@ -158,12 +160,15 @@
         onFailed(runner, now);
     else if (outcome == UpstreamOutcome::RefusedLeaving)
         runner.refusedUntil = now + m_options.refusalMemory;
+    else
+        runner.busyUntil = now + m_options.busyMemory;
     if (!runner.isNamed && runner.outstanding == 0)
         m_runners.erase(found);
 }
 
 void UpstreamPicker::onAnswered(Runner &runner, TimePoint now)
 {
+    runner.busyUntil = {};
     if (now < runner.ejectedUntil)
         return;
     runner.failuresInRow = 0;
--- a/gateway/upstreampicker.h
+++ b/gateway/upstreampicker.h
@@ -58,6 +58,8 @@
         Duration maxEjectTime = std::chrono::minutes(1);
         unsigned probationSuccesses = 3;
         Duration refusalMemory = std::chrono::seconds(10);
+        // A runner that said that it has no free slot comes last for so long, or until a run ends.
+        Duration busyMemory = std::chrono::milliseconds(50);
     };
 
     UpstreamPicker(Options options, std::uint64_t seed);
@@ -88,6 +90,7 @@
         bool isLeaving = false; // by the live list
         TimePoint refusedUntil; // by its own refusals
         TimePoint ejectedUntil;
+        TimePoint busyUntil; // by its own refusals
         unsigned failuresInRow = 0;
         unsigned ejectionsInRow = 0;
         unsigned successesToProve = 0; // > 0: on probation
@@ -97,7 +100,7 @@
     Runner *pickInTurn(TimePoint now, std::string_view avoid);
     Runner *pickLeastOfTwo(TimePoint now, std::string_view avoid);
     Runner *pickLeastOfAll(TimePoint now, std::string_view avoid);
-    static Runner *lessBusy(Runner *first, Runner *second);
+    static Runner *lessBusy(Runner *first, Runner *second, TimePoint now);
     Runner *choose(TimePoint now, std::string_view avoid);
     Runner *find(std::string_view name);
     const Runner *find(std::string_view name) const;
--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -951,6 +951,10 @@
 void LoanReportMessage::__set_accepted(const int64_t val) {
   this->accepted = val;
 }
+
+void LoanReportMessage::__set_servedMicroseconds(const int64_t val) {
+  this->servedMicroseconds = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoanReportMessage& obj)
 {
   obj.printTo(out);
@@ -1059,6 +1063,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->servedMicroseconds);
+          this->__isset.servedMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1116,6 +1128,10 @@
   xfer += oprot->writeI64(this->accepted);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("servedMicroseconds", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->servedMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1133,6 +1149,7 @@
   swap(a.wanted, b.wanted);
   swap(a.weight, b.weight);
   swap(a.accepted, b.accepted);
+  swap(a.servedMicroseconds, b.servedMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -1147,6 +1164,7 @@
   wanted = other18.wanted;
   weight = other18.weight;
   accepted = other18.accepted;
+  servedMicroseconds = other18.servedMicroseconds;
   __isset = other18.__isset;
 }
 LoanReportMessage& LoanReportMessage::operator=(const LoanReportMessage& other19) {
@@ -1160,6 +1178,7 @@
   wanted = other19.wanted;
   weight = other19.weight;
   accepted = other19.accepted;
+  servedMicroseconds = other19.servedMicroseconds;
   __isset = other19.__isset;
   return *this;
 }
@@ -1176,6 +1195,7 @@
   out << ", " << "wanted=" << to_string(wanted);
   out << ", " << "weight=" << to_string(weight);
   out << ", " << "accepted=" << to_string(accepted);
+  out << ", " << "servedMicroseconds=" << to_string(servedMicroseconds);
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -408,7 +408,7 @@
 std::ostream& operator<<(std::ostream& out, const PollAnswer& obj);
 
 typedef struct _LoanReportMessage__isset {
-  _LoanReportMessage__isset() : resource(false), borrower(false), incarnation(false), sequence(false), epoch(false), held(false), inUse(false), wanted(false), weight(false), accepted(false) {}
+  _LoanReportMessage__isset() : resource(false), borrower(false), incarnation(false), sequence(false), epoch(false), held(false), inUse(false), wanted(false), weight(false), accepted(false), servedMicroseconds(false) {}
   bool resource :1;
   bool borrower :1;
   bool incarnation :1;
@@ -419,6 +419,7 @@
   bool wanted :1;
   bool weight :1;
   bool accepted :1;
+  bool servedMicroseconds :1;
 } _LoanReportMessage__isset;
 
 class LoanReportMessage : public virtual ::apache::thrift::TBase {
@@ -436,7 +437,8 @@
                       inUse(0),
                       wanted(0),
                       weight(0),
-                      accepted(0) {
+                      accepted(0),
+                      servedMicroseconds(0) {
   }
 
   virtual ~LoanReportMessage() noexcept;
@@ -450,6 +452,7 @@
   int64_t wanted;
   int32_t weight;
   int64_t accepted;
+  int64_t servedMicroseconds;
 
   _LoanReportMessage__isset __isset;
 
@@ -473,6 +476,8 @@
 
   void __set_accepted(const int64_t val);
 
+  void __set_servedMicroseconds(const int64_t val);
+
   bool operator == (const LoanReportMessage & rhs) const
   {
     if (!(resource == rhs.resource))
@@ -495,6 +500,8 @@
       return false;
     if (!(accepted == rhs.accepted))
       return false;
+    if (!(servedMicroseconds == rhs.servedMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const LoanReportMessage &rhs) const {
--- a/peer/peerwire.cpp
+++ b/peer/peerwire.cpp
@@ -92,6 +92,7 @@
     wire.wanted = report.wanted;
     wire.weight = std::int32_t(report.weight);
     wire.accepted = std::int64_t(report.accepted);
+    wire.servedMicroseconds = report.servedMicroseconds;
     return wire;
 }
 
@@ -103,6 +104,7 @@
             .epoch = std::uint64_t(report.epoch),
             .held = report.held,
             .inUse = report.inUse,
+            .servedMicroseconds = report.servedMicroseconds,
             .wanted = report.wanted,
             .weight = std::uint32_t(report.weight),
             .accepted = std::uint64_t(report.accepted)};
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -12,7 +12,8 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 // Working out the shares takes less than a microsecond a borrower, so at most a tenth of this time.
 constexpr Duration PlanInterval = std::chrono::microseconds(10);
-constexpr Duration TurnLength = std::chrono::seconds(1);
+constexpr std::size_t MaxBorrowers = 8'192; // 45 gateways with 101 teams are 4,545
+constexpr Duration TurnLength = std::chrono::milliseconds(500);
 // A team's gateways share its part by demand; requests without a team are one team.
 constexpr const char *TeamGroupPrefix = "team/";
 
@@ -99,6 +100,7 @@
                             .outageTerm = milliseconds(m_settings.outageLeaseMilliseconds),
                             .suspicion = milliseconds(m_settings.leaseMilliseconds / 2),
                             .longestWork = milliseconds(m_settings.longestWorkMilliseconds),
+                            .maxBorrowers = MaxBorrowers,
                             .turnLength = TurnLength,
                             .planInterval = PlanInterval};
     if (resource.epoch > 1) {
--- a/sequoiapier/borrower.cpp
+++ b/sequoiapier/borrower.cpp
@@ -43,7 +43,7 @@
     report.epoch = m_epoch;
     report.held = m_held;
     report.inUse = m_inUse;
-    report.wanted = std::max(wanted, m_inUse);
+    report.wanted = wanted;
     report.weight = m_options.weight;
     report.accepted = m_accepted;
     return report;
--- a/sequoiapier/borrower.h
+++ b/sequoiapier/borrower.h
@@ -49,7 +49,8 @@
     // For a borrower that lends its units on: all that it has lent counts as in use.
     void setInUse(std::int64_t units) { m_inUse = units; }
 
-    // The next report. `wanted` is the demand in units, with those in use.
+    // The next report. `wanted` is the demand in units, with those in use for this borrower's own
+    // work.
     LoanReport makeReport(std::int64_t wanted, TimePoint now);
     // Ok, or why the grant was ignored: NotFound (other resource), EpochStale (an earlier epoch, or
     // an answer older than one accepted), LeaseExpired (its term is over), or the grant's own code.
--- a/sequoiapier/lender.cpp
+++ b/sequoiapier/lender.cpp
@@ -93,7 +93,10 @@
     Record &record = m_records[report.borrower];
     if (report.sequence == record.last.sequence)
         return record.grant;
-    const Duration elapsed = record.last.sequence != 0 ? now - record.reportedAt : Duration{};
+    const bool isNew = record.last.sequence == 0;
+    if (isNew)
+        record.countedMicroseconds = report.servedMicroseconds;
+    const Duration elapsed = isNew ? Duration{} : now - record.reportedAt;
     record.averageDemand = averaged(record.averageDemand, report.wanted, elapsed);
     record.reportedAt = now;
     m_exposure -= record.exposure();
@@ -169,17 +172,25 @@
         m_turnEnd = now + m_options.turnLength;
     const double turns = double((now - m_plannedAt).count()) / double(m_options.turnLength.count());
     m_plannedAt = now;
-    const auto advance = [&](ShareTurn &turn) {
-        turn.advance(turns);
+    for (auto &[borrower, record] : m_records) {
+        record.turn.advance(turns);
+        if (isOver) {
+            record.turn.change();
+            record.groupTurn.change();
+        }
+    }
+    for (auto &[group, turn] : m_groupTurns) {
         if (isOver)
             turn.change();
-    };
-    for (auto &[borrower, record] : m_records) {
-        advance(record.turn);
-        advance(record.groupTurn);
     }
-    for (auto &[group, turn] : m_groupTurns)
-        advance(turn);
+}
+
+// Units times turns that the borrower was served since the last plan.
+double Lender::takeServed(Record &record) const
+{
+    const std::int64_t served = record.last.servedMicroseconds - record.countedMicroseconds;
+    record.countedMicroseconds = record.last.servedMicroseconds;
+    return double(served) / double(m_options.turnLength.count());
 }
 
 // Returns the units planned, with those of lapsed leases.
@@ -204,7 +215,8 @@
             ShareTurn *turn = name.empty() ? &record.groupTurn : &m_groupTurns[name];
             groups.push_back({record.last.weight, takesTurns ? turn : nullptr});
         }
-        groups[index].inUse += record.last.inUse;
+        if (takesTurns)
+            groups[index].served += takeServed(record);
         members.push_back({record.last.wanted, index, takesTurns ? &record.turn : nullptr});
         records.push_back(&record);
     }
--- a/sequoiapier/lender.h
+++ b/sequoiapier/lender.h
@@ -106,6 +106,7 @@
     bool isAdopted(const MemberId &borrower) const;
     void plan(const Record &reporting, TimePoint now);
     std::int64_t planGroups(const Record &reporting, TimePoint now, std::int64_t capacity);
+    double takeServed(Record &record) const;
     void planSurplus(std::int64_t capacity);
     void advanceTurns(TimePoint now);
     LoanGrant makeGrant(Record &record, TimePoint now);
--- a/sequoiapier/loanrecord.h
+++ b/sequoiapier/loanrecord.h
@@ -21,6 +21,7 @@
     double averageDemand = 0; // units
     TimePoint reportedAt{};
     std::int64_t share = 0; // by the last plan
+    std::int64_t countedMicroseconds = 0; // of what it was served, held against its group
     ShareTurn turn = {}; // within its group
     ShareTurn groupTurn = {}; // if it is of no group
 
--- a/sequoiapier/loanreport.h
+++ b/sequoiapier/loanreport.h
@@ -19,6 +19,8 @@
     std::uint64_t epoch = 0; // of the loan held, 0 if none
     std::int64_t held = 0; // units under which work may be started
     std::int64_t inUse = 0; // units with work started and not shown to have ended
+    // Time that units were in use for this borrower's own work, on whatever loan; only grows.
+    std::int64_t servedMicroseconds = 0;
     std::int64_t wanted = 0; // demand in units, with those in use
     std::uint32_t weight = 1; // share when all is full, of the group if it has one; 0 counts as 1
     // Borrowers of one group share its part in proportion to their demand; empty: a group of its
--- a/sequoiapier/shareplan.cpp
+++ b/sequoiapier/shareplan.cpp
@@ -13,7 +13,10 @@
 
 namespace {
 
-constexpr double MaxOwed = 1; // units times turns
+// Bounds of what is owed, units times turns.
+constexpr double MaxOwed = 1;
+constexpr double MaxOwedPart = 0.25; // of a group's part, if that is more
+constexpr double OwedMemory = 4; // times what is made good at once
 // Rank of one that has a unit for its fraction already. Demand changes with every request; without
 // this, units move with it.
 constexpr double KeepRank = 0.5;
@@ -102,26 +105,36 @@
     return HUGE_VAL;
 }
 
-// Adds what the groups are owed to their parts, and notes what they had of what was in use.
+// Notes what the groups were served of all that was served, and adds what they are owed to their
+// parts.
 void correctParts(std::span<PlanGroup> groups, std::span<Part> parts)
 {
-    double inUse = 0;
+    double served = 0;
     double ideal = 0;
     double owed = 0;
     for (std::size_t i = 0; i < groups.size(); ++i) {
-        inUse += double(groups[i].inUse);
+        served += groups[i].served;
         ideal += parts[i].ideal;
         owed += groups[i].turn->rank;
     }
-    const double usedPart = ideal > 0 ? inUse / ideal : 0;
-    for (std::size_t i = 0; i < groups.size(); ++i) {
+    for (std::size_t i = 0; i < groups.size() && ideal > 0; ++i) {
         ShareTurn &turn = *groups[i].turn;
-        turn.rate = (parts[i].ideal * usedPart - double(groups[i].inUse)) * GroupGain;
-        const double change = turn.rank - owed / double(groups.size());
+        const double most = std::max(MaxOwed, parts[i].ideal * MaxOwedPart);
+        const double missed = parts[i].ideal / ideal * served - groups[i].served;
+        turn.owed
+            = std::clamp(turn.owed + GroupGain * missed, -OwedMemory * most, OwedMemory * most);
+        const double change = std::clamp(turn.rank - owed * parts[i].ideal / ideal, -most, most);
         parts[i].ideal = std::clamp(parts[i].ideal + change, 0.0, double(groups[i].wanted));
     }
 }
 
+// A group saves nothing up while there is enough for all.
+void forgetOwed(std::span<PlanGroup> groups)
+{
+    for (PlanGroup &group : groups)
+        *group.turn = {};
+}
+
 void shareAmongGroups(std::int64_t capacity, std::span<PlanGroup> groups)
 {
     const double level = commonLevel(capacity, groups);
@@ -134,8 +147,11 @@
             = std::min(double(group.wanted), level * double(std::max(1U, group.weight)));
         parts.push_back({.ideal = ideal, .share = &group.share, .most = group.wanted});
     }
-    if (capacity < wanted && !groups.empty() && groups.front().turn != nullptr)
+    const bool hasTurns = !groups.empty() && groups.front().turn != nullptr;
+    if (hasTurns && capacity < wanted)
         correctParts(groups, parts);
+    else if (hasTurns)
+        forgetOwed(groups);
     round(std::min(capacity, wanted), parts);
 }
 
--- a/sequoiapier/shareplan.h
+++ b/sequoiapier/shareplan.h
@@ -6,7 +6,7 @@
 //
 // Groups share the capacity by weighted max-min of what their members want together. A group's
 // units go to its members in proportion to what each wants. Units are whole. With a ShareTurn for
-// each, a group that had less in use than its part of all that was in use is given more after that,
+// each, a group that was served less than its part of all that was served is given more after that,
 // and the units that rounding leaves among members go to those that were given less than their part
 // so far. Without, the same ones get them each time. O(n log n) time, O(n) memory.
 #pragma once
@@ -34,7 +34,7 @@
 {
     std::uint32_t weight = 1; // 0 counts as 1
     ShareTurn *turn = nullptr;
-    std::int64_t inUse = 0; // units, by its members; counts only with a turn
+    double served = 0; // units times turns that its members used since the last plan
     std::int64_t wanted = 0; // set by planShares(): of its members
     std::int64_t share = 0; // set by planShares()
 };
--- a/testing/unit/upstreampicker_test.cpp
+++ b/testing/unit/upstreampicker_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <set>
+
 namespace sequoiapier {
 namespace {
 
@@ -95,5 +97,21 @@
     }
 }
 
+// The one free slot of a full service is found within as many tries as there are runners.
+TEST(UpstreamPicker, RunnersThatSaidBusyComeLastInTurn)
+{
+    UpstreamPicker picker({}, 1);
+    picker.setRunners(makeRunners(10, 8));
+    std::set<std::string> tried;
+    for (int i = 0; i < 10; ++i) {
+        const std::string name(*picker.pick(Start + i * 1ms));
+        tried.insert(name);
+        run(picker, name, UpstreamOutcome::RefusedBusy, Start + i * 1ms);
+    }
+    EXPECT_EQ(tried.size(), 10U);
+    run(picker, "r7", UpstreamOutcome::Answered, Start + 11ms);
+    EXPECT_EQ(picker.pick(Start + 11ms), "r7");
+}
+
 } // namespace
 } // namespace sequoiapier
