--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -15,7 +15,7 @@
 
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
 constexpr std::uint32_t RetryAfterSeconds = 1;
-constexpr unsigned MaxAttempts = 8;
+constexpr unsigned MaxAttempts = 24; // a full service answers "busy" from all runners but one
 constexpr int StatusServerError = 500;
 constexpr int StatusUnavailable = 503;
 
--- a/sequoiapier/shareplan.cpp
+++ b/sequoiapier/shareplan.cpp
@@ -15,7 +15,7 @@
 
 // Bounds of what is owed, units times turns.
 constexpr double MaxOwed = 1;
-constexpr double MaxOwedPart = 0.25; // of a group's part, if that is more
+constexpr double MaxOwedPart = 0.05; // of a group's part, if that is more
 constexpr double OwedMemory = 4; // times what is made good at once
 // Rank of one that has a unit for its fraction already. Demand changes with every request; without
 // this, units move with it.
