--- a/api/peer.thrift
+++ b/api/peer.thrift
@@ -55,6 +55,7 @@
   8: i64 wanted
   9: i32 weight
   10: i64 accepted
+  11: i64 servedMicroseconds
 }
 
 struct LoanGrantMessage {
@@ -65,6 +66,7 @@
   5: i64 termMilliseconds
   6: i32 code
   7: string borrower  // of the report it answers
+  8: bool isContended
 }
 
 struct LendAnswer {
--- a/gateway/attemptunits.h
+++ b/gateway/attemptunits.h
@@ -4,11 +4,13 @@
 #include "gateway/loanclient.h"
 
 #include <optional>
+#include <string>
 
 namespace sequoiapier {
 
 struct AttemptUnits
 {
+    std::string team; // that is charged
     std::optional<LoanKey> slot;
     std::optional<LoanKey> ceiling;
 };
--- a/gateway/dispatcher.cpp
+++ b/gateway/dispatcher.cpp
@@ -16,7 +16,7 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
 constexpr Duration IdleTickInterval = std::chrono::milliseconds(500); // with nothing held
 constexpr std::uint32_t RetryAfterSeconds = 1;
-constexpr unsigned MaxAttempts = 8;
+constexpr unsigned MaxAttempts = 24; // a full service answers "busy" from all runners but one
 
 prometheus::Gauge &makeGauge(prometheus::Registry &registry, const char *name, const char *help)
 {
@@ -28,13 +28,15 @@
 Dispatcher::Dispatcher(Daemon &daemon, PeerNode &node, Options options)
     : m_daemon(daemon)
     , m_options(std::move(options))
-    , m_loans(daemon, node,
-              {.demand = [this](const LoanKey &key) { return demand(key); },
-               .onGranted =
-                   [this](const LoanKey &) {
-                       for (auto &[name, lane] : m_lanes)
-                           dispatch(lane);
-                   }})
+    , m_loans(
+          daemon, node,
+          {.demand = [this](const LoanKey &key) { return demand(key); },
+           .served = [this](const LoanKey &key, TimePoint now) { return m_served[key].total(now); },
+           .onGranted =
+               [this](const LoanKey &) {
+                   for (auto &[name, lane] : m_lanes)
+                       dispatch(lane);
+               }})
     , m_tickTimer(daemon.loop(), [this] { tick(); })
     , m_drainTimer(daemon.loop(),
                    [this] {
@@ -174,8 +176,9 @@
     TeamQueues *queues = nextQueue(lane);
     if (queues == nullptr || !lane.picker.pick(now))
         return false;
-    const std::optional<QueuedRequest> next
-        = queues->pop(now, [&](std::string_view team) { return mayStart(lane, team, now); });
+    const std::optional<QueuedRequest> next = queues->pop(
+        now, [&](std::string_view team) { return mayStart(lane, team, false, now); },
+        [&](std::string_view team) { return mayStart(lane, team, true, now); });
     refuseOverdue(lane, now);
     if (!next)
         return false;
@@ -210,9 +213,10 @@
     return nullptr;
 }
 
-// A loan with a free unit: the team's own, or one of a team with nothing waiting here.
+// A loan with a free unit: the team's own, one of a team that can start nothing here, or for urgent
+// work any; the team is charged for it all the same.
 std::optional<LoanKey> Dispatcher::findSlot(const ServiceLane &lane, std::string_view team,
-                                            TimePoint now)
+                                            bool isUrgent, TimePoint now)
 {
     const std::string resource = slotResource(lane.config.name);
     const LoanKey own{resource, std::string(team)};
@@ -220,24 +224,30 @@
     if (borrower != nullptr && borrower->available(now) > 0)
         return own;
     return m_loans.findIdle(resource, now, [&](std::string_view other) {
-        return std::any_of(lane.queues.begin(), lane.queues.end(),
+        return !isUrgent && hasCeilingUnit(other, now)
+            && std::any_of(lane.queues.begin(), lane.queues.end(),
                            [&](const auto &queue) { return queue.second.count(other) > 0; });
     });
 }
 
-bool Dispatcher::mayStart(const ServiceLane &lane, std::string_view team, TimePoint now)
+bool Dispatcher::hasCeilingUnit(std::string_view team, TimePoint now)
 {
-    if (!findSlot(lane, team, now)) {
+    if (!m_ceilings.contains(team))
+        return true;
+    const Borrower *borrower = m_loans.find({ceilingResource(team), ""});
+    return borrower != nullptr && borrower->available(now) > 0;
+}
+
+bool Dispatcher::mayStart(const ServiceLane &lane, std::string_view team, bool isUrgent,
+                          TimePoint now)
+{
+    if (!findSlot(lane, team, isUrgent, now)) {
         m_loans.onDemandChanged({slotResource(lane.config.name), std::string(team)});
         return false;
     }
-    if (!m_ceilings.contains(team))
-        return true;
-    const LoanKey ceiling{ceilingResource(team), ""};
-    const Borrower *borrower = m_loans.find(ceiling);
-    if (borrower != nullptr && borrower->available(now) > 0)
+    if (hasCeilingUnit(team, now))
         return true;
-    m_loans.onDemandChanged(ceiling);
+    m_loans.onDemandChanged({ceilingResource(team), ""});
     return false;
 }
 
@@ -334,6 +344,10 @@
 void Dispatcher::releaseUnits(AttemptUnits &units, TimePoint due)
 {
     const TimePoint now = BootClock::now();
+    if (units.slot)
+        m_served[{units.slot->resource, units.team}].end(now);
+    if (units.ceiling)
+        m_served[*units.ceiling].end(now);
     for (std::optional<LoanKey> *key : {&units.slot, &units.ceiling}) {
         if (!*key)
             continue;
@@ -348,8 +362,11 @@
 void Dispatcher::release(const LoanKey &key, TimePoint now)
 {
     Borrower *borrower = m_loans.find(key);
-    if (borrower != nullptr)
-        borrower->release(now);
+    if (borrower == nullptr)
+        return;
+    borrower->release(now);
+    if (borrower->isContended())
+        m_loans.onDemandChanged(key);
 }
 
 void Dispatcher::releaseLate()
@@ -398,8 +415,8 @@
 
 std::int64_t Dispatcher::demand(const LoanKey &key)
 {
-    const Borrower *borrower = m_loans.find(key);
-    std::int64_t units = borrower != nullptr ? borrower->inUse() : 0;
+    // Units that other teams use on this loan are no demand of its team.
+    std::int64_t units = m_served[key].units();
     const bool isSlot = isSlotResource(key.resource);
     for (const auto &[service, lane] : m_lanes) {
         if (isSlot && slotResource(service) != key.resource)
--- a/gateway/dispatcher.h
+++ b/gateway/dispatcher.h
@@ -14,6 +14,7 @@
 #include "gateway/heldrequest.h"
 #include "gateway/servicelane.h"
 #include "platform/livelistclient.h"
+#include "sequoiapier/servedtime.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -69,9 +70,11 @@
     void dispatch(ServiceLane &lane);
     bool dispatchOne(ServiceLane &lane, TimePoint now);
     TeamQueues *nextQueue(ServiceLane &lane);
-    std::optional<LoanKey> findSlot(const ServiceLane &lane, std::string_view team, TimePoint now);
-    bool mayStart(const ServiceLane &lane, std::string_view team, TimePoint now);
-    AttemptUnits takeUnits(const ServiceLane &lane, std::string_view team, TimePoint now);
+    AttemptUnits takeUnits(const ServiceLane &lane, const QueuedRequest &request, TimePoint now);
+    std::optional<LoanKey> findSlot(const ServiceLane &lane, std::string_view team, bool isUrgent,
+                                    TimePoint now);
+    bool hasCeilingUnit(std::string_view team, TimePoint now);
+    bool mayStart(const ServiceLane &lane, std::string_view team, bool isUrgent, TimePoint now);
     void startAttempt(ServiceLane &lane, std::uint64_t id, TimePoint now);
     HttpCall makeCall(const HeldRequest &held, const std::string &runner);
     bool maySend(const HeldRequest &held, const AttemptUnits &units);
@@ -109,6 +112,7 @@
     Held m_held;
     std::uint64_t m_nextId = 1;
     std::uint64_t m_attemptCount = 0;
+    std::map<LoanKey, ServedTime> m_served; // for work of the team
     std::deque<LateRelease> m_lateReleases; // by due time
     Timer m_tickTimer;
     Timer m_drainTimer;
--- a/gateway/dispatcherattempts.cpp
+++ b/gateway/dispatcherattempts.cpp
@@ -54,13 +54,17 @@
 
 } // namespace
 
-AttemptUnits Dispatcher::takeUnits(const ServiceLane &lane, std::string_view team, TimePoint now)
+AttemptUnits Dispatcher::takeUnits(const ServiceLane &lane, const QueuedRequest &request,
+                                   TimePoint now)
 {
-    AttemptUnits units{.slot = findSlot(lane, team, now)};
+    AttemptUnits units{.team = request.team,
+                       .slot = findSlot(lane, request.team, request.isUrgent, now)};
     m_loans.find(*units.slot)->tryAcquire(now);
-    if (m_ceilings.contains(team)) {
-        units.ceiling = LoanKey{ceilingResource(team), ""};
+    m_served[{units.slot->resource, units.team}].start(now);
+    if (m_ceilings.contains(units.team)) {
+        units.ceiling = LoanKey{ceilingResource(units.team), ""};
         m_loans.find(*units.ceiling)->tryAcquire(now);
+        m_served[*units.ceiling].start(now);
     }
     return units;
 }
@@ -68,7 +72,7 @@
 void Dispatcher::startAttempt(ServiceLane &lane, std::uint64_t id, TimePoint now)
 {
     HeldRequest &held = m_held.at(id);
-    held.units = takeUnits(lane, held.queued.team, now);
+    held.units = takeUnits(lane, held.queued, now);
     held.runner = *lane.picker.pick(now, held.avoid);
     held.startedAt = now;
     held.isVetoed = false;
@@ -168,7 +172,7 @@
     ServiceLane &lane = m_lanes.at(held.service);
     const TimePoint now = BootClock::now();
     const std::optional<std::string_view> runner = lane.picker.pick(now, held.runner);
-    if (runner && maySend(held, {}) && mayStart(lane, held.queued.team, now)
+    if (runner && maySend(held, {}) && mayStart(lane, held.queued.team, held.queued.isUrgent, now)
         && lane.retryBudget.tryTake(now)) {
         startSecond(lane, id, std::string(*runner), now);
     } else {
@@ -179,8 +183,8 @@
 void Dispatcher::startSecond(ServiceLane &lane, std::uint64_t id, std::string runner, TimePoint now)
 {
     HeldRequest &held = m_held.at(id);
-    held.second = SecondAttempt{.runner = std::move(runner),
-                                .units = takeUnits(lane, held.queued.team, now)};
+    held.second
+        = SecondAttempt{.runner = std::move(runner), .units = takeUnits(lane, held.queued, now)};
     lane.picker.onStarted(held.second->runner);
     HttpCall call = makeCall(held, held.second->runner);
     call.connectionUse = ConnectionUse::Fresh;
--- a/gateway/loanclient.h
+++ b/gateway/loanclient.h
@@ -39,6 +39,8 @@
     {
         // Units wanted of a resource, with those in use.
         std::function<std::int64_t(const LoanKey &)> demand;
+        // Time that units of a resource were in use for work of the team, on whatever loan.
+        std::function<Duration(const LoanKey &, TimePoint now)> served;
         // Units may have become free.
         std::function<void(const LoanKey &)> onGranted;
     };
@@ -54,6 +56,7 @@
     std::optional<LoanKey>
     findIdle(std::string_view resource, TimePoint now,
              const std::function<bool(std::string_view team)> &needsIt) const;
+    // Reports the loan soon: more units are wanted, or others want what was released.
     void onDemandChanged(const LoanKey &key);
     // Reports at once, for instance with no demand at shutdown.
     void flush();
--- a/peer/peerwire.cpp
+++ b/peer/peerwire.cpp
@@ -92,6 +92,7 @@
     wire.wanted = report.wanted;
     wire.weight = std::int32_t(report.weight);
     wire.accepted = std::int64_t(report.accepted);
+    wire.servedMicroseconds = report.servedMicroseconds;
     return wire;
 }
 
@@ -103,6 +104,7 @@
             .epoch = std::uint64_t(report.epoch),
             .held = report.held,
             .inUse = report.inUse,
+            .servedMicroseconds = report.servedMicroseconds,
             .wanted = report.wanted,
             .weight = std::uint32_t(report.weight),
             .accepted = std::uint64_t(report.accepted)};
@@ -117,6 +119,7 @@
     wire.amount = grant.amount;
     wire.termMilliseconds = grant.termMilliseconds;
     wire.code = std::int32_t(grant.code);
+    wire.isContended = grant.isContended;
     return wire;
 }
 
@@ -127,6 +130,7 @@
             .epoch = std::uint64_t(grant.epoch),
             .amount = grant.amount,
             .termMilliseconds = grant.termMilliseconds,
+            .isContended = grant.isContended,
             .code = ResultCode(grant.code)};
 }
 
--- a/scheduler/scheduler.cpp
+++ b/scheduler/scheduler.cpp
@@ -10,6 +10,12 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
+// Working out the shares takes less than a microsecond a borrower, so at most a tenth of this time.
+constexpr Duration PlanInterval = std::chrono::microseconds(10);
+constexpr std::size_t MaxBorrowers = 8'192; // 45 gateways with 101 teams are 4,545
+constexpr Duration TurnLength = std::chrono::milliseconds(500);
+// A team's gateways share its part by demand; requests without a team are one team.
+constexpr const char *TeamGroupPrefix = "team/";
 
 } // namespace
 
@@ -93,7 +99,10 @@
                             .term = milliseconds(m_settings.leaseMilliseconds),
                             .outageTerm = milliseconds(m_settings.outageLeaseMilliseconds),
                             .suspicion = milliseconds(m_settings.leaseMilliseconds / 2),
-                            .longestWork = milliseconds(m_settings.longestWorkMilliseconds)};
+                            .longestWork = milliseconds(m_settings.longestWorkMilliseconds),
+                            .maxBorrowers = MaxBorrowers,
+                            .turnLength = TurnLength,
+                            .planInterval = PlanInterval};
     if (resource.epoch > 1) {
         options.priorCapacity = capacity;
         options.priorBorrowers = teamBorrowers(resource);
@@ -130,9 +139,10 @@
             .resource = report.resource, .sequence = report.sequence, .code = ResultCode::NotOwner};
     }
     const TimePoint now = BootClock::now();
-    const auto share = m_shares.find(teamOfBorrower(report.borrower.name));
-    report.weight = m_demands[report.resource].weight(
-        report, share != m_shares.end() ? share->second : 1, now);
+    const std::string team = teamOfBorrower(report.borrower.name);
+    const auto share = m_shares.find(team);
+    report.weight = share != m_shares.end() ? share->second : 1;
+    report.group = TeamGroupPrefix + team;
     lender->second.setOwnedUntil(m_ownership->ownedUntil());
     return lender->second.report(report, now);
 }
--- a/sequoiapier/borrower.h
+++ b/sequoiapier/borrower.h
@@ -49,7 +49,8 @@
     // For a borrower that lends its units on: all that it has lent counts as in use.
     void setInUse(std::int64_t units) { m_inUse = units; }
 
-    // The next report. `wanted` is the demand in units, with those in use.
+    // The next report. `wanted` is the demand in units, with those in use for this borrower's own
+    // work.
     LoanReport makeReport(std::int64_t wanted, TimePoint now);
     // Ok, or why the grant was ignored: NotFound (other resource), EpochStale (an earlier epoch, or
     // an answer older than one accepted), LeaseExpired (its term is over), or the grant's own code.
@@ -66,6 +67,9 @@
     std::int64_t available(TimePoint now) const;
     std::int64_t held() const { return m_held; }
     std::int64_t inUse() const { return m_inUse; }
+    // More units are wanted by all borrowers than there are: what is idle is given back by the next
+    // report.
+    bool isContended() const { return m_isContended; }
     std::uint64_t epoch() const { return m_epoch; }
     TimePoint leaseEnd() const { return m_leaseEnd; }
     const Options &options() const { return m_options; }
@@ -77,6 +81,7 @@
     std::uint64_t m_accepted = 0;
     std::uint64_t m_epoch = 0;
     std::int64_t m_held = 0;
+    bool m_isContended = false;
     std::int64_t m_inUse = 0;
     TimePoint m_leaseEnd{};
 };
