--- a/testing/unit/shareplan_test.cpp
+++ b/testing/unit/shareplan_test.cpp
@@ -88,6 +88,7 @@
     for (int turn = 0; turn < Turns; ++turn) {
         std::vector<PlanGroup> groups(1);
         std::vector<PlanMember> members;
+        members.reserve(count);
         for (ShareTurn &each : turns)
             members.push_back({.wanted = 20, .turn = &each});
         planShares(capacity, groups, members);
