--- /dev/null
+++ b/testing/fuzz/livelist_fuzz.cpp
@@ -0,0 +1,20 @@
+// Any text either is refused or names hosts; a list written anew from the names names the same.
+#include "platform/livelist.h"
+#include "testing/fuzz/fuzzing.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace sequoiapier;
+
+void sequoiapier::fuzzOne(std::string_view input)
+{
+    const Result<std::vector<std::string>> leaving = parseLeavingHosts(input);
+    if (!leaving)
+        return;
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const std::string &address : leaving.value())
+        hosts.push_back({{"address", address}, {"state", "leaving"}});
+    const Result<std::vector<std::string>> again
+        = parseLeavingHosts(nlohmann::json{{"hosts", hosts}}.dump());
+    require(bool(again) && again.value() == leaving.value(), "the names survive a round trip");
+}
