--- a/gateway/dispatcherattempts.cpp
+++ b/gateway/dispatcherattempts.cpp
@@ -1,4 +1,4 @@
-// The attempts of the dispatcher's requests: units are taken, the last look is had right before the
+// The attempts of the dispatcher's requests: the last look is had right before the
 // first byte leaves, and the end of an attempt becomes an event of the request. An idempotent
 // request that is still without an answer after half of the time to its deadline gets a second
 // attempt, on a fresh connection to another runner if there is one. O(1) each but for the choice of
@@ -54,21 +54,6 @@
 
 } // namespace
 
-AttemptUnits Dispatcher::takeUnits(const ServiceLane &lane, const QueuedRequest &request,
-                                   TimePoint now)
-{
-    AttemptUnits units{.team = request.team,
-                       .slot = findSlot(lane, request.team, request.isUrgent, now)};
-    m_loans.find(*units.slot)->tryAcquire(now);
-    m_served[{units.slot->resource, units.team}].start(now);
-    if (m_ceilings.contains(units.team)) {
-        units.ceiling = LoanKey{ceilingResource(units.team), ""};
-        m_loans.find(*units.ceiling)->tryAcquire(now);
-        m_served[*units.ceiling].start(now);
-    }
-    return units;
-}
-
 void Dispatcher::startAttempt(ServiceLane &lane, std::uint64_t id, TimePoint now)
 {
     HeldRequest &held = m_held.at(id);
