Let the process tests share their fixtures' pieces

ConfigurationProcess set up the same processes and configuration as OneServiceTest and derives from it; six fixtures spelled out the test's name; the three roles were started by three copies of one loop; two stand-ins lost an answer by the same lines.

--- a/testing/process/configuration_test.cpp
+++ b/testing/process/configuration_test.cpp
@@ -1,9 +1,8 @@
 // Operators' changes and their way into gateways, with each role in its own process.
 #include "cli/onecall.h"
 #include "platform/remotetable.h"
-#include "testing/support/localsystem.h"
+#include "testing/process/oneservicetest.h"
 
-#include <gtest/gtest.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -19,53 +18,39 @@
 // From the operator's answer to the last request that a withdrawn key may start.
 constexpr auto WithdrawalBound = 5s;
 
-class ConfigurationProcess : public testing::Test
+class ConfigurationProcess : public OneServiceTest
 {
 protected:
-    ConfigurationProcess()
-        : m_system(testing::UnitTest::GetInstance()->current_test_info()->name())
-    { }
-
     void SetUp() override
     {
-        ASSERT_TRUE(m_system.startTable());
-        ASSERT_TRUE(m_system.startRunner("runner-1"));
-        ASSERT_TRUE(m_system.startController("controller-1"));
-        ASSERT_TRUE(m_system.startScheduler("scheduler-1"));
-        ASSERT_TRUE(m_system.startGateway("gateway-1"));
-        Configuration configuration;
-        configuration.teams = {{.name = "pricing"}};
-        configuration.keys = {{.digest = keyDigest("key"), .team = "pricing"}};
-        configuration.services = {
-            {.name = "prices", .runners = {{"127.0.0.1", m_system.member("runner-1").workPort}}}};
-        configuration.queues = {{.name = "prices", .service = "prices"}};
-        m_document = toJson(configuration);
-        ASSERT_EQ(m_system.applyConfiguration(m_document, 0, "first"), 0) << m_system.output();
+        OneServiceTest::SetUp();
+        if (HasFatalFailure())
+            return;
+        m_document = toJson(configuration());
         m_version = answeredVersion();
-        ASSERT_TRUE(m_system.waitReady("gateway-1"));
         ASSERT_TRUE(LocalSystem::waitUntil([&] { return status("key") == 200; }));
     }
 
     // "200 committed version 7 "
-    std::string answeredCode() const { return m_system.output().substr(0, 3); }
-    std::uint64_t answeredVersion() const
+    std::string answeredCode() { return system().output().substr(0, 3); }
+    std::uint64_t answeredVersion()
     {
-        const std::size_t word = m_system.output().find("version ");
-        return word == std::string::npos ? 0 : std::stoull(m_system.output().substr(word + 8));
+        const std::size_t word = system().output().find("version ");
+        return word == std::string::npos ? 0 : std::stoull(system().output().substr(word + 8));
     }
     int status(const std::string &key)
     {
-        return m_system.work("gateway-1", "prices", key, "x").response.status;
+        return system().work("gateway-1", "prices", key, "x").response.status;
     }
-    std::string events(const std::string &name) const
+    std::string events(const std::string &name)
     {
-        return m_system.fetch(name, "/events").response.body;
+        return system().fetch(name, "/events").response.body;
     }
     // Writes the configuration row as something other than a controller would.
     CommitOutcome writeRow(const std::string &value, std::uint64_t base)
     {
         OneCall call;
-        RemoteTable remote(call.http(), {{"127.0.0.1", m_system.member("table").adminPort}});
+        RemoteTable remote(call.http(), {{"127.0.0.1", system().member("table").adminPort}});
         const Table table = remote.hooks();
         CommitOutcome outcome = CommitOutcome::Unknown;
         call.run([&] {
@@ -79,7 +64,6 @@
         return outcome;
     }
 
-    LocalSystem m_system;
     std::string m_document;
     std::uint64_t m_version = 0;
 };
@@ -87,52 +71,52 @@
 TEST_F(ConfigurationProcess, RacingOperatorsGetOneCommitAndOneConflict)
 {
     const std::string base = std::to_string(m_version);
-    EXPECT_EQ(m_system.ctl({"team", "set", "returns", "--base-version", base, "--operation-id",
+    EXPECT_EQ(system().ctl({"team", "set", "returns", "--base-version", base, "--operation-id",
                             "operator-a"}),
               0)
-        << m_system.output();
+        << system().output();
     const std::uint64_t committed = answeredVersion();
-    EXPECT_NE(m_system.ctl(
+    EXPECT_NE(system().ctl(
                   {"team", "set", "tills", "--base-version", base, "--operation-id", "operator-b"}),
               0);
-    EXPECT_EQ(answeredCode(), "201") << m_system.output();
+    EXPECT_EQ(answeredCode(), "201") << system().output();
     EXPECT_EQ(answeredVersion(), committed);
-    EXPECT_EQ(m_system.ctl({"team", "set", "returns", "--operation-id", "operator-a"}), 0);
+    EXPECT_EQ(system().ctl({"team", "set", "returns", "--operation-id", "operator-a"}), 0);
     EXPECT_EQ(answeredVersion(), committed) << "a repeat has the first outcome";
-    EXPECT_NE(m_system.ctl({"team", "set", "tills", "--operation-id", "operator-b"}), 0);
-    EXPECT_EQ(answeredCode(), "201") << m_system.output();
+    EXPECT_NE(system().ctl({"team", "set", "tills", "--operation-id", "operator-b"}), 0);
+    EXPECT_EQ(answeredCode(), "201") << system().output();
 }
 
 TEST_F(ConfigurationProcess, AnswerLostAfterTheWriteIsStillCommitted)
 {
     const auto setTeam = [&](const std::string &name) {
-        return m_system.ctl({"team", "set", name, "--operation-id", name, "--base-version",
+        return system().ctl({"team", "set", name, "--operation-id", name, "--base-version",
                              std::to_string(m_version)});
     };
     // The change's answer is lost; then also that of the refusal written after it.
     for (const int lost : {1, 2}) {
         const std::string name = "lost-" + std::to_string(lost);
-        ASSERT_TRUE(m_system.setFaults("table",
+        ASSERT_TRUE(system().setFaults("table",
                                        R"({"lostCommitsOf": "operator/", "lostCommits": )"
                                            + std::to_string(lost) + "}"));
         setTeam(name);
-        EXPECT_EQ(answeredCode(), lost == 1 ? "200" : "203") << m_system.output();
-        EXPECT_EQ(setTeam(name), 0) << m_system.output();
+        EXPECT_EQ(answeredCode(), lost == 1 ? "200" : "203") << system().output();
+        EXPECT_EQ(setTeam(name), 0) << system().output();
         m_version = answeredVersion();
         ASSERT_NE(m_version, 0U);
     }
-    EXPECT_EQ(m_system.ctl({"configuration"}), 0);
+    EXPECT_EQ(system().ctl({"configuration"}), 0);
     for (const char *team : {"lost-1", "lost-2"})
-        EXPECT_NE(m_system.output().find(team), std::string::npos) << team;
+        EXPECT_NE(system().output().find(team), std::string::npos) << team;
 }
 
 TEST_F(ConfigurationProcess, OutageIsAnsweredTruthfully)
 {
-    ASSERT_TRUE(m_system.setFaults("table", "{\"outage\": true}"));
-    EXPECT_NE(m_system.applyConfiguration(m_document, m_version, "during"), 0);
-    EXPECT_EQ(answeredCode(), "203") << m_system.output();
-    ASSERT_TRUE(m_system.setFaults("table", "{}"));
-    EXPECT_EQ(m_system.applyConfiguration(m_document, m_version, "during"), 0);
+    ASSERT_TRUE(system().setFaults("table", "{\"outage\": true}"));
+    EXPECT_NE(system().applyConfiguration(m_document, m_version, "during"), 0);
+    EXPECT_EQ(answeredCode(), "203") << system().output();
+    ASSERT_TRUE(system().setFaults("table", "{}"));
+    EXPECT_EQ(system().applyConfiguration(m_document, m_version, "during"), 0);
     EXPECT_GT(answeredVersion(), m_version);
     EXPECT_EQ(status("key"), 200);
 }
@@ -144,10 +128,10 @@
     ASSERT_TRUE(LocalSystem::waitUntil(
         [&] { return events("gateway-1").find("configuration.rejected") != std::string::npos; }));
     EXPECT_EQ(status("key"), 200);
-    EXPECT_NE(m_system.ctl({"team", "set", "x"}), 0) << "no edit of what can't be parsed";
-    ASSERT_EQ(m_system.ctl({"configuration"}), 0);
+    EXPECT_NE(system().ctl({"team", "set", "x"}), 0) << "no edit of what can't be parsed";
+    ASSERT_EQ(system().ctl({"configuration"}), 0);
     const std::uint64_t malformed = answeredVersion();
-    EXPECT_EQ(m_system.applyConfiguration(m_document, malformed, "mend"), 0) << m_system.output();
+    EXPECT_EQ(system().applyConfiguration(m_document, malformed, "mend"), 0) << system().output();
     EXPECT_EQ(status("key"), 200);
 }
 
@@ -155,14 +139,14 @@
 {
     const std::string file = testing::TempDir() + "sequoiapier-key-" + std::to_string(getpid());
     std::filesystem::remove(file);
-    ASSERT_EQ(m_system.ctl({"key", "grant", "pricing", file}), 0) << m_system.output();
+    ASSERT_EQ(system().ctl({"key", "grant", "pricing", file}), 0) << system().output();
     std::ifstream stream(file);
     std::string key;
     std::getline(stream, key);
     EXPECT_TRUE(LocalSystem::waitUntil([&] { return status(key) == 200; }));
-    ASSERT_EQ(m_system.ctl({"configuration"}), 0);
-    EXPECT_EQ(m_system.output().find(key), std::string::npos) << "the key itself travelled";
-    ASSERT_EQ(m_system.ctl({"key", "withdraw", file}), 0) << m_system.output();
+    ASSERT_EQ(system().ctl({"configuration"}), 0);
+    EXPECT_EQ(system().output().find(key), std::string::npos) << "the key itself travelled";
+    ASSERT_EQ(system().ctl({"key", "withdraw", file}), 0) << system().output();
     const auto answered = std::chrono::steady_clock::now();
     EXPECT_TRUE(LocalSystem::waitUntil([&] { return status(key) == 403; }, WithdrawalBound));
     EXPECT_LE(std::chrono::steady_clock::now() - answered, WithdrawalBound);
@@ -173,16 +157,16 @@
 TEST_F(ConfigurationProcess, PausedGatewayDoesNotServeAWithdrawnKeyWhenResumed)
 {
     const auto call = [&](const std::string &id) {
-        return m_system.work("gateway-1", "prices", "key", "x", {{"x-request-id", id}}).response;
+        return system().work("gateway-1", "prices", "key", "x", {{"x-request-id", id}}).response;
     };
     const auto hasRun = [&](const std::string &id) {
-        return m_system.fetch("runner-1", "/record").response.body.find(id) != std::string::npos;
+        return system().fetch("runner-1", "/record").response.body.find(id) != std::string::npos;
     };
     EXPECT_EQ(call("before-the-pause").status, 200);
     EXPECT_TRUE(hasRun("before-the-pause"));
-    ChildProcess &gateway = m_system.member("gateway-1").process;
+    ChildProcess &gateway = system().member("gateway-1").process;
     gateway.signal(SIGSTOP);
-    ASSERT_EQ(m_system.ctl({"key", "withdraw-digest", keyDigest("key")}), 0) << m_system.output();
+    ASSERT_EQ(system().ctl({"key", "withdraw-digest", keyDigest("key")}), 0) << system().output();
     const auto answered = std::chrono::steady_clock::now();
     // A request that arrives during the pause waits in the gateway's socket. It is refused as not
     // run, and that is true.
--- a/testing/process/connection_test.cpp
+++ b/testing/process/connection_test.cpp
@@ -1,5 +1,6 @@
 // Connections to runners that go silent for good, and runners that are killed or paused. The relay
 // between gateways and runners and the runners' files of what ran are the judges.
+#include "testing/process/testname.h"
 #include "testing/support/loadclient.h"
 #include "testing/support/relayedsystem.h"
 
@@ -23,7 +24,7 @@
 {
 protected:
     Connection()
-        : m_relayed(testing::UnitTest::GetInstance()->current_test_info()->name(),
+        : m_relayed(testName(),
                     {.runners = 4,
                      .gatewayFlags = {"--longest-work-ms", "5000"},
                      .schedulerFlags = {"--longest-work-ms", "5000"},
--- a/testing/process/cutoffgateway_test.cpp
+++ b/testing/process/cutoffgateway_test.cpp
@@ -1,5 +1,6 @@
 // A key is withdrawn while one gateway is cut off or paused. The runners' files of what ran are the
 // judge. PAUSE_SECONDS sets how long the gateway is paused.
+#include "testing/process/testname.h"
 #include "testing/support/loadclient.h"
 #include "testing/support/relayedsystem.h"
 
@@ -26,7 +27,7 @@
 protected:
     CutOffGateway()
         : m_relayed(
-            testing::UnitTest::GetInstance()->current_test_info()->name(),
+            testName(),
             {.gateways = 3, .schedulers = 2, .runners = 1, .runnerFlags = {"--work-ms", "2500"}})
     { }
 
--- a/testing/process/fleettest.h
+++ b/testing/process/fleettest.h
@@ -5,6 +5,7 @@
 // pool benches. At most two hosts of a pool and one of a rack are out at once.
 #pragma once
 
+#include "testing/process/testname.h"
 #include "testing/support/localsystem.h"
 
 #include <gtest/gtest.h>
@@ -29,9 +30,7 @@
     static constexpr std::chrono::milliseconds LossGrace{1'500};
 
     FleetTest()
-        : m_system(
-            std::string(testing::UnitTest::GetInstance()->current_test_info()->test_suite_name())
-            + "." + testing::UnitTest::GetInstance()->current_test_info()->name())
+        : m_system(testName())
     { }
 
     void SetUp() override
--- a/testing/process/jobtest.h
+++ b/testing/process/jobtest.h
@@ -6,6 +6,7 @@
 #include "controller/hostrow.h"
 #include "gen/JobService.h"
 #include "platform/remotetable.h"
+#include "testing/process/testname.h"
 #include "testing/support/localsystem.h"
 
 #include <gtest/gtest.h>
@@ -22,9 +23,7 @@
 {
 protected:
     JobTest()
-        : m_system(
-            std::string(testing::UnitTest::GetInstance()->current_test_info()->test_suite_name())
-            + "." + testing::UnitTest::GetInstance()->current_test_info()->name())
+        : m_system(testName())
     { }
 
     void SetUp() override
--- a/testing/process/leavingrunner_test.cpp
+++ b/testing/process/leavingrunner_test.cpp
@@ -1,5 +1,6 @@
 // A runner's host that is leaving, told by the platform's lagging list, by the runner's own
 // refusals, or by both. The runner's record of what reached it is the judge.
+#include "testing/process/testname.h"
 #include "testing/support/loadclient.h"
 #include "testing/support/localsystem.h"
 
@@ -24,8 +25,7 @@
 {
 protected:
     LeavingRunner()
-        : m_system(std::string("LeavingRunner.")
-                   + testing::UnitTest::GetInstance()->current_test_info()->name())
+        : m_system(testName())
     { }
 
     void SetUp() override
--- a/testing/process/oneservicetest.h
+++ b/testing/process/oneservicetest.h
@@ -2,6 +2,7 @@
 // "prices" with a keyed queue of the same name. The key is "key".
 #pragma once
 
+#include "testing/process/testname.h"
 #include "testing/support/localsystem.h"
 
 #include <gtest/gtest.h>
@@ -12,9 +13,7 @@
 {
 protected:
     OneServiceTest()
-        : m_system(
-            std::string(testing::UnitTest::GetInstance()->current_test_info()->test_suite_name())
-            + "." + testing::UnitTest::GetInstance()->current_test_info()->name())
+        : m_system(testName())
     { }
 
     void SetUp() override
--- a/testing/process/shares_test.cpp
+++ b/testing/process/shares_test.cpp
@@ -1,5 +1,6 @@
 // Shares, ceilings, urgent starts and goodput of a full system, with the runners' record of what
 // ran as the judge.
+#include "testing/process/testname.h"
 #include "testing/support/fullsystem.h"
 
 #include <gtest/gtest.h>
@@ -30,9 +31,7 @@
 {
 protected:
     explicit Shares(const FullSystem::Options &options = {})
-        : m_full(std::string("Shares.")
-                     + testing::UnitTest::GetInstance()->current_test_info()->name(),
-                 options)
+        : m_full(testName(), options)
     { }
 
     void SetUp() override { ASSERT_TRUE(m_full.start()) << m_full.system().output(); }
--- /dev/null
+++ b/testing/standin/lostanswer.h
@@ -0,0 +1,21 @@
+// serveWithLostAnswer: lets a call take effect whose answer never reaches the caller.
+//
+// The answer goes to a copy of the exchange that has no connection. Keep `exchange` itself, so that
+// the caller's connection stays open without an answer.
+#pragma once
+
+#include "net/httpexchange.h"
+#include "net/rpcserver.h"
+
+#include <memory>
+
+namespace sequoiapier {
+
+inline void serveWithLostAnswer(RpcServer &server, const HttpExchange &exchange)
+{
+    const auto lost = std::make_shared<HttpExchange>(exchange);
+    lost->discard();
+    server.serve(lost);
+}
+
+} // namespace sequoiapier
--- a/testing/standin/tablestandin.cpp
+++ b/testing/standin/tablestandin.cpp
@@ -1,5 +1,7 @@
 #include "testing/standin/tablestandin.h"
 
+#include "testing/standin/lostanswer.h"
+
 namespace sequoiapier {
 
 namespace {
@@ -108,10 +110,7 @@
     }
     if (m_faults.lostAnswers > 0) {
         --m_faults.lostAnswers;
-        // The call takes effect; its answer goes to an exchange without a connection.
-        const auto lost = std::make_shared<HttpExchange>(*exchange);
-        lost->discard();
-        m_rpc.serve(lost);
+        serveWithLostAnswer(m_rpc, *exchange);
         m_unanswered.push_back(exchange);
         return;
     }
--- a/testing/standin/taskstandin.cpp
+++ b/testing/standin/taskstandin.cpp
@@ -1,5 +1,7 @@
 #include "testing/standin/taskstandin.h"
 
+#include "testing/standin/lostanswer.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -96,9 +98,7 @@
     }
     if (m_faults.lostAnswers > 0) {
         --m_faults.lostAnswers;
-        const auto lost = std::make_shared<HttpExchange>(*exchange);
-        lost->discard();
-        m_rpc.serve(lost);
+        serveWithLostAnswer(m_rpc, *exchange);
         m_unanswered.push_back(exchange);
         return;
     }
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -90,42 +90,34 @@
     return start(name, std::move(words), port);
 }
 
-bool LocalSystem::startGateway(const std::string &name, const std::vector<std::string> &flags)
+bool LocalSystem::startRole(const std::string &role, const std::string &name,
+                            std::vector<std::string> words, const std::vector<std::string> &flags,
+                            std::uint16_t workPort)
 {
-    const std::uint16_t port = freePort();
-    std::vector<std::string> words{SEQUOIAPIER_BINARY, "gateway", "--caller-port",
-                                   std::to_string(port)};
-    for (const std::string &flag : tableFlags())
-        words.push_back(flag);
+    words.insert(words.begin(), {SEQUOIAPIER_BINARY, role, "--table", endpointOf("table")});
     words.insert(words.end(), flags.begin(), flags.end());
-    return start(name, std::move(words), port);
+    return start(name, std::move(words), workPort);
 }
 
-bool LocalSystem::startScheduler(const std::string &name, const std::vector<std::string> &flags)
+bool LocalSystem::startGateway(const std::string &name, const std::vector<std::string> &flags)
 {
-    std::vector<std::string> words{SEQUOIAPIER_BINARY, "scheduler"};
-    for (const std::string &flag : tableFlags())
-        words.push_back(flag);
-    words.insert(words.end(), flags.begin(), flags.end());
-    return start(name, std::move(words), 0);
+    const std::uint16_t port = freePort();
+    return startRole("gateway", name, {"--caller-port", std::to_string(port)}, flags, port);
 }
 
-bool LocalSystem::startController(const std::string &name, const std::vector<std::string> &flags)
+bool LocalSystem::startScheduler(const std::string &name, const std::vector<std::string> &flags)
 {
-    std::vector<std::string> words{SEQUOIAPIER_BINARY, "controller"};
-    for (const std::string &flag : tableFlags())
-        words.push_back(flag);
-    if (hasMember("hosts"))
-        words.insert(words.end(), {"--hosts", endpointOf("hosts")});
-    for (const std::string &flag : taskFlags())
-        words.push_back(flag);
-    words.insert(words.end(), flags.begin(), flags.end());
-    return start(name, std::move(words), 0);
+    return startRole("scheduler", name, {}, flags, 0);
 }
 
-std::vector<std::string> LocalSystem::tableFlags() const
+bool LocalSystem::startController(const std::string &name, const std::vector<std::string> &flags)
 {
-    return {"--table", endpointOf("table")};
+    std::vector<std::string> words;
+    for (const char *service : {"hosts", "tasks"}) {
+        if (hasMember(service))
+            words.insert(words.end(), {std::string("--") + service, endpointOf(service)});
+    }
+    return startRole("controller", name, std::move(words), flags, 0);
 }
 
 std::string LocalSystem::endpointOf(const std::string &name) const
@@ -133,13 +125,6 @@
     return std::string(Loopback) + ":" + std::to_string(m_members.at(name).adminPort);
 }
 
-std::vector<std::string> LocalSystem::taskFlags() const
-{
-    if (!hasMember("tasks"))
-        return {};
-    return {"--tasks", endpointOf("tasks")};
-}
-
 bool LocalSystem::waitReady(const std::string &name)
 {
     return waitUntil([&] { return fetch(name, "/readyz").response.status == 200; });
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -93,9 +93,9 @@
 private:
     bool startStandin(const std::string &kind, const std::vector<std::string> &flags);
     bool start(const std::string &name, std::vector<std::string> words, std::uint16_t workPort);
-    std::vector<std::string> tableFlags() const;
+    bool startRole(const std::string &role, const std::string &name, std::vector<std::string> words,
+                   const std::vector<std::string> &flags, std::uint16_t workPort);
     std::string endpointOf(const std::string &name) const;
-    std::vector<std::string> taskFlags() const; // empty without a task service
     int runTool(const std::vector<std::string> &words);
 
     std::string m_directory;
