Call one piece where the controller and ctl had copies

ctl job repeated callOnce and printFailure; the rule of an endpoint setting stood in five places; HostMover, WaveRunner, FleetDriver and JobRunner each composed write identifiers (WriteIds; HostMover's have a purpose now, like the others'); FleetView repeated the names of states and FleetDriver and FleetView isEnded(), which the rows have; FleetChange and OperatorChange composed the same record's commit. LiveListService of platform.thrift had no caller, as the live list is read by plain HTTP: removed with its generated code.

Left: FleetChange and OperatorChange still resolve a lost answer each by itself; HostMover::beginMove and undo are called by tests only.

--- a/api/platform.thrift
+++ b/api/platform.thrift
@@ -30,22 +30,3 @@
   list<PlatformRow> scan(1: string prefix)
   PlatformCommitAnswer commit(1: string writeId, 2: list<PlatformWrite> writes)
 }
-
-enum HostPhase {
-  LIVE = 1
-  LEAVING = 2
-}
-
-struct LiveHost {
-  1: string name
-  2: string address
-  3: i32 port
-  4: string zone
-  5: string rack
-  6: HostPhase phase
-}
-
-// The lagging list of live and leaving hosts.
-service LiveListService {
-  list<LiveHost> hosts()
-}
--- a/cli/ctl.cpp
+++ b/cli/ctl.cpp
@@ -1,5 +1,6 @@
 #include "cli/command.h"
 #include "cli/ctlcommand.h"
+#include "cli/endpointsetting.h"
 #include "cli/settingsparser.h"
 #include "net/endpoint.h"
 
@@ -66,10 +67,7 @@
 
 void addChangeFlags(SettingsParser &parser, CtlSettings &settings)
 {
-    parser.addText("controller", settings.controller,
-                   {.isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
-                    .expected = "IP-number:port",
-                    .help = "Any controller"});
+    addEndpointSetting(parser, "controller", settings.controller, "Any controller");
     parser.addText("operation-id", settings.operationId,
                    {.help = "Identifier of the change; repeat it to ask for its outcome"});
     parser.addInteger("base-version", settings.baseVersion,
--- a/cli/ctlcall.h
+++ b/cli/ctlcall.h
@@ -1,6 +1,6 @@
 // One call of a controller by a command of ctl, and how its outcome is printed.
 //
-//   const auto answer = detail::callOnce<Args, Reply>(settings, "edit", args);
+//   const auto answer = detail::callOnce<Args, Reply>(settings, OperatorPath, "edit", args);
 //   return detail::printChange(settings, answer);
 #pragma once
 
@@ -11,6 +11,9 @@
 
 namespace sequoiapier::detail {
 
+// Where a controller serves OperatorService.
+inline constexpr const char *OperatorPath = "/operator";
+
 struct OperationId
 {
     std::string text;
@@ -20,15 +23,17 @@
 // The identifier given, or a new one, which is printed on standard error.
 OperationId operationId(const CtlSettings &settings);
 
+// Calls `method` of the service that the controller serves at `path`.
 template<typename Args, typename Reply>
-RpcAnswer<Reply> callOnce(const CtlSettings &settings, const std::string &method, const Args &args)
+RpcAnswer<Reply> callOnce(const CtlSettings &settings, const char *path, const std::string &method,
+                          const Args &args)
 {
     constexpr Duration CallDeadline = std::chrono::seconds(20);
     OneCall call;
     RpcClient rpc(call.http());
     RpcAnswer<Reply> answer;
     call.run([&] {
-        rpc.call<Args, Reply>(parseEndpoint(settings.controller).value(), "/operator", method, args,
+        rpc.call<Args, Reply>(parseEndpoint(settings.controller).value(), path, method, args,
                               BootClock::now() + CallDeadline, [&](RpcAnswer<Reply> reply) {
                                   answer = std::move(reply);
                                   call.done();
--- a/cli/ctlclient.cpp
+++ b/cli/ctlclient.cpp
@@ -13,8 +13,8 @@
 ConfigurationReply readConfiguration(const CtlSettings &settings)
 {
     return detail::callOnce<api::OperatorService_configuration_args,
-                            api::OperatorService_configuration_result>(settings, "configuration",
-                                                                       {});
+                            api::OperatorService_configuration_result>(
+        settings, detail::OperatorPath, "configuration", {});
 }
 
 // Prints why there is none and returns the exit status; Ok if there is one.
@@ -57,7 +57,7 @@
     return detail::printChange(
         settings,
         detail::callOnce<api::OperatorService_edit_args, api::OperatorService_edit_result>(
-            settings, "edit", args));
+            settings, detail::OperatorPath, "edit", args));
 }
 
 int sendDocument(const CtlSettings &settings, const std::string &document)
@@ -72,7 +72,7 @@
     return detail::printChange(
         settings,
         detail::callOnce<api::OperatorService_change_args, api::OperatorService_change_result>(
-            settings, "change", args));
+            settings, detail::OperatorPath, "change", args));
 }
 
 int printConfiguration(const CtlSettings &settings)
--- a/cli/ctlfleet.cpp
+++ b/cli/ctlfleet.cpp
@@ -109,7 +109,7 @@
 {
     const auto answer
         = detail::callOnce<api::OperatorService_fleet_args, api::OperatorService_fleet_result>(
-            settings, "fleet", {});
+            settings, detail::OperatorPath, "fleet", {});
     if (!answer.reply)
         return detail::printFailure(answer.outcome, answer.detail);
     const api::FleetAnswer &fleet = answer.reply->success;
@@ -175,10 +175,10 @@
     args.request.operationId = id.text;
     args.request.isNewId = id.isNew;
     fill(args.request.edit);
-    return detail::printChange(
-        settings,
-        detail::callOnce<api::OperatorService_changeFleet_args,
-                         api::OperatorService_changeFleet_result>(settings, "changeFleet", args));
+    return detail::printChange(settings,
+                               detail::callOnce<api::OperatorService_changeFleet_args,
+                                                api::OperatorService_changeFleet_result>(
+                                   settings, detail::OperatorPath, "changeFleet", args));
 }
 
 int printHosts(const CtlSettings &settings)
--- a/cli/ctljob.cpp
+++ b/cli/ctljob.cpp
@@ -1,8 +1,6 @@
 // Teams' commands. The key stands in a file, so that it is not seen in a list of processes.
-#include "cli/ctlcommand.h"
-#include "cli/onecall.h"
+#include "cli/ctlcall.h"
 #include "gen/JobService.h"
-#include "net/rpcclient.h"
 #include "sequoiapier/resultcode.h"
 
 #include <nlohmann/json.hpp>
@@ -16,8 +14,6 @@
 
 namespace {
 
-constexpr Duration CallDeadline = std::chrono::seconds(20);
-
 std::optional<std::string> readKey(const CtlSettings &settings)
 {
     std::ifstream stream(settings.keyFile);
@@ -38,22 +34,10 @@
     Args args;
     args.key = *key;
     fill(args);
-    OneCall call;
-    RpcClient rpc(call.http());
-    RpcAnswer<Reply> answer;
-    call.run([&] {
-        rpc.call<Args, Reply>(parseEndpoint(settings.controller).value(), "/jobs", method, args,
-                              BootClock::now() + CallDeadline, [&](RpcAnswer<Reply> reply) {
-                                  answer = std::move(reply);
-                                  call.done();
-                              });
-    });
-    if (answer.reply)
-        return print(answer.reply->success);
-    std::cerr << "no answer from the controller: " << answer.detail
-              << (answer.outcome == HttpOutcome::Lost ? " (the call may have taken effect)" : "")
-              << "\n";
-    return int(ResultCode::Unreachable);
+    const auto answer = detail::callOnce<Args, Reply>(settings, "/jobs", method, args);
+    if (!answer.reply)
+        return detail::printFailure(answer.outcome, answer.detail);
+    return print(answer.reply->success);
 }
 
 int exitStatus(ResultCode code)
--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -1,7 +1,7 @@
 #include "cli/daemon.h"
 
+#include "cli/endpointsetting.h"
 #include "cli/eventjson.h"
-#include "net/endpoint.h"
 
 #include <prometheus/text_serializer.h>
 
@@ -58,11 +58,7 @@
 
 void addTableSetting(SettingsParser &parser, std::string &endpoint)
 {
-    parser.addText("table", endpoint,
-                   {.isRequired = true,
-                    .isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
-                    .expected = "IP-number:port",
-                    .help = "The platform's table service"});
+    addEndpointSetting(parser, "table", endpoint, "The platform's table service", true);
 }
 
 Daemon::Daemon(const CommonSettings &settings)
--- a/controller/controller.cpp
+++ b/controller/controller.cpp
@@ -1,6 +1,7 @@
 #include "controller/controller.h"
 
 #include "cli/command.h"
+#include "cli/endpointsetting.h"
 
 #include <iostream>
 #include <utility>
@@ -24,11 +25,8 @@
 
 void addFleetSettings(SettingsParser &parser, ControllerSettings &settings)
 {
-    parser.addText(
-        "hosts", settings.hostsEndpoint,
-        {.isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
-         .expected = "IP-number:port",
-         .help = "The platform's host interface; without it no host is moved or maintained"});
+    addEndpointSetting(parser, "hosts", settings.hostsEndpoint,
+                       "The platform's host interface; without it no host is moved or maintained");
     parser.addInteger(
         "fleet-interval-ms", settings.fleetMilliseconds,
         {.unit = "ms", .min = 50, .max = 60'000, .help = "Time between steps of hosts and waves"});
--- a/controller/fleetchange.cpp
+++ b/controller/fleetchange.cpp
@@ -107,7 +107,7 @@
         refuse(values.error());
         return;
     }
-    Commit commit = commitOf({.code = ResultCode::Committed});
+    Commit commit = recordCommit(m_spec.operationId, {.code = ResultCode::Committed});
     for (const auto &[key, value] : values.value()) {
         const std::optional<TableRow> &read = m_rows[key];
         commit.writes.push_back(
@@ -142,21 +142,16 @@
 
 void FleetChange::refuse(const Error &error)
 {
-    m_hooks.table.commit(commitOf({.code = error.code, .detail = error.detail}), deadline(),
-                         [self = shared_from_this(), error](const CommitAnswer &result) {
-                             if (result.outcome == CommitOutcome::Committed)
-                                 self->answer(error.code, error.detail);
-                             else if (result.outcome == CommitOutcome::Conflict)
-                                 self->readRecord();
-                             else
-                                 self->fail("the table did not answer");
-                         });
-}
-
-Commit FleetChange::commitOf(const OperationRecord &record) const
-{
-    return {.writeId = "operator/" + m_spec.operationId,
-            .writes = {{.key = operationKey(m_spec.operationId), .value = toJson(record)}}};
+    m_hooks.table.commit(
+        recordCommit(m_spec.operationId, {.code = error.code, .detail = error.detail}), deadline(),
+        [self = shared_from_this(), error](const CommitAnswer &result) {
+            if (result.outcome == CommitOutcome::Committed)
+                self->answer(error.code, error.detail);
+            else if (result.outcome == CommitOutcome::Conflict)
+                self->readRecord();
+            else
+                self->fail("the table did not answer");
+        });
 }
 
 void FleetChange::fail(const std::string &detail)
--- a/controller/fleetchange.h
+++ b/controller/fleetchange.h
@@ -64,7 +64,6 @@
     void buildAndCommit();
     void onCommit(const CommitAnswer &result);
     void refuse(const Error &error);
-    Commit commitOf(const OperationRecord &record) const;
     TimePoint deadline() const { return m_hooks.now() + m_hooks.tableDeadline; }
     void fail(const std::string &detail);
     void answer(ResultCode code, std::string detail);
--- a/controller/fleetdriver.cpp
+++ b/controller/fleetdriver.cpp
@@ -40,7 +40,7 @@
 // Whether `wave` has something to start, book or undo.
 bool needsTurn(const WaveRow &wave, const FleetRows &rows)
 {
-    if (wave.state != WaveState::Cancelled && wave.state != WaveState::Finished)
+    if (!isEnded(wave))
         return true;
     for (const HostRow &host : rows.hosts) {
         if (host.operationId == wave.id)
@@ -61,6 +61,7 @@
     : m_hooks(std::move(hooks))
     , m_options(std::move(options))
     , m_knowledge{.averageOut = double(m_options.expectedOut)}
+    , m_writeIds(m_options.process, m_options.incarnation, "fleet")
     , m_mover(m_hooks.table, moverHooks(),
               {.process = m_options.process,
                .incarnation = m_options.incarnation,
@@ -270,10 +271,8 @@
 // A lost answer needs no resolving: the next tick reads the rows anew.
 void FleetDriver::commit(std::vector<RowWrite> writes)
 {
-    m_hooks.table.commit({.writeId = m_options.process + "/" + std::to_string(m_options.incarnation)
-                              + "/fleet/" + std::to_string(++m_writes),
-                          .writes = std::move(writes)},
-                         deadline(), [](const CommitAnswer &) {});
+    m_hooks.table.commit({.writeId = m_writeIds.next(), .writes = std::move(writes)}, deadline(),
+                         [](const CommitAnswer &) {});
 }
 
 void FleetDriver::command(const HostRow &host, HostCommandKind kind)
--- a/controller/fleetdriver.h
+++ b/controller/fleetdriver.h
@@ -23,6 +23,7 @@
 #include "platform/hostplatform.h"
 #include "sequoiapier/configuration.h"
 #include "sequoiapier/event.h"
+#include "sequoiapier/writeids.h"
 
 namespace sequoiapier {
 
@@ -81,7 +82,7 @@
     FleetKnowledge m_knowledge;
     TimePoint m_listedAt{};
     bool m_isReading = false;
-    std::uint64_t m_writes = 0;
+    WriteIds m_writeIds;
     std::vector<std::string> m_waves; // that need turns, as of the last tick
     std::map<std::string, std::int64_t> m_outSince; // Unix time, by host under maintenance
     std::map<std::string, std::uint64_t> m_overdue; // epoch reported, by host
--- a/controller/fleetview.cpp
+++ b/controller/fleetview.cpp
@@ -10,43 +10,6 @@
 
 namespace {
 
-std::string_view toString(HostState state)
-{
-    switch (state) {
-    case HostState::Serving:
-        return "serving";
-    case HostState::Draining:
-        return "draining";
-    case HostState::Out:
-        return "out";
-    case HostState::Joining:
-        return "joining";
-    }
-    return "";
-}
-
-std::string_view toString(WaveState state)
-{
-    switch (state) {
-    case WaveState::Running:
-        return "running";
-    case WaveState::Paused:
-        return "paused";
-    case WaveState::Stopped:
-        return "stopped";
-    case WaveState::Cancelled:
-        return "cancelled";
-    case WaveState::Finished:
-        return "finished";
-    }
-    return "";
-}
-
-bool isEnded(const WaveRow &wave)
-{
-    return wave.state == WaveState::Cancelled || wave.state == WaveState::Finished;
-}
-
 std::string drainReason(const HostRow &host, const HostReport *report, std::int64_t now)
 {
     std::string reason = report == nullptr || report->fencedEpoch < host.epoch
--- a/controller/hostmover.cpp
+++ b/controller/hostmover.cpp
@@ -11,6 +11,7 @@
     : m_table(std::move(table))
     , m_hooks(std::move(hooks))
     , m_options(std::move(options))
+    , m_writeIds(m_options.process, m_options.incarnation, "host")
 { }
 
 bool HostMover::advance(std::string_view host, TimePoint now, std::int64_t wallSeconds)
@@ -34,7 +35,7 @@
 {
     const HostStep step = nextHostStep(row, m_hooks.observe(row), wallSeconds);
     if (step.action == HostAction::ChangeRow) {
-        commitRow(step.row, version, nextWriteId(), deadline,
+        commitRow(step.row, version, m_writeIds.next(), deadline,
                   [this, host = row.host](const Result<HostRow> &) { m_inFlight.erase(host); });
         return;
     }
@@ -75,7 +76,7 @@
     readHost(host, deadline, [=, this](const Result<HostRow> &row, std::uint64_t version) {
         const Result<HostRow> next = row ? undoDrain(row.value()) : row;
         if (next)
-            commitRow(next.value(), version, nextWriteId(), deadline, done);
+            commitRow(next.value(), version, m_writeIds.next(), deadline, done);
         else
             done(next.error());
     });
@@ -134,10 +135,4 @@
                  });
 }
 
-std::string HostMover::nextWriteId()
-{
-    return m_options.process + "/" + std::to_string(m_options.incarnation) + "/"
-        + std::to_string(++m_writes);
-}
-
 } // namespace sequoiapier
--- a/controller/hostmover.h
+++ b/controller/hostmover.h
@@ -12,6 +12,7 @@
 
 #include "controller/hostmove.h"
 #include "sequoiapier/table.h"
+#include "sequoiapier/writeids.h"
 
 #include <functional>
 #include <set>
@@ -72,12 +73,11 @@
                    TimePoint deadline, const ChangeCallback &done);
     void resolve(const HostRow &next, const std::string &writeId, TimePoint deadline,
                  ResultCode otherwise, const ChangeCallback &done);
-    std::string nextWriteId();
 
     Table m_table;
     Hooks m_hooks;
     Options m_options;
-    std::uint64_t m_writes = 0;
+    WriteIds m_writeIds;
     std::set<std::string, std::less<>> m_inFlight;
 };
 
--- a/controller/hostrow.cpp
+++ b/controller/hostrow.cpp
@@ -39,6 +39,11 @@
     return std::string(HostKeyPrefix) + std::string(host);
 }
 
+std::string toString(HostState state)
+{
+    return nlohmann::json(state).get<std::string>();
+}
+
 Result<HostRow> parseHostRow(std::string_view document)
 {
     Result<HostRow> row = detail::parseRow<HostRow>(document, "host row");
--- a/controller/hostrow.h
+++ b/controller/hostrow.h
@@ -49,6 +49,8 @@
 inline constexpr std::string_view HostKeyPrefix = "host/";
 
 std::string hostKey(std::string_view host);
+// As the row writes it.
+std::string toString(HostState state);
 
 // RowMalformed unless `document` is a consistent host row. O(length).
 Result<HostRow> parseHostRow(std::string_view document);
--- a/controller/jobcontrol.cpp
+++ b/controller/jobcontrol.cpp
@@ -1,5 +1,6 @@
 #include "controller/jobcontrol.h"
 
+#include "cli/endpointsetting.h"
 #include "sequoiapier/rendezvous.h"
 
 #include <utility>
@@ -15,11 +16,8 @@
 
 void addJobSettings(SettingsParser &parser, JobSettings &settings)
 {
-    parser.addText(
-        "tasks", settings.taskEndpoint,
-        {.isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
-         .expected = "IP-number:port",
-         .help = "The platform's task service; without it the controller takes no jobs"});
+    addEndpointSetting(parser, "tasks", settings.taskEndpoint,
+                       "The platform's task service; without it the controller takes no jobs");
     parser.addInteger(
         "job-turn-ms", settings.turnMilliseconds,
         {.unit = "ms", .min = 20, .max = 10'000, .help = "Time between turns of a pool's jobs"});
--- a/controller/jobrunner.cpp
+++ b/controller/jobrunner.cpp
@@ -40,6 +40,7 @@
     , m_tasks(std::move(tasks))
     , m_hooks(std::move(hooks))
     , m_options(std::move(options))
+    , m_writeIds(m_options.process, m_options.incarnation, "jobs")
     , m_learner(m_options.learner)
     , m_quarantine(m_options.quarantine)
 { }
@@ -129,7 +130,7 @@
     RowWrite write{.key = fullPoolKey(turn.pool), .baseVersion = turn.fullMark};
     if (isFull)
         write.value = "full";
-    m_table.commit({.writeId = nextWriteId(), .writes = {std::move(write)}}, turn.deadline,
+    m_table.commit({.writeId = m_writeIds.next(), .writes = {std::move(write)}}, turn.deadline,
                    [](const CommitAnswer &) {});
 }
 
@@ -225,7 +226,7 @@
 void JobRunner::commit(const TurnPtr &turn, const std::string &team,
                        std::function<void(CommitOutcome)> done)
 {
-    Commit commit{.writeId = nextWriteId(), .writes = writesOf(*turn, team)};
+    Commit commit{.writeId = m_writeIds.next(), .writes = writesOf(*turn, team)};
     m_table.commit(std::move(commit), turn->deadline,
                    [this, turn, team, done = std::move(done)](const CommitAnswer &answer) {
                        if (answer.outcome == CommitOutcome::Committed)
@@ -330,12 +331,6 @@
         m_tasks.acknowledge(ended, turn.deadline);
 }
 
-std::string JobRunner::nextWriteId()
-{
-    return m_options.process + "/" + std::to_string(m_options.incarnation) + "/jobs/"
-        + std::to_string(++m_writes);
-}
-
 void JobRunner::end(const JobTurn &turn, bool isFull)
 {
     m_hooks.turned(turn.pool, isFull);
--- a/controller/jobrunner.h
+++ b/controller/jobrunner.h
@@ -14,6 +14,7 @@
 #include "platform/tasks.h"
 #include "sequoiapier/configuration.h"
 #include "sequoiapier/table.h"
+#include "sequoiapier/writeids.h"
 
 #include <functional>
 #include <map>
@@ -85,7 +86,6 @@
     void sendRepeats(const JobTurn &turn);
     void sendStops(const JobTurn &turn);
     void acknowledge(const JobTurn &turn);
-    std::string nextWriteId();
     void end(const JobTurn &turn, bool isFull);
 
     Table m_table;
@@ -98,7 +98,7 @@
     std::map<std::string, RunStopper, std::less<>> m_stoppers; // by pool
     std::shared_ptr<std::set<std::string, std::less<>>> m_underWay
         = std::make_shared<std::set<std::string, std::less<>>>(); // pools
-    std::uint64_t m_writes = 0;
+    WriteIds m_writeIds;
 };
 
 } // namespace sequoiapier
--- a/controller/operationrecord.cpp
+++ b/controller/operationrecord.cpp
@@ -4,6 +4,12 @@
 
 namespace sequoiapier {
 
+Commit recordCommit(std::string_view operationId, const OperationRecord &record)
+{
+    return {.writeId = "operator/" + std::string(operationId),
+            .writes = {{.key = operationKey(operationId), .value = toJson(record)}}};
+}
+
 std::string operationKey(std::string_view operationId)
 {
     return "operations/" + std::string(operationId);
--- a/controller/operationrecord.h
+++ b/controller/operationrecord.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "sequoiapier/result.h"
+#include "sequoiapier/table.h"
 
 #include <cstdint>
 #include <string>
@@ -22,6 +23,8 @@
 };
 
 std::string operationKey(std::string_view operationId);
+// The commit that adds the record; it fails if the operation has one.
+Commit recordCommit(std::string_view operationId, const OperationRecord &record);
 std::string toJson(const OperationRecord &record);
 // RowMalformed if the text is no record.
 Result<OperationRecord> parseOperationRecord(std::string_view text);
--- a/controller/operatorchange.cpp
+++ b/controller/operatorchange.cpp
@@ -119,7 +119,7 @@
     m_record = {.code = ResultCode::Committed,
                 .baseVersion = m_spec.baseVersion,
                 .documentDigest = keyDigest(m_committed.document)};
-    Commit commit = recordCommit(m_record);
+    Commit commit = recordCommit(m_spec.operationId, m_record);
     commit.writes.insert(commit.writes.begin(),
                          {.key = std::string(ConfigurationKey),
                           .value = m_committed.document,
@@ -155,7 +155,7 @@
 void OperatorChange::keepVersion(std::uint64_t recordRowVersion)
 {
     m_record.version = m_committed.version;
-    Commit commit = recordCommit(m_record);
+    Commit commit = recordCommit(m_spec.operationId, m_record);
     commit.writeId += "/version";
     commit.writes.front().baseVersion = recordRowVersion;
     m_hooks.table.commit(std::move(commit), deadline(), [](const CommitAnswer &) {});
@@ -184,7 +184,7 @@
     const OperationRecord record{
         .code = code, .baseVersion = m_spec.baseVersion, .version = version};
     m_hooks.table.commit(
-        recordCommit(record), deadline(),
+        recordCommit(m_spec.operationId, record), deadline(),
         [self = shared_from_this(), code, version, detail](const CommitAnswer &result) {
             if (result.outcome == CommitOutcome::Committed)
                 self->answer(code, detail, version);
@@ -195,12 +195,6 @@
         });
 }
 
-Commit OperatorChange::recordCommit(const OperationRecord &record) const
-{
-    return {.writeId = "operator/" + m_spec.operationId,
-            .writes = {{.key = operationKey(m_spec.operationId), .value = toJson(record)}}};
-}
-
 void OperatorChange::fail(const std::string &detail, bool isWriteSent)
 {
     if (m_spec.isNewId && !isWriteSent)
--- a/controller/operatorchange.h
+++ b/controller/operatorchange.h
@@ -78,7 +78,6 @@
     void settle(const CommittedVersion &committed, std::uint64_t version);
     void recordRefusal(ResultCode code, std::uint64_t version, const std::string &detail);
     void read(std::string_view key, RowStep next);
-    Commit recordCommit(const OperationRecord &record) const;
     TimePoint deadline() const { return m_hooks.now() + m_hooks.tableDeadline; }
     void fail(const std::string &detail, bool isWriteSent);
     void answer(ResultCode code, std::string detail, std::uint64_t version = 0);
--- a/controller/waverow.cpp
+++ b/controller/waverow.cpp
@@ -24,11 +24,6 @@
         && row.skipped.size() <= WaveRow::MaxSkipped;
 }
 
-bool isEnded(const WaveRow &row)
-{
-    return row.state == WaveState::Cancelled || row.state == WaveState::Finished;
-}
-
 Result<WaveRow> withState(const WaveRow &row, bool isAllowed, WaveState state)
 {
     if (!isAllowed)
@@ -41,6 +36,16 @@
 
 } // namespace
 
+bool isEnded(const WaveRow &row)
+{
+    return row.state == WaveState::Cancelled || row.state == WaveState::Finished;
+}
+
+std::string toString(WaveState state)
+{
+    return nlohmann::json(state).get<std::string>();
+}
+
 std::string waveKey(std::string_view id)
 {
     return std::string(WaveKeyPrefix) + std::string(id);
--- a/controller/waverow.h
+++ b/controller/waverow.h
@@ -54,6 +54,9 @@
 inline constexpr std::string_view WaveKeyPrefix = "wave/";
 
 std::string waveKey(std::string_view id);
+// As the row writes it.
+std::string toString(WaveState state);
+bool isEnded(const WaveRow &row);
 
 // RowMalformed unless `document` is a consistent wave row.
 Result<WaveRow> parseWaveRow(std::string_view document);
--- a/controller/waverunner.cpp
+++ b/controller/waverunner.cpp
@@ -25,6 +25,7 @@
     : m_table(std::move(table))
     , m_hooks(std::move(hooks))
     , m_options(std::move(options))
+    , m_writeIds(m_options.process, m_options.incarnation, "wave")
 { }
 
 bool WaveRunner::turn(std::string_view wave, TimePoint now, std::int64_t wallSeconds)
@@ -101,9 +102,7 @@
         m_hooks.turned(next, true);
         return;
     }
-    Commit commit{.writeId = m_options.process + "/" + std::to_string(m_options.incarnation)
-                      + "/wave/" + std::to_string(++m_writes),
-                  .writes = next.writes};
+    Commit commit{.writeId = m_writeIds.next(), .writes = next.writes};
     m_table.commit(std::move(commit), turn->deadline,
                    [this, turn, next = std::move(next)](const CommitAnswer &answer) {
                        m_hooks.turned(next, answer.outcome == CommitOutcome::Committed);
--- a/controller/waverunner.h
+++ b/controller/waverunner.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "controller/waveplanner.h"
+#include "sequoiapier/writeids.h"
 
 #include <functional>
 #include <memory>
@@ -55,7 +56,7 @@
     Table m_table;
     Hooks m_hooks;
     Options m_options;
-    std::uint64_t m_writes = 0;
+    WriteIds m_writeIds;
     std::set<std::string, std::less<>> m_underWay;
 };
 
--- a/gateway/gatewaysettings.cpp
+++ b/gateway/gatewaysettings.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaysettings.h"
 
+#include "cli/endpointsetting.h"
+
 namespace sequoiapier {
 
 Result<std::optional<GatewaySettings>> parseGatewaySettings(std::span<const char *const> args)
@@ -17,10 +19,8 @@
         "read-timeout-s", settings.common.readTimeoutSeconds,
         {.unit = "s", .min = 1, .max = 300, .help = "Longest time to send a request"});
     addTableSetting(parser, settings.tableEndpoint);
-    parser.addText("live-list", settings.liveListEndpoint,
-                   {.isValid = [](std::string_view text) { return bool(parseEndpoint(text)); },
-                    .expected = "IP-number:port",
-                    .help = "The platform's list of live and leaving hosts"});
+    addEndpointSetting(parser, "live-list", settings.liveListEndpoint,
+                       "The platform's list of live and leaving hosts");
     parser.addInteger("longest-work-ms", settings.longestWorkMilliseconds,
                       {.unit = "ms",
                        .min = 100,
--- a/gen/TableService.cpp
+++ b/gen/TableService.cpp
@@ -117,14 +117,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->success.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size13;
+            ::apache::thrift::protocol::TType _etype16;
+            xfer += iprot->readListBegin(_etype16, _size13);
+            this->success.resize(_size13);
+            uint32_t _i17;
+            for (_i17 = 0; _i17 < _size13; ++_i17)
             {
-              xfer += this->success[_i20].read(iprot);
+              xfer += this->success[_i17].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -155,10 +155,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<PlatformRow> ::const_iterator _iter21;
-      for (_iter21 = this->success.begin(); _iter21 != this->success.end(); ++_iter21)
+      std::vector<PlatformRow> ::const_iterator _iter18;
+      for (_iter18 = this->success.begin(); _iter18 != this->success.end(); ++_iter18)
       {
-        xfer += (*_iter21).write(oprot);
+        xfer += (*_iter18).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -199,14 +199,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            (*(this->success)).resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            (*(this->success)).resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
             {
-              xfer += (*(this->success))[_i26].read(iprot);
+              xfer += (*(this->success))[_i23].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -336,14 +336,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->success.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->success.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->success[_i31].read(iprot);
+              xfer += this->success[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -374,10 +374,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<PlatformRow> ::const_iterator _iter32;
-      for (_iter32 = this->success.begin(); _iter32 != this->success.end(); ++_iter32)
+      std::vector<PlatformRow> ::const_iterator _iter29;
+      for (_iter29 = this->success.begin(); _iter29 != this->success.end(); ++_iter29)
       {
-        xfer += (*_iter32).write(oprot);
+        xfer += (*_iter29).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -418,14 +418,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            (*(this->success)).resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            (*(this->success)).resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += (*(this->success))[_i37].read(iprot);
+              xfer += (*(this->success))[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -484,14 +484,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->writes.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->writes.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->writes.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              xfer += this->writes[_i42].read(iprot);
+              xfer += this->writes[_i39].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -524,10 +524,10 @@
   xfer += oprot->writeFieldBegin("writes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->writes.size()));
-    std::vector<PlatformWrite> ::const_iterator _iter43;
-    for (_iter43 = this->writes.begin(); _iter43 != this->writes.end(); ++_iter43)
+    std::vector<PlatformWrite> ::const_iterator _iter40;
+    for (_iter40 = this->writes.begin(); _iter40 != this->writes.end(); ++_iter40)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter40).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -555,10 +555,10 @@
   xfer += oprot->writeFieldBegin("writes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->writes)).size()));
-    std::vector<PlatformWrite> ::const_iterator _iter44;
-    for (_iter44 = (*(this->writes)).begin(); _iter44 != (*(this->writes)).end(); ++_iter44)
+    std::vector<PlatformWrite> ::const_iterator _iter41;
+    for (_iter41 = (*(this->writes)).begin(); _iter41 != (*(this->writes)).end(); ++_iter41)
     {
-      xfer += (*_iter44).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/gen/platform_types.h
+++ b/gen/platform_types.h
@@ -35,27 +35,12 @@
 
 std::string to_string(const PlatformCommitOutcome::type& val);
 
-struct HostPhase {
-  enum type {
-    LIVE = 1,
-    LEAVING = 2
-  };
-};
-
-extern const std::map<int, const char*> _HostPhase_VALUES_TO_NAMES;
-
-std::ostream& operator<<(std::ostream& out, const HostPhase::type& val);
-
-std::string to_string(const HostPhase::type& val);
-
 class PlatformRow;
 
 class PlatformWrite;
 
 class PlatformCommitAnswer;
 
-class LiveHost;
-
 typedef struct _PlatformRow__isset {
   _PlatformRow__isset() : key(false), value(false), version(false) {}
   bool key :1;
@@ -225,88 +210,6 @@
 
 std::ostream& operator<<(std::ostream& out, const PlatformCommitAnswer& obj);
 
-typedef struct _LiveHost__isset {
-  _LiveHost__isset() : name(false), address(false), port(false), zone(false), rack(false), phase(false) {}
-  bool name :1;
-  bool address :1;
-  bool port :1;
-  bool zone :1;
-  bool rack :1;
-  bool phase :1;
-} _LiveHost__isset;
-
-class LiveHost : public virtual ::apache::thrift::TBase {
- public:
-
-  LiveHost(const LiveHost&);
-  LiveHost& operator=(const LiveHost&);
-  LiveHost() noexcept
-           : name(),
-             address(),
-             port(0),
-             zone(),
-             rack(),
-             phase(static_cast<HostPhase::type>(0)) {
-  }
-
-  virtual ~LiveHost() noexcept;
-  std::string name;
-  std::string address;
-  int32_t port;
-  std::string zone;
-  std::string rack;
-  /**
-   * 
-   * @see HostPhase
-   */
-  HostPhase::type phase;
-
-  _LiveHost__isset __isset;
-
-  void __set_name(const std::string& val);
-
-  void __set_address(const std::string& val);
-
-  void __set_port(const int32_t val);
-
-  void __set_zone(const std::string& val);
-
-  void __set_rack(const std::string& val);
-
-  void __set_phase(const HostPhase::type val);
-
-  bool operator == (const LiveHost & rhs) const
-  {
-    if (!(name == rhs.name))
-      return false;
-    if (!(address == rhs.address))
-      return false;
-    if (!(port == rhs.port))
-      return false;
-    if (!(zone == rhs.zone))
-      return false;
-    if (!(rack == rhs.rack))
-      return false;
-    if (!(phase == rhs.phase))
-      return false;
-    return true;
-  }
-  bool operator != (const LiveHost &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const LiveHost & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(LiveHost &a, LiveHost &b);
-
-std::ostream& operator<<(std::ostream& out, const LiveHost& obj);
-
 }} // namespace
 
 #endif
