Give pools to the hosts with the most processor, one each

Cause: rendezvous hashing chooses owners without regard to their size or to what they own. Change: ownerchoice decides for resources whose owner is costly to change: least resources for the capacity that members now publish in their rows, hashing among equal ones, and a handover only where the load is clearly above the other's. Beside: platform_bench and engine_bench, processor time a task of a node and of the decisions alone. Ruled out: weights in the hash, which still give one member two of five resources.

--- /dev/null
+++ b/bench/engine_bench.cpp
@@ -0,0 +1,79 @@
+// Processor time of a pool's decisions a task, at the sizes of the users' two kinds of deployment
+// and at their pools' turns: jobs of one or two steps of short tasks, some tasks that last, more
+// work than the pool holds. The runners and the store are simulated; their time is in the figure.
+#include "bench/support/report.h"
+#include "testing/support/enginepool.h"
+
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <random>
+
+namespace {
+
+using namespace sequoiapier;
+
+struct Size
+{
+    const char *label;
+    int runners;
+    double jobsPerSecond;
+    std::uint32_t tasks; // of a step
+    double processors; // of a task
+};
+
+constexpr std::array<Size, 2> Sizes{{
+    {"11 runners, 37 jobs/s", 11, 37, 6, 3.5},
+    {"77 runners, 115 jobs/s", 77, 115, 8, 6.2},
+}};
+constexpr Resources RunnerSize{.processors = 64, .memory = 256};
+constexpr int MeasuredSeconds = 8; // about as long as a turn of demand
+constexpr int Ticks = 100; // a second, at which jobs arrive
+
+jobs::JobSpec makeSpec(const Size &size, bool hasTwoSteps)
+{
+    jobs::StepSpec step{.count = size.tasks,
+                        .size = {.processors = size.processors, .memory = 4},
+                        .estimateMilliseconds = 1'000};
+    jobs::JobSpec spec{.payload = "spec", .steps = {step}};
+    if (hasTwoSteps) {
+        step.after = {0};
+        spec.steps.push_back(step);
+    }
+    return spec;
+}
+
+void measure(Report &report, const Size &size)
+{
+    EnginePool pool({.runners = size.runners, .capacity = RunnerSize});
+    pool.run(std::chrono::seconds(1));
+    std::mt19937 random(1);
+    std::bernoulli_distribution hasTwoSteps(0.6);
+    std::uint64_t jobs = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int tick = 0; tick < MeasuredSeconds * Ticks; ++tick) {
+        const auto due = std::uint64_t(size.jobsPerSecond * (tick + 1) / Ticks);
+        for (; jobs < due; ++jobs) {
+            char id[17];
+            std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(jobs));
+            pool.submit(id, makeSpec(size, hasTwoSteps(random)));
+        }
+        pool.run(std::chrono::milliseconds(1'000 / Ticks));
+    }
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begin;
+    const double starts = double(pool.ledger().runs().size());
+    report.add(size.label,
+               {{"starts_per_s", starts / MeasuredSeconds},
+                {"us_per_start", took.count() * 1e6 / std::max(starts, 1.0)},
+                {"core_percent", took.count() / MeasuredSeconds * 100}});
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Report report("engine", argc, argv);
+    for (const Size &size : Sizes)
+        measure(report, size);
+    return report.finish();
+}
--- /dev/null
+++ b/bench/platform_bench.cpp
@@ -0,0 +1,117 @@
+// What a task costs the node that owns its pool: processor time for all that a task takes (caller's
+// calls, store, start, lease, end, log), with the users' platform as stand-in on loopback. One node
+// owns everything, so that its figure is the owner's and the callers' entry together.
+#include "bench/support/report.h"
+#include "testing/support/localsystem.h"
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace sequoiapier;
+using nlohmann::json;
+
+struct Load
+{
+    const char *label;
+    int runners;
+    int jobsPerSecond;
+    int tasks; // of each job
+};
+
+constexpr std::array<Load, 3> Loads{{
+    {"11 runners, idle", 11, 0, 0},
+    {"11 runners, 20 jobs of 10 tasks a second", 11, 20, 10},
+    {"60 runners, 40 jobs of 13 tasks a second", 60, 40, 13},
+}};
+constexpr int MeasuredSeconds = 8;
+constexpr int RunMilliseconds = 1'000; // of a task
+
+double processorSeconds(pid_t pid)
+{
+    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+    std::string field;
+    double ticks = 0;
+    constexpr int UserTimeField = 14; // of proc(5), counted from 1; system time follows
+    for (int i = 1; i <= UserTimeField + 1 && stat >> field; ++i)
+        ticks += i >= UserTimeField ? std::stod(field) : 0;
+    return ticks / double(sysconf(_SC_CLK_TCK));
+}
+
+void configure(const LocalSystem &system)
+{
+    const json route{{"name", "quotes"},  {"host", "127.0.0.1"}, {"prefix", "/quotes/"},
+                     {"service", "pool"}, {"max_attempts", 3},   {"stretch", 1.6},
+                     {"slo_ms", 600},     {"public", false}};
+    const json services{{{"name", "pool"}}, {{"name", "spare"}, {"standby", true}}};
+    const json team{{"name", "drivers"}, {"api_keys", {"good-key"}}};
+    const json configuration{{"version", 1},
+                             {"routes", json::array({route})},
+                             {"services", services},
+                             {"tenants", json::array({team})}};
+    system.writeOperatorRow("config", configuration.dump());
+}
+
+HttpRequest submission(int number, int tasks)
+{
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", unsigned(number));
+    const json step{{"count", tasks}, {"cpu", 4'000}, {"mem_mb", 1'024}, {"estimate_ms", 1'000}};
+    const json body{{"spec", json{{"runMs", RunMilliseconds}}.dump()},
+                    {"steps", json::array({step})}};
+    return {.method = "POST",
+            .path = std::string("/quotes/") + id,
+            .headers = {{"authorization", "Token good-key"}, {"deadline-ms", "3000"}},
+            .body = body.dump()};
+}
+
+bool measure(Report &report, const Load &load)
+{
+    LocalSystem system("platform-bench");
+    const std::string pools = "pool:" + std::to_string(load.runners) + ",spare:1";
+    if (!system.startPlatform(pools, load.runners + 1, 64))
+        return false;
+    configure(system);
+    if (!system.startNode("node-1") || !system.waitReady("node-1"))
+        return false;
+    std::this_thread::sleep_for(std::chrono::seconds(2)); // the pool is taken, runners are asked
+    const Member &node = system.member("node-1");
+    const auto begin = std::chrono::steady_clock::now();
+    const double before = processorSeconds(node.process.pid());
+    const int jobs = load.jobsPerSecond * MeasuredSeconds;
+    int accepted = 0;
+    for (int i = 0; i < jobs; ++i) {
+        std::this_thread::sleep_until(begin + std::chrono::seconds(1) * i / load.jobsPerSecond);
+        accepted += system.call(node.workPort, submission(i, load.tasks)).response.status == 200;
+    }
+    std::this_thread::sleep_until(begin + std::chrono::seconds(MeasuredSeconds + 2));
+    const double used = processorSeconds(node.process.pid()) - before;
+    const double tasks = double(accepted) * load.tasks;
+    report.add(load.label,
+               {{"accepted", double(accepted)},
+                {"core_percent", used / (MeasuredSeconds + 2) * 100},
+                {"us_per_task", tasks > 0 ? used * 1e6 / tasks : 0}});
+    return true;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Report report("platform", argc, argv);
+    for (const Load &load : Loads) {
+        if (!measure(report, load)) {
+            std::fprintf(stderr, "the system did not start\n");
+            return 1;
+        }
+    }
+    return report.finish();
+}
--- a/sequoiapier/ownerrow.cpp
+++ b/sequoiapier/ownerrow.cpp
@@ -54,7 +54,8 @@
     const Json json{{"zone", row.zone},
                     {"address", row.address},
                     {"renewal", row.renewal},
-                    {"leaving", row.isLeaving}};
+                    {"leaving", row.isLeaving},
+                    {"capacity", row.capacity}};
     return json.dump();
 }
 
@@ -74,8 +75,13 @@
         = hasText(json, "zone") && hasText(json, "address") && hasNumber(json, "renewal");
     if (!isWhole || (json.contains("leaving") && !json["leaving"].is_boolean()))
         return malformed("member row");
+    const auto capacity = json.find("capacity");
+    const bool hasCapacity = capacity != json.end();
+    if (hasCapacity && (!capacity->is_number() || capacity->get<double>() <= 0))
+        return malformed("capacity of a member");
     return LenderRow{json["zone"].get<std::string>(), json["address"].get<std::string>(),
-                     json["renewal"].get<std::uint64_t>(), json.value("leaving", false)};
+                     json["renewal"].get<std::uint64_t>(), json.value("leaving", false),
+                     hasCapacity ? capacity->get<double>() : 1.0};
 }
 
 Result<MemberId> parseMemberKey(std::string_view key, std::string_view prefix)
--- a/sequoiapier/ownerrow.h
+++ b/sequoiapier/ownerrow.h
@@ -30,6 +30,7 @@
     std::string address; // where reports are sent, as the embedder writes it
     std::uint64_t renewal = 0; // count of renewals
     bool isLeaving = false; // it takes no resource any more
+    double capacity = 1; // beside the other members', in any unit common to them; above 0
 };
 
 std::string ownerKey(std::string_view resource);
--- a/sequoiapier/ownership.cpp
+++ b/sequoiapier/ownership.cpp
@@ -2,8 +2,7 @@
 // here, then write at most one transaction with all changes that are this member's to make:
 //   - remove the rows of dead members, at the version at which they were seen unchanged
 //   - take resources over whose owner has no row any more, with the next epoch
-//   - hand resources over for which rendezvous hashing names another live member, if this one owns
-//     more than its part or does not have to be sticky
+//   - hand resources over for which the choice names another live member
 // Table calls a second and member: 1 / renewInterval writes, 2 / scanInterval reads, whatever the
 // number of resources. A turn is O(r * m) for r resources and m members.
 #include "sequoiapier/ownership.h"
@@ -88,7 +87,8 @@
     const TimePoint sentAt = m_hooks.now();
     m_isRenewing = true;
     m_nextRenewal = sentAt + m_options.renewInterval;
-    const LenderRow row{m_options.zone, m_options.address, ++m_renewal, m_isLeaving};
+    const LenderRow row{m_options.zone, m_options.address, ++m_renewal, m_isLeaving,
+                        m_options.capacity};
     Commit commit{.writeId = nextWriteId()};
     commit.writes = {{lenderKey(m_options.self), toJson(row), m_memberVersion}};
     const std::string writeId = commit.writeId;
@@ -270,30 +270,68 @@
     return member.name == m_options.self.name && member < m_options.self;
 }
 
-std::vector<std::string> Ownership::candidates() const
+// Members that may own resources, with what the owner rows give them.
+std::vector<OwnerCandidate> Ownership::candidates() const
 {
-    std::vector<std::string> names;
+    std::vector<OwnerCandidate> members;
     const TimePoint now = m_hooks.now();
     for (const auto &[member, entry] : m_members.entries()) {
         const bool isSelf = member == m_options.self;
         const bool isAlive
             = m_members.isAlive(member, now) && !isEarlierSelf(member) && !entry.row.isLeaving;
-        if (isSelf ? !m_isLeaving : isAlive)
-            names.push_back(member.name);
+        if (!(isSelf ? !m_isLeaving : isAlive))
+            continue;
+        const auto owned = std::count_if(m_owners.begin(), m_owners.end(), [&](const auto &item) {
+            return item.second.row.owner == member && isConfigured(item.first);
+        });
+        members.push_back({member.name, entry.row.capacity, std::size_t(owned)});
     }
-    return names;
+    return members;
 }
 
-// The latest incarnation of the member that is to lend `resource`.
-MemberId Ownership::pick(const std::string &resource, const std::vector<std::string> &names) const
+MemberId Ownership::latestLife(const std::string &name) const
 {
-    const std::size_t index = rendezvousPick(resource, names);
-    MemberId picked;
+    MemberId latest;
     for (const auto &[member, entry] : m_members.entries()) {
-        if (index < names.size() && member.name == names[index])
-            picked = member;
+        if (member.name == name)
+            latest = member;
+    }
+    return latest;
+}
+
+// The member that rendezvous hashing names for `resource`; none without members.
+MemberId Ownership::pick(const std::string &resource, std::span<const OwnerCandidate> members) const
+{
+    std::vector<std::string> names;
+    names.reserve(members.size());
+    for (const OwnerCandidate &member : members)
+        names.push_back(member.name);
+    return names.empty() ? MemberId() : latestLife(names[rendezvousPick(resource, names)]);
+}
+
+// Who is to own `resource`, whose load is counted in `members` from then on.
+MemberId Ownership::chooseOwner(const std::string &resource,
+                                std::vector<OwnerCandidate> &members) const
+{
+    if (!m_options.isSticky)
+        return pick(resource, members);
+    const OwnerRow *row = ownerOf(resource);
+    const auto owner = std::find_if(members.begin(), members.end(), [&](const auto &member) {
+        return row != nullptr && row->owner == latestLife(member.name);
+    });
+    const bool isMine = row != nullptr && row->owner == m_options.self;
+    if (owner != members.end() && !isMine)
+        return row->owner; // its own to hand over
+    const std::size_t next = leastLoaded(resource, members);
+    if (next == members.size())
+        return {};
+    if (owner != members.end()) {
+        if (!isWorthHandingOver(*owner, members[next]))
+            return row->owner;
+        --owner->owned;
     }
-    return picked;
+    ++members[next].owned;
+    return latestLife(members[next].name);
 }
 
 void Ownership::plan()
@@ -303,17 +341,17 @@
         || m_hooks.now() >= m_ownedUntil) {
         return;
     }
-    const std::vector<std::string> names = candidates();
+    std::vector<OwnerCandidate> members = candidates();
     Commit commit;
     for (const auto &[member, entry] : m_members.entries()) {
         const std::string key = lenderKey(member);
         const bool isDead = member != m_options.self && !m_members.isAlive(member, m_hooks.now());
-        if (isEarlierSelf(member) || (isDead && pick(key, names) == m_options.self))
+        if (isEarlierSelf(member) || (isDead && pick(key, members) == m_options.self))
             commit.writes.push_back({key, std::nullopt, entry.version});
     }
     for (const std::string &resource : m_resources) {
-        if (commit.writes.size() < MaxWritesPerCommit && !isToKeep(resource, names.size()))
-            planResource(resource, pick(resource, names), commit);
+        if (commit.writes.size() < MaxWritesPerCommit)
+            planResource(resource, chooseOwner(resource, members), commit);
     }
     if (m_isLeaving && commit.writes.empty()) {
         giveUp([](const std::string &, std::uint64_t) { return true; });
@@ -323,14 +361,6 @@
         change(std::move(commit));
 }
 
-bool Ownership::isToKeep(const std::string &resource, std::size_t members) const
-{
-    if (!m_options.isSticky || m_isLeaving || !owns(resource))
-        return false;
-    const std::size_t part = (m_resources.size() + members - 1) / std::max<std::size_t>(members, 1);
-    return m_owned.size() <= part;
-}
-
 void Ownership::planResource(const std::string &resource, const MemberId &next, Commit &commit)
 {
     const auto found = m_owners.find(resource);
--- a/sequoiapier/ownership.h
+++ b/sequoiapier/ownership.h
@@ -14,10 +14,12 @@
 #pragma once
 
 #include "sequoiapier/memberview.h"
+#include "sequoiapier/ownerchoice.h"
 #include "sequoiapier/table.h"
 
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -44,9 +46,11 @@
         Duration scanInterval = std::chrono::milliseconds(500);
         Duration tableTimeout = std::chrono::milliseconds(800);
         double clockRateMargin = 0.01; // part of a term that clocks may drift apart
-        // An owner keeps its resources, up to an even part of them, when a member joins that
-        // rendezvous hashing prefers. For resources whose owner is costly to change.
+        // Resources go to the members with the least load for their capacity, and stay with an
+        // owner that lives as long as its load is not clearly above the others'. For resources
+        // whose owner is costly to change. False: rendezvous hashing alone decides.
         bool isSticky = false;
+        double capacity = 1; // of this member, in a unit common to all; above 0
     };
 
     struct Hooks
@@ -107,11 +111,12 @@
     void acquire(const std::vector<MemberId> &borrowers);
 
     bool isEarlierSelf(const MemberId &member) const;
-    std::vector<std::string> candidates() const;
-    MemberId pick(const std::string &resource, const std::vector<std::string> &names) const;
+    std::vector<OwnerCandidate> candidates() const;
+    MemberId pick(const std::string &resource, std::span<const OwnerCandidate> members) const;
+    MemberId latestLife(const std::string &name) const;
     void plan();
     void planResource(const std::string &resource, const MemberId &next, Commit &commit);
-    bool isToKeep(const std::string &resource, std::size_t members) const;
+    MemberId chooseOwner(const std::string &resource, std::vector<OwnerCandidate> &members) const;
     void change(Commit commit);
 
     Options m_options;
--- a/testing/support/lendingworld.h
+++ b/testing/support/lendingworld.h
@@ -76,6 +76,8 @@
 class LendingWorld
 {
 public:
+    static constexpr double LargeCapacity = 4;
+
     struct Options
     {
         int lenders = 2;
@@ -86,6 +88,7 @@
         Duration term = std::chrono::seconds(3);
         Duration ownershipTerm = std::chrono::seconds(3);
         bool isSticky = false; // owners keep what they own
+        int largeLenders = 0; // the first ones, with LargeCapacity times the others' capacity
         Duration outageTerm = std::chrono::minutes(15);
         Duration longestWork = std::chrono::seconds(2);
         Duration minWork = std::chrono::milliseconds(20);
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -122,12 +122,14 @@
     return startRole("controller", name, std::move(words), flags, 0);
 }
 
-bool LocalSystem::startPlatform(const std::string &pools, int hosts)
+bool LocalSystem::startPlatform(const std::string &pools, int hosts, int processors)
 {
     std::string ports;
     for (int i = 0; i < hosts; ++i)
         ports += (i > 0 ? "," : "") + std::to_string(freePort());
-    return startStandin("platform", {"--pools", pools, "--runner-ports", ports});
+    return startStandin("platform",
+                        {"--pools", pools, "--runner-ports", ports, "--host-processors",
+                         std::to_string(processors)});
 }
 
 int LocalSystem::writeOperatorRow(const std::string &key, const std::string &json) const
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -50,7 +50,7 @@
     bool startScheduler(const std::string &name, const std::vector<std::string> &flags = {});
     bool startController(const std::string &name, const std::vector<std::string> &flags = {});
     // The users' platform with hosts in these pools: "vanload:3,sundries:1".
-    bool startPlatform(const std::string &pools, int hosts);
+    bool startPlatform(const std::string &pools, int hosts, int processors = 8);
     // Writes a row of the platform's operator; returns the status.
     int writeOperatorRow(const std::string &key, const std::string &json) const;
     // A node on that platform.
--- /dev/null
+++ b/testing/unit/ownerchoice_test.cpp
@@ -0,0 +1,59 @@
+#include "sequoiapier/ownerchoice.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace sequoiapier {
+namespace {
+
+TEST(OwnerChoice, LeastLoadForTheCapacityIsPicked)
+{
+    const std::vector<OwnerCandidate> members{{.name = "small", .capacity = 0.12},
+                                              {.name = "large", .capacity = 0.5, .owned = 1}};
+    EXPECT_EQ(leastLoaded("pool/a", members), 1u); // 2 / 0.5 against 1 / 0.12
+    EXPECT_EQ(leastLoaded("pool/a", {}), 0u);
+}
+
+TEST(OwnerChoice, EqualMembersAreToldApartByTheResourceInAnyOrder)
+{
+    const std::vector<OwnerCandidate> members{{.name = "a"}, {.name = "b"}, {.name = "c"}};
+    const std::vector<OwnerCandidate> reversed{members.rbegin(), members.rend()};
+    bool differs = false;
+    for (int i = 0; i < 50; ++i) {
+        const std::string resource = "pool/" + std::to_string(i);
+        const std::string &picked = members[leastLoaded(resource, members)].name;
+        EXPECT_EQ(picked, reversed[leastLoaded(resource, reversed)].name);
+        differs = differs || picked != members[leastLoaded("pool/0", members)].name;
+    }
+    EXPECT_TRUE(differs);
+}
+
+// A resource that was handed over must not be worth handing back.
+TEST(OwnerChoice, HandingOverIsNeverTurnedAround)
+{
+    for (const double capacity : {0.12, 0.25, 0.5, 1.0}) {
+        for (std::size_t owned = 1; owned < 6; ++owned) {
+            for (std::size_t others = 0; others < 6; ++others) {
+                OwnerCandidate owner{.name = "a", .capacity = 0.25, .owned = owned};
+                OwnerCandidate other{.name = "b", .capacity = capacity, .owned = others};
+                if (!isWorthHandingOver(owner, other))
+                    continue;
+                --owner.owned;
+                ++other.owned;
+                EXPECT_FALSE(isWorthHandingOver(other, owner)) << owned << " " << others;
+            }
+        }
+    }
+}
+
+TEST(OwnerChoice, OneMoreThanTheOthersIsKept)
+{
+    const OwnerCandidate other{.name = "b", .owned = 1};
+    EXPECT_FALSE(isWorthHandingOver({.name = "a", .owned = 2}, other));
+    EXPECT_FALSE(isWorthHandingOver({.name = "a", .owned = 3}, other));
+    EXPECT_TRUE(isWorthHandingOver({.name = "a", .owned = 4}, other));
+}
+
+} // namespace
+} // namespace sequoiapier
--- a/testing/unit/ownership_test.cpp
+++ b/testing/unit/ownership_test.cpp
@@ -248,6 +248,42 @@
     EXPECT_TRUE(hasOwners(world, Lenders, Resources));
 }
 
+// Five pools over forty hosts, six of them with four times the processor: hashing put two pools on
+// one of the small hosts, whose callers then waited for seconds.
+TEST(Ownership, LargeMembersOwnOneResourceEachAndTakeThemBack)
+{
+    constexpr int Lenders = 12;
+    constexpr int Large = 6;
+    constexpr int Resources = 5;
+    LendingWorld world({.lenders = Lenders,
+                        .borrowers = 0,
+                        .resources = Resources,
+                        .isSticky = true,
+                        .largeLenders = Large},
+                       1);
+    runUntilOwned(world, Lenders, Resources);
+    world.run(seconds(5));
+    const auto mostOwned = [&](int from, int to) {
+        std::size_t most = 0;
+        for (int i = from; i < to; ++i)
+            most = std::max(most, world.lender(i).ownership->ownedCount());
+        return most;
+    };
+    EXPECT_EQ(mostOwned(0, Large), 1u);
+    EXPECT_EQ(mostOwned(Large, Lenders), 0u);
+    for (int i = 0; i < Large; ++i)
+        world.killLender(i);
+    world.run(seconds(10));
+    EXPECT_TRUE(hasOwners(world, Lenders, Resources));
+    EXPECT_EQ(mostOwned(Large, Lenders), 1u);
+    for (int i = 0; i < Large; ++i)
+        world.restartLender(i);
+    world.run(seconds(10));
+    EXPECT_TRUE(hasOwners(world, Lenders, Resources));
+    EXPECT_EQ(mostOwned(0, Large), 1u);
+    EXPECT_EQ(mostOwned(Large, Lenders), 0u);
+}
+
 TEST(Ownership, AllMembersReplacedOneAfterAnother)
 {
     LendingWorld world = makeWorld(4, 12, 2);
