One scan of members and owners; who is not next in turn renews and scans seldom

Cause: each member renewed 2.2 times a second and scanned members and owners 2.5 times each, 7.2 calls a second. Forty hosts came to 295 calls a second, three hundred would pass the store's rates. Change: both kinds of rows lie under one prefix and are read in one scan. Owners, and those that would take over from one or from all of them, keep the pace; the others renew for four terms at once, scan a quarter as often, judge the dead by four times the time, and scan at once when a call finds no owner. Only the most loaded owner hands over, so that several don't do so to one member. A runner that misses calls is not counted as one that takes tasks: the list names it for seconds after its host was moved away. Ruled out: the feed of the table, which every renewal would end; long renewals at heirs, whose death would be seen late.

--- a/jobs/enginedemand.cpp
+++ b/jobs/enginedemand.cpp
@@ -59,8 +59,9 @@
     Resources lasting; // part of `use`
     for (const auto &[id, runner] : m_runners) {
         use += runner.used;
-        const bool isOpen
-            = runner.isListed && !runner.entry.isDraining && now >= runner.evacuatedUntil;
+        // The list names a runner for seconds after its host was moved away.
+        const bool isOpen = runner.isListed && !runner.entry.isDraining
+            && now >= runner.evacuatedUntil && runner.missedCalls == 0;
         if (!isOpen)
             continue;
         ++demand.runners;
--- a/node/fleetowner.cpp
+++ b/node/fleetowner.cpp
@@ -293,15 +293,24 @@
     begin(moves);
 }
 
-// What moves are decided from: in use, needed and taken by tasks that must be apart, of each pool.
+// What moves are decided from, of each pool: hosts there and on their way to it, what its owner
+// says.
 void FleetOwner::notePools() const
 {
+    std::map<std::string, std::uint32_t> there;
+    std::map<std::string, std::uint32_t> coming;
+    for (const FleetHost &host : m_hosts) {
+        const auto errand = m_errands.find(host.name);
+        if (errand == m_errands.end())
+            ++there[host.pool];
+        else if (errand->second.what.kind == ErrandKind::Move)
+            ++coming[errand->second.what.pool];
+    }
     json pools;
     for (const auto &[name, pool] : m_pools) {
-        pools[name] = {{"runners", pool.runners},
-                       {"needed", pool.needed},
-                       {"idle", pool.idle.size()},
-                       {"lastingSpread", pool.lastingSpread}};
+        pools[name] = {{"hosts", there[name]},     {"coming", coming[name]},
+                       {"runners", pool.runners},  {"needed", pool.needed},
+                       {"idle", pool.idle.size()}, {"lastingSpread", pool.lastingSpread}};
     }
     m_context.log.note("fleet.moves-planned", {{"pools", pools.dump()}});
 }
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -79,7 +79,13 @@
           })
     , m_relay(
           daemon.loop(),
-          {.findOwner = [this](const std::string &pool) { return findOwner(pool); },
+          {.findOwner =
+               [this](const std::string &pool) {
+                   const std::optional<Endpoint> owner = findOwner(pool);
+                   if (!owner && m_ownership)
+                       m_ownership->refresh();
+                   return owner;
+               },
            .handleHere = [this](const api::JobCall &call,
                                 const JobRelay::Answer &answer) { handleHere(call, answer); },
            .send = [this](const Endpoint &endpoint, const api::JobCall &call, TimePoint deadline,
@@ -301,8 +307,12 @@
     args.call = call;
     m_rpc.call<api::NodeService_job_args, api::NodeService_job_result>(
         endpoint, PeerPath, "job", args, deadline,
-        [sent](const RpcAnswer<api::NodeService_job_result> &answer) {
+        [this, sent](const RpcAnswer<api::NodeService_job_result> &answer) {
             const bool isSent = answer.outcome != HttpOutcome::NotSent;
+            const bool isOwner
+                = answer.reply && answer.reply->success.code != std::int32_t(ResultCode::NotOwner);
+            if (!isOwner && m_ownership)
+                m_ownership->refresh();
             sent(answer.reply ? &answer.reply->success : nullptr, isSent);
         });
 }
--- a/sequoiapier/memberview.h
+++ b/sequoiapier/memberview.h
@@ -1,10 +1,12 @@
 // MemberView: which lending members are alive, judged by the renewals of their table rows.
 //
-//   view.observe(rows, now);                 // after every scan of lenders/
+//   view.observe(rows, now);                 // after every scan of the members
 //   if (!view.isAlive(owner, now)) ...
 //
-// A member counts as dead once its row was seen unchanged for a whole term on this process's own
-// clock while the table answered. A gap between scans starts the observation afresh.
+// A member counts as dead once its row was seen unchanged for all the terms that its renewal lasts,
+// on this process's own clock while the table answered. A gap between scans starts the observation
+// afresh. Who scans seldom sets a slowness: terms and gaps then count that many times, so that an
+// outage of the table between two scans shows no one as dead.
 #pragma once
 
 #include "sequoiapier/bootclock.h"
@@ -21,7 +23,7 @@
 public:
     struct Options
     {
-        Duration term{}; // after which an unchanged row shows a dead member
+        Duration term{}; // of a renewal that lasts one
         Duration maxScanGap{}; // between two scans for the observation to go on
     };
 
@@ -36,7 +38,8 @@
         : m_options(options)
     { }
 
-    // Takes in all rows of a scan. Malformed rows are skipped. O(n log n).
+    void setSlowness(int slowness) { m_slowness = slowness; }
+    // Takes in the members' rows of a scan. Other and malformed rows are skipped. O(n log n).
     void observe(std::span<const TableRow> rows, TimePoint now);
 
     bool isAlive(const MemberId &member, TimePoint now) const;
@@ -46,6 +49,7 @@
 
 private:
     Options m_options;
+    int m_slowness = 1;
     TimePoint m_lastScan{};
     std::map<MemberId, Entry> m_entries;
 };
--- a/sequoiapier/ownerchoice.h
+++ b/sequoiapier/ownerchoice.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sequoiapier {
 
@@ -26,6 +27,17 @@
 // rendezvous hashing decides between equal ones. members.size() if there is none. O(n).
 std::size_t leastLoaded(std::string_view resource, std::span<const OwnerCandidate> members);
 
+// Members that must see soon when an owner dies: the owners, those that would take over from one of
+// them, and those that would if all of them died at once. Indices, ascending. O(r m log m) for r
+// resources; `owners` are the indices of the resources' owners, members.size() for none.
+std::vector<std::size_t> watchers(std::span<const std::string> resources,
+                                  std::span<const std::size_t> owners,
+                                  std::span<const OwnerCandidate> members);
+
+// Index of the member with the most load for its capacity, the first by name among equal ones. Only
+// it hands resources over, so that several don't do so at once to the same member.
+std::size_t mostLoaded(std::span<const OwnerCandidate> members);
+
 // Whether the load of `owner` is clearly above that of `other` with one resource more.
 bool isWorthHandingOver(const OwnerCandidate &owner, const OwnerCandidate &other);
 
--- a/sequoiapier/ownerrow.cpp
+++ b/sequoiapier/ownerrow.cpp
@@ -51,11 +51,9 @@
 
 std::string toJson(const LenderRow &row)
 {
-    const Json json{{"zone", row.zone},
-                    {"address", row.address},
-                    {"renewal", row.renewal},
-                    {"leaving", row.isLeaving},
-                    {"capacity", row.capacity}};
+    const Json json{{"zone", row.zone},         {"address", row.address},
+                    {"renewal", row.renewal},   {"leaving", row.isLeaving},
+                    {"capacity", row.capacity}, {"terms", row.terms}};
     return json.dump();
 }
 
@@ -79,9 +77,14 @@
     const bool hasCapacity = capacity != json.end();
     if (hasCapacity && (!capacity->is_number() || capacity->get<double>() <= 0))
         return malformed("capacity of a member");
-    return LenderRow{json["zone"].get<std::string>(), json["address"].get<std::string>(),
-                     json["renewal"].get<std::uint64_t>(), json.value("leaving", false),
-                     hasCapacity ? capacity->get<double>() : 1.0};
+    if (json.contains("terms") && !hasNumber(json, "terms"))
+        return malformed("terms of a member");
+    return LenderRow{json["zone"].get<std::string>(),
+                     json["address"].get<std::string>(),
+                     json["renewal"].get<std::uint64_t>(),
+                     json.value("leaving", false),
+                     hasCapacity ? capacity->get<double>() : 1.0,
+                     json.value("terms", std::uint64_t(1))};
 }
 
 Result<MemberId> parseMemberKey(std::string_view key, std::string_view prefix)
--- a/sequoiapier/ownerrow.h
+++ b/sequoiapier/ownerrow.h
@@ -1,8 +1,8 @@
 // The table rows that say which member lends which resource, and which members there are.
 //
-//   owners/<resource>        who lends the resource, under which epoch
-//   lenders/<name>@<number>  a process that may lend; rewritten at every renewal
-//   borrowers/<name>@<number>  a process that may borrow; written before it first borrows
+//   owning/owners/<resource>        who lends the resource, under which epoch
+//   owning/members/<name>@<number>  a process that may lend; rewritten at every renewal
+//   borrowers/<name>@<number>       a process that may borrow; written before it first borrows
 #pragma once
 
 #include "sequoiapier/memberid.h"
@@ -14,8 +14,9 @@
 
 namespace sequoiapier {
 
-inline constexpr std::string_view OwnerPrefix = "owners/";
-inline constexpr std::string_view LenderPrefix = "lenders/";
+inline constexpr std::string_view OwningPrefix = "owning/"; // of the next two, read in one scan
+inline constexpr std::string_view OwnerPrefix = "owning/owners/";
+inline constexpr std::string_view LenderPrefix = "owning/members/";
 inline constexpr std::string_view BorrowerPrefix = "borrowers/";
 
 struct OwnerRow
@@ -31,6 +32,7 @@
     std::uint64_t renewal = 0; // count of renewals
     bool isLeaving = false; // it takes no resource any more
     double capacity = 1; // beside the other members', in any unit common to them; above 0
+    std::uint64_t terms = 1; // that this renewal lasts
 };
 
 std::string ownerKey(std::string_view resource);
--- a/sequoiapier/ownership.cpp
+++ b/sequoiapier/ownership.cpp
@@ -1,15 +1,17 @@
-// One turn: renew the own row, scan lenders/ and owners/, compare the owner rows with what is owned
+// One turn: renew the own row, scan members and owners, compare the owner rows with what is owned
 // here, then write at most one transaction with all changes that are this member's to make:
 //   - remove the rows of dead members, at the version at which they were seen unchanged
 //   - take resources over whose owner has no row any more, with the next epoch
 //   - hand resources over for which the choice names another live member
-// Table calls a second and member: 1 / renewInterval writes, 2 / scanInterval reads, whatever the
-// number of resources. A turn is O(r * m) for r resources and m members.
+// Table calls a second and member: 1 / renewInterval writes, 1 / scanInterval reads, whatever the
+// number of resources; of sticky resources a quarter of that at members that are neither owners nor
+// next in turn. A turn is O(r * m) for r resources and m members.
 #include "sequoiapier/ownership.h"
 
 #include "sequoiapier/rendezvous.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace sequoiapier {
@@ -86,47 +88,57 @@
 {
     const TimePoint sentAt = m_hooks.now();
     m_isRenewing = true;
-    m_nextRenewal = sentAt + m_options.renewInterval;
+    const int terms = slowness();
+    m_nextRenewal = sentAt + terms * m_options.renewInterval;
+    // From now on the others may see a renewal that lasts less than the one before.
+    m_ownedUntil = std::min(m_ownedUntil, ownedAfter(sentAt, terms));
     const LenderRow row{m_options.zone, m_options.address, ++m_renewal, m_isLeaving,
                         m_options.capacity};
     Commit commit{.writeId = nextWriteId()};
     commit.writes = {{lenderKey(m_options.self), toJson(row), m_memberVersion}};
     const std::string writeId = commit.writeId;
-    m_table.commit(std::move(commit), deadline(),
-                   [=, this](const CommitAnswer &answer) { onRenewed(answer, writeId, sentAt); });
+    m_table.commit(std::move(commit), deadline(), [=, this](const CommitAnswer &answer) {
+        onRenewed(answer, writeId, sentAt, terms);
+    });
 }
 
-void Ownership::onRenewed(const CommitAnswer &answer, const std::string &writeId, TimePoint sentAt)
+void Ownership::onRenewed(const CommitAnswer &answer, const std::string &writeId, TimePoint sentAt,
+                          int terms)
 {
     if (answer.outcome == CommitOutcome::Unknown) {
-        readBackRenewal(writeId, sentAt);
+        readBackRenewal(writeId, sentAt, terms);
         return;
     }
     m_isRenewing = false;
     if (answer.outcome == CommitOutcome::Committed) {
         m_memberVersion = std::max(m_memberVersion, answer.versions.front());
-        confirm(sentAt);
+        confirm(sentAt, terms);
     } else if (answer.outcome == CommitOutcome::Conflict) {
         m_nextScan = m_hooks.now();
     }
 }
 
 // The row that records the write shows that the lease counts; the scan brings the row's version.
-void Ownership::readBackRenewal(const std::string &writeId, TimePoint sentAt)
+void Ownership::readBackRenewal(const std::string &writeId, TimePoint sentAt, int terms)
 {
     const auto onRead = [=, this](const Result<std::optional<TableRow>> &row) {
         m_isRenewing = false;
         m_nextScan = m_hooks.now();
         if (row && row.value())
-            confirm(sentAt);
+            confirm(sentAt, terms);
     };
     m_table.read(writeRecordKey(writeId), deadline(), onRead);
 }
 
-void Ownership::confirm(TimePoint sentAt)
+// Until when a renewal sent at `sentAt` keeps other members from taking over.
+TimePoint Ownership::ownedAfter(TimePoint sentAt, int terms) const
 {
-    const TimePoint until = sentAt + scaled(m_options.term, 1 - m_options.clockRateMargin);
-    m_ownedUntil = std::max(m_ownedUntil, until);
+    return sentAt + scaled(terms * m_options.term, 1 - m_options.clockRateMargin);
+}
+
+void Ownership::confirm(TimePoint sentAt, int terms)
+{
+    m_ownedUntil = std::max(m_ownedUntil, ownedAfter(sentAt, terms));
     if (m_isLeaving && !m_isLeavingTold && sentAt >= m_leavingSince) {
         m_isLeavingTold = true;
         m_nextScan = m_hooks.now();
@@ -146,7 +158,8 @@
 void Ownership::scan()
 {
     m_isScanning = true;
-    m_nextScan = m_hooks.now() + m_options.scanInterval;
+    m_lastScan = m_hooks.now();
+    m_nextScan = m_lastScan + slowness() * m_options.scanInterval;
     const MemberId self = m_options.self;
     const bool hadRow = m_memberVersion != 0;
     const auto onScan = [=, this](const Result<std::vector<TableRow>> &rows) {
@@ -154,30 +167,30 @@
             m_isScanning = false;
             return;
         }
+        m_members.setSlowness(slowness());
         m_members.observe(rows.value(), m_hooks.now());
         const MemberView::Entry *entry = m_members.find(m_options.self);
         if (entry != nullptr)
             m_memberVersion = std::max(m_memberVersion, entry->version);
         else if (hadRow && !m_hasLeft && self == m_options.self)
             m_isLeaving ? void(m_hasLeft = true) : rejoin();
-        scanOwners();
+        m_isScanning = false;
+        onScanned(rows.value());
     };
-    m_table.scan(LenderPrefix, deadline(), onScan);
+    m_table.scan(OwningPrefix, deadline(), onScan);
 }
 
-void Ownership::scanOwners()
+void Ownership::refresh()
 {
-    m_table.scan(OwnerPrefix, deadline(), [this](const Result<std::vector<TableRow>> &rows) {
-        m_isScanning = false;
-        if (rows)
-            onScanned(rows.value());
-    });
+    m_nextScan = std::min(m_nextScan, m_lastScan + m_options.scanInterval);
 }
 
-void Ownership::onScanned(const std::vector<TableRow> &ownerRows)
+void Ownership::observeOwners(const std::vector<TableRow> &rows)
 {
     std::map<std::string, Owner> owners;
-    for (const TableRow &row : ownerRows) {
+    for (const TableRow &row : rows) {
+        if (!row.key.starts_with(OwnerPrefix))
+            continue;
         const std::string resource = row.key.substr(OwnerPrefix.size());
         const auto before = m_owners.find(resource);
         if (before != m_owners.end() && before->second.version == row.version) {
@@ -189,6 +202,11 @@
             owners[resource] = {value.value(), row.version};
     }
     m_owners = std::move(owners);
+}
+
+void Ownership::onScanned(const std::vector<TableRow> &rows)
+{
+    observeOwners(rows);
     giveUp([&](const std::string &resource, std::uint64_t epoch) {
         const OwnerRow *row = ownerOf(resource);
         return row == nullptr || row->owner != m_options.self || row->epoch != epoch;
@@ -300,21 +318,45 @@
 }
 
 // The member that rendezvous hashing names for `resource`; none without members.
-MemberId Ownership::pick(const std::string &resource, std::span<const OwnerCandidate> members) const
+MemberId Ownership::rendezvousMember(const std::string &resource,
+                                     std::span<const std::string> names) const
 {
-    std::vector<std::string> names;
-    names.reserve(members.size());
-    for (const OwnerCandidate &member : members)
-        names.push_back(member.name);
     return names.empty() ? MemberId() : latestLife(names[rendezvousPick(resource, names)]);
 }
 
+// Of resources that are not sticky any member may be next.
+void Ownership::updateWatchers(const std::vector<OwnerCandidate> &members)
+{
+    m_watchers.clear();
+    std::vector<std::size_t> owners;
+    for (const std::string &resource : m_resources) {
+        const OwnerRow *row = ownerOf(resource);
+        const auto owner = std::find_if(members.begin(), members.end(), [&](const auto &member) {
+            return row != nullptr && row->owner == latestLife(member.name);
+        });
+        owners.push_back(std::size_t(owner - members.begin()));
+    }
+    std::vector<std::size_t> watching(members.size());
+    std::iota(watching.begin(), watching.end(), 0);
+    if (m_options.isSticky)
+        watching = watchers(m_resources, owners, members);
+    for (const std::size_t index : watching)
+        m_watchers.push_back(members[index].name);
+    const bool wasWatching = m_isWatching;
+    m_isWatching = m_isLeaving || m_resources.empty()
+        || std::find(m_watchers.begin(), m_watchers.end(), m_options.self.name) != m_watchers.end();
+    if (m_isWatching && !wasWatching) {
+        m_nextRenewal = m_hooks.now();
+        m_nextScan = m_hooks.now();
+    }
+}
+
 // Who is to own `resource`, whose load is counted in `members` from then on.
 MemberId Ownership::chooseOwner(const std::string &resource,
                                 std::vector<OwnerCandidate> &members) const
 {
     if (!m_options.isSticky)
-        return pick(resource, members);
+        return rendezvousMember(resource, m_watchers);
     const OwnerRow *row = ownerOf(resource);
     const auto owner = std::find_if(members.begin(), members.end(), [&](const auto &member) {
         return row != nullptr && row->owner == latestLife(member.name);
@@ -326,7 +368,8 @@
     if (next == members.size())
         return {};
     if (owner != members.end()) {
-        if (!isWorthHandingOver(*owner, members[next]))
+        const bool isItsTurn = mostLoaded(members) == std::size_t(owner - members.begin());
+        if (!isItsTurn || !isWorthHandingOver(*owner, members[next]))
             return row->owner;
         --owner->owned;
     }
@@ -342,11 +385,14 @@
         return;
     }
     std::vector<OwnerCandidate> members = candidates();
+    updateWatchers(members);
     Commit commit;
     for (const auto &[member, entry] : m_members.entries()) {
         const std::string key = lenderKey(member);
         const bool isDead = member != m_options.self && !m_members.isAlive(member, m_hooks.now());
-        if (isEarlierSelf(member) || (isDead && pick(key, members) == m_options.self))
+        const bool isMine
+            = isDead && m_isWatching && rendezvousMember(key, m_watchers) == m_options.self;
+        if (isEarlierSelf(member) || isMine)
             commit.writes.push_back({key, std::nullopt, entry.version});
     }
     for (const std::string &resource : m_resources) {
--- a/sequoiapier/ownership.h
+++ b/sequoiapier/ownership.h
@@ -47,8 +47,9 @@
         Duration tableTimeout = std::chrono::milliseconds(800);
         double clockRateMargin = 0.01; // part of a term that clocks may drift apart
         // Resources go to the members with the least load for their capacity, and stay with an
-        // owner that lives as long as its load is not clearly above the others'. For resources
-        // whose owner is costly to change. False: rendezvous hashing alone decides.
+        // owner that lives as long as its load is not clearly above the others'. Members that would
+        // not take over soon renew and scan seldom. For resources whose owner is costly to change.
+        // False: rendezvous hashing alone decides, and all members renew and scan alike.
         bool isSticky = false;
         double capacity = 1; // of this member, in a unit common to all; above 0
     };
@@ -67,6 +68,8 @@
     void setResources(std::vector<std::string> resources);
     // Starts the renewals, scans and changes that are due.
     void tick();
+    // The owners may have changed: scans soon. For who was not answered by one.
+    void refresh();
     // Tells the other members, hands all resources over to them, then removes this member. It goes
     // on to see who owns what as long as it is ticked.
     void leave();
@@ -84,6 +87,9 @@
     const MemberId &self() const { return m_options.self; }
 
 private:
+    // Times as seldom as the others, members that would not take over soon renew and scan.
+    static constexpr int BystanderSlowness = 4;
+
     struct Owner
     {
         OwnerRow row;
@@ -97,14 +103,18 @@
     std::string nextWriteId();
 
     void renew();
-    void onRenewed(const CommitAnswer &answer, const std::string &writeId, TimePoint sentAt);
-    void readBackRenewal(const std::string &writeId, TimePoint sentAt);
-    void confirm(TimePoint sentAt);
+    void onRenewed(const CommitAnswer &answer, const std::string &writeId, TimePoint sentAt,
+                   int terms);
+    void readBackRenewal(const std::string &writeId, TimePoint sentAt, int terms);
+    void confirm(TimePoint sentAt, int terms);
+    TimePoint ownedAfter(TimePoint sentAt, int terms) const;
     void rejoin();
 
     void scan();
-    void scanOwners();
-    void onScanned(const std::vector<TableRow> &ownerRows);
+    void onScanned(const std::vector<TableRow> &rows);
+    void observeOwners(const std::vector<TableRow> &rows);
+    void updateWatchers(const std::vector<OwnerCandidate> &members);
+    int slowness() const { return m_isWatching ? 1 : BystanderSlowness; }
     void giveUp(const IsLost &isLost);
     std::vector<std::string> newlyOwned() const;
     void scanBorrowers();
@@ -112,7 +122,8 @@
 
     bool isEarlierSelf(const MemberId &member) const;
     std::vector<OwnerCandidate> candidates() const;
-    MemberId pick(const std::string &resource, std::span<const OwnerCandidate> members) const;
+    MemberId rendezvousMember(const std::string &resource,
+                              std::span<const std::string> names) const;
     MemberId latestLife(const std::string &name) const;
     void plan();
     void planResource(const std::string &resource, const MemberId &next, Commit &commit);
@@ -131,6 +142,9 @@
     TimePoint m_ownedUntil{};
     TimePoint m_nextRenewal{};
     TimePoint m_nextScan{};
+    TimePoint m_lastScan{}; // when it was begun
+    bool m_isWatching = true; // owns something or may soon
+    std::vector<std::string> m_watchers; // names
     std::uint64_t m_memberVersion = 0; // of this member's row, 0 if it has none yet
     std::uint64_t m_renewal = 0;
     std::uint64_t m_writes = 0;
--- a/testing/support/lendingworld.cpp
+++ b/testing/support/lendingworld.cpp
@@ -86,7 +86,7 @@
     options.term = m_options.ownershipTerm;
     options.tableTimeout = TableTimeout;
     options.isSticky = m_options.isSticky;
-    if (index < m_options.largeLenders)
+    if (int(index) < m_options.largeLenders)
         options.capacity = LargeCapacity;
     Table table = m_table.hooks(self->name);
     // Answers of the table wait while the process is paused.
--- a/testing/unit/ownerchoice_test.cpp
+++ b/testing/unit/ownerchoice_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <string>
 #include <vector>
 
 namespace sequoiapier {
@@ -55,5 +57,29 @@
     EXPECT_TRUE(isWorthHandingOver({.name = "a", .owned = 4}, other));
 }
 
+TEST(OwnerChoice, WatchersAreOwnersAndTheirHeirs)
+{
+    std::vector<OwnerCandidate> members{{.name = "a", .owned = 1}, {.name = "b", .owned = 1}};
+    for (int i = 0; i < 20; ++i)
+        members.push_back({.name = "idle" + std::to_string(i)});
+    const std::vector<std::string> resources{"pool/1", "pool/2"};
+    const std::vector<std::size_t> watching
+        = watchers(resources, std::vector<std::size_t>{0, 1}, members);
+    EXPECT_TRUE(std::is_sorted(watching.begin(), watching.end()));
+    EXPECT_EQ(watching[0], 0u);
+    EXPECT_EQ(watching[1], 1u);
+    EXPECT_GE(watching.size(), 4u); // one heir each at least, as both may die
+    EXPECT_LE(watching.size(), 6u);
+}
+
+TEST(OwnerChoice, AllOfFewMembersWatch)
+{
+    const std::vector<OwnerCandidate> members{{.name = "a", .owned = 1}, {.name = "b"}};
+    const std::vector<std::string> resources{"pool/1"};
+    EXPECT_EQ(watchers(resources, std::vector<std::size_t>{0}, members).size(), 2u);
+    EXPECT_EQ(watchers(resources, std::vector<std::size_t>{2}, members).size(), 1u); // has no owner
+    EXPECT_TRUE(watchers(resources, std::vector<std::size_t>{0}, {}).empty());
+}
+
 } // namespace
 } // namespace sequoiapier
--- a/testing/unit/ownerrow_test.cpp
+++ b/testing/unit/ownerrow_test.cpp
@@ -36,7 +36,8 @@
     const MemberId member{"gateway@1", 18};
     EXPECT_EQ(parseMemberKey(lenderKey(member), LenderPrefix).value(), member);
     EXPECT_EQ(parseMemberKey(borrowerKey(member), BorrowerPrefix).value(), member);
-    for (const char *key : {"lenders/a", "lenders/@1", "lenders/a@", "lenders/a@1x", "owners/a@1"})
+    for (const char *key : {"owning/members/a", "owning/members/@1", "owning/members/a@",
+                            "owning/members/a@1x", "owning/owners/a@1"})
         EXPECT_FALSE(parseMemberKey(key, LenderPrefix)) << key;
 }
 
--- a/testing/unit/ownership_test.cpp
+++ b/testing/unit/ownership_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace sequoiapier {
 namespace {
@@ -284,6 +285,83 @@
     EXPECT_EQ(mostOwned(Large, Lenders), 0u);
 }
 
+constexpr int ManyLenders = 40;
+constexpr int FewResources = 5;
+
+LendingWorld makeLargeWorld()
+{
+    return LendingWorld({.lenders = ManyLenders,
+                         .borrowers = 0,
+                         .resources = FewResources,
+                         .isSticky = true,
+                         .largeLenders = 6},
+                        1);
+}
+
+// Forty members renewed once a second each, though five of them own anything.
+TEST(Ownership, MembersThatWouldNotTakeOverSoonRenewSeldom)
+{
+    LendingWorld world = makeLargeWorld();
+    runUntilOwned(world, ManyLenders, FewResources);
+    world.run(seconds(20));
+    const std::uint64_t before = world.table().commitCount();
+    world.run(seconds(10));
+    // A renewal a second at the owners and the heirs of one and of all of them, one in four seconds
+    // at the others, and one each for the ends of the span.
+    constexpr std::uint64_t MostWatchers = 3 * FewResources;
+    EXPECT_LE(world.table().commitCount() - before,
+              10 * MostWatchers + 10 * (ManyLenders - MostWatchers) / 4 + ManyLenders);
+    EXPECT_TRUE(hasOwners(world, ManyLenders, FewResources));
+}
+
+TEST(Ownership, DeadOwnersAreReplacedAsSoonAmongManyMembers)
+{
+    LendingWorld world = makeLargeWorld();
+    runUntilOwned(world, ManyLenders, FewResources);
+    world.run(seconds(10));
+    std::set<int> owners;
+    for (int i = 0; i < FewResources; ++i)
+        owners.insert(ownerOf(world, ManyLenders, LendingWorld::resourceName(i)));
+    for (const int owner : owners)
+        world.killLender(owner);
+    EXPECT_LT(runUntilOwned(world, ManyLenders, FewResources), seconds(6)); // the term is 3 s
+}
+
+// Whoever watched the owners is gone with them, for good.
+TEST(Ownership, MembersThatWatchedSeldomTakeOverInTheEnd)
+{
+    LendingWorld world = makeLargeWorld();
+    runUntilOwned(world, ManyLenders, FewResources);
+    world.run(seconds(10));
+    for (int i = 0; i < ManyLenders - 3; ++i)
+        world.killLender(i);
+    EXPECT_LT(runUntilOwned(world, ManyLenders, FewResources), seconds(60));
+}
+
+TEST(Ownership, OutagesOfAnyLengthChangeNoOwnerAmongManyMembers)
+{
+    for (int outage = 500; outage < 12'000; outage += 700) {
+        LendingWorld world = makeLargeWorld();
+        runUntilOwned(world, ManyLenders, FewResources);
+        world.run(seconds(10) + milliseconds(outage / 7));
+        const auto epochs = [&] {
+            std::vector<std::uint64_t> epochs;
+            for (int i = 0; i < FewResources; ++i) {
+                const std::string resource = LendingWorld::resourceName(i);
+                epochs.push_back(world.lender(0).ownership->ownerOf(resource)->epoch);
+            }
+            return epochs;
+        };
+        const std::vector<std::uint64_t> before = epochs();
+        world.table().setOutage(true);
+        world.run(milliseconds(outage));
+        world.table().setOutage(false);
+        world.run(seconds(10));
+        EXPECT_TRUE(hasOwners(world, ManyLenders, FewResources));
+        EXPECT_EQ(epochs(), before) << outage;
+    }
+}
+
 TEST(Ownership, AllMembersReplacedOneAfterAnother)
 {
     LendingWorld world = makeWorld(4, 12, 2);
