Begin the maintenance of hosts in pools at once; hosts that are off fill the bound

Change: hosts in pools begin at their own pace, hosts that are off fill the rest of the bound, a quarter of a pool at a time as elsewhere; hosts whose maintenance is due stay off or go there first.

--- /dev/null
+++ b/cli/crashtrace.cpp
@@ -0,0 +1,80 @@
+#include "cli/crashtrace.h"
+
+#include <execinfo.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <csignal>
+#include <cstdint>
+#include <string_view>
+
+namespace sequoiapier {
+
+namespace {
+
+constexpr std::size_t MaxFrames = 32;
+constexpr std::size_t MaxLineBytes = 1024;
+constexpr int Hexadecimal = 16;
+
+// A line of bounded length, built without memory from the heap.
+class Line
+{
+public:
+    void append(std::string_view text)
+    {
+        const std::size_t count = std::min(text.size(), m_bytes.size() - m_size);
+        std::copy_n(text.begin(), count, m_bytes.begin() + std::ptrdiff_t(m_size));
+        m_size += count;
+    }
+
+    void append(std::uintptr_t number, int base)
+    {
+        std::array<char, 2 * sizeof number + 4> digits{};
+        const auto end = std::to_chars(digits.begin(), digits.end(), number, base).ptr;
+        append({digits.begin(), std::size_t(end - digits.begin())});
+    }
+
+    void write() const
+    {
+        [[maybe_unused]] const ssize_t written = ::write(STDOUT_FILENO, m_bytes.data(), m_size);
+    }
+
+private:
+    std::array<char, MaxLineBytes> m_bytes{};
+    std::size_t m_size = 0;
+};
+
+void report(int signal)
+{
+    std::array<void *, MaxFrames> frames{};
+    const int count = backtrace(frames.data(), int(frames.size()));
+    Line line;
+    line.append(R"({"level":"error","event":"process.crashed","signal":")");
+    line.append(std::uintptr_t(signal), 10);
+    line.append(R"(","stack":")");
+    for (int i = 0; i < count; ++i) {
+        line.append(i > 0 ? " 0x" : "0x");
+        line.append(reinterpret_cast<std::uintptr_t>(frames[std::size_t(i)]), Hexadecimal);
+    }
+    line.append("\"}\n");
+    line.write();
+}
+
+} // namespace
+
+void installCrashTrace()
+{
+    std::array<void *, 1> frame{};
+    backtrace(frame.data(), 1); // loads what it needs, which a signal handler must not
+    struct sigaction action
+    {
+    };
+    action.sa_handler = report;
+    action.sa_flags = int(SA_RESETHAND | SA_NODEFER); // the signal comes again and ends the process
+    for (const int signal : {SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT})
+        sigaction(signal, &action, nullptr);
+}
+
+} // namespace sequoiapier
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -1,5 +1,6 @@
 // sequoiapier: one binary, a subcommand for each role and for operators.
 #include "cli/command.h"
+#include "cli/crashtrace.h"
 #include "sequoiapier/resultcode.h"
 
 #include <array>
@@ -40,6 +41,7 @@
 
 int main(int argc, char **argv)
 {
+    installCrashTrace();
     const CommandArgs args(argv + 1, argv + argc);
     const std::string_view name = args.empty() ? "" : args.front();
     if (name == "--version") {
--- a/fleet/fleetplanner.cpp
+++ b/fleet/fleetplanner.cpp
@@ -21,7 +21,7 @@
     return pool.isStandby || pool.idle.contains(host.runner);
 }
 
-// The rate at which the rest of the wave is in time, as hosts on their way at once.
+// The rate at which `remaining` hosts of the wave are in time, as hosts on their way at once.
 std::size_t pace(const WaveState &wave, std::size_t remaining, const MaintenanceOptions &options,
                  TimePoint now)
 {
@@ -32,6 +32,34 @@
     return std::size_t(std::ceil(options.haste * double(remaining) / rounds));
 }
 
+struct WaveUnderWay
+{
+    std::size_t all = 0; // hosts on their way
+    std::size_t inPools = 0; // of these, hosts that were not off
+};
+
+WaveUnderWay hostsUnderWay(const FleetView &view, std::uint64_t wave)
+{
+    WaveUnderWay underWay;
+    for (const FleetHost &host : view.hosts) {
+        const auto errand = view.errands.find(host.name);
+        if (errand == view.errands.end() || errand->second.kind != ErrandKind::Maintenance
+            || errand->second.wave != wave) {
+            continue;
+        }
+        const FleetPool *pool = findPool(view, host.pool);
+        ++underWay.all;
+        underWay.inPools += pool != nullptr && pool->isStandby ? 0 : 1;
+    }
+    return underWay;
+}
+
+std::size_t hostsOf(const FleetView &view, const std::string &pool)
+{
+    return std::size_t(std::count_if(view.hosts.begin(), view.hosts.end(),
+                                     [&](const FleetHost &host) { return host.pool == pool; }));
+}
+
 // Hosts of each pool that are on errands.
 std::map<std::string, std::uint32_t> hostsOnErrands(const FleetView &view)
 {
@@ -43,6 +71,8 @@
     return counts;
 }
 
+// Hosts whose maintenance may begin, those in pools first: they have to be emptied, a few at a
+// time, while hosts that are off can go at any moment.
 std::vector<const FleetHost *> candidates(const FleetView &view, const WaveState &wave)
 {
     std::vector<const FleetHost *> hosts;
@@ -54,17 +84,35 @@
         if (isDue && pool != nullptr && (pool->isStandby || pool->isKnown))
             hosts.push_back(&host);
     }
-    // Unused hosts first, then those of the pool with the most room.
+    // In pools, unused hosts first, then those of the pool with the most room.
     const auto rank = [&](const FleetHost *host) {
         const FleetPool &pool = *findPool(view, host->pool);
         const double pressure = pool.runners > 0 ? pool.needed / pool.runners : 0;
-        return std::tuple(!pool.isStandby, !isIdle(*host, pool), pressure, host->name);
+        return std::tuple(pool.isStandby, !isIdle(*host, pool), pressure, host->name);
     };
     std::sort(hosts.begin(), hosts.end(),
               [&](const FleetHost *a, const FleetHost *b) { return rank(a) < rank(b); });
     return hosts;
 }
 
+// Hosts of the pool that can leave it now, the last ones first: into use go hosts that stay there,
+// out of it those whose maintenance is easier while they are off.
+std::vector<std::string> movableHosts(const FleetView &view, const std::string &name)
+{
+    const FleetPool &pool = view.pools.at(name);
+    std::vector<std::string> hosts;
+    for (const FleetHost &host : view.hosts) {
+        if (host.pool == name && host.state == FleetHostState::Up
+            && !view.errands.contains(host.name) && isIdle(host, pool)) {
+            hosts.push_back(host.name);
+        }
+    }
+    std::stable_partition(hosts.begin(), hosts.end(), [&](const std::string &host) {
+        return view.due.contains(host) == pool.isStandby;
+    });
+    return hosts;
+}
+
 std::uint32_t wholeRunners(double amount)
 {
     return std::uint32_t(std::ceil(std::max(amount, 0.0)));
@@ -94,27 +142,32 @@
     for (const auto &[key, state] : waves) {
         const std::uint64_t number = key;
         const WaveState &wave = state;
-        const std::size_t remaining = remainingHosts(wave, view.hosts).size();
-        const auto underWay = std::size_t(
-            std::count_if(view.errands.begin(), view.errands.end(), [&](const auto &item) {
-                return item.second.kind == ErrandKind::Maintenance && item.second.wave == number;
-            }));
-        const std::size_t target
-            = std::min<std::size_t>(wave.order.maxOut, pace(wave, remaining, options, now));
+        const std::vector<const FleetHost *> due = candidates(view, wave);
+        const WaveUnderWay underWay = hostsUnderWay(view, number);
+        const auto inPools = std::size_t(std::count_if(due.begin(), due.end(), [&](const auto *h) {
+            return !findPool(view, h->pool)->isStandby;
+        }));
+        const std::size_t target = pace(wave, inPools + underWay.inPools, options, now);
         const bool isLate = wave.deadline - now < 2 * options.cycle;
-        std::size_t free = target > underWay ? target - underWay : 0;
-        for (const FleetHost *host : candidates(view, wave)) {
+        const auto room
+            = [](std::size_t bound, std::size_t used) { return bound > used ? bound - used : 0; };
+        std::size_t free = room(wave.order.maxOut, underWay.all);
+        std::size_t freeInPools = room(target, underWay.inPools);
+        for (const FleetHost *host : due) {
             if (free == 0)
                 break;
             const FleetPool &pool = *findPool(view, host->pool);
-            const auto most
-                = std::max(1U, std::uint32_t(options.maxPartOfPool * double(pool.runners)));
-            if (!pool.isStandby && !isLate && out[host->pool] >= most)
+            const auto most = std::max(
+                1U, std::uint32_t(options.maxPartOfPool * double(hostsOf(view, host->pool))));
+            if (!isLate && out[host->pool] >= most)
                 continue;
             // Tasks that must be apart would have no runner to go to, and the host would wait for
             // them while it could have taken them.
-            if (!pool.isStandby && pool.runners <= pool.lastingSpread + begun[host->pool])
+            if (!pool.isStandby
+                && (freeInPools == 0 || pool.runners <= pool.lastingSpread + begun[host->pool])) {
                 continue;
+            }
+            freeInPools -= pool.isStandby ? 0 : 1;
             ++begun[host->pool];
             ++out[host->pool];
             --free;
@@ -156,19 +209,17 @@
         input.pools.push_back(std::move(forecast));
     }
     std::vector<HostErrand> next;
+    std::map<std::string, std::vector<std::string>> movable; // by pool, as they are to go
     for (const HostTransfer &transfer : planSpare(input, weights).now) {
-        std::uint32_t left = transfer.count;
         const std::string &from = names[transfer.from];
-        for (const FleetHost &host : view.hosts) {
-            if (left == 0)
-                break;
-            if (host.pool != from || host.state != FleetHostState::Up
-                || view.errands.contains(host.name) || !isIdle(host, view.pools.at(from))) {
-                continue;
-            }
+        const auto [found, isNew] = movable.try_emplace(from);
+        if (isNew)
+            found->second = movableHosts(view, from);
+        std::vector<std::string> &hosts = found->second;
+        for (std::uint32_t left = transfer.count; left > 0 && !hosts.empty(); --left) {
             next.push_back(
-                {.host = host.name, .kind = ErrandKind::Move, .pool = names[transfer.to]});
-            --left;
+                {.host = hosts.back(), .kind = ErrandKind::Move, .pool = names[transfer.to]});
+            hosts.pop_back();
         }
     }
     return next;
--- a/fleet/fleetplanner.h
+++ b/fleet/fleetplanner.h
@@ -5,9 +5,10 @@
 //   std::vector<HostErrand> moves = planMoves(view, weights);
 //
 // Load that they answer: waves over half of the fleet in half a minute while every queue in turn
-// asks for five times its mean. Maintenance goes first to hosts that nobody uses, in pools that are
-// in a trough, spread over the time that there is; hosts go where the need is, out of the spare
-// pool and back.
+// asks for five times its mean. Hosts in pools have to be emptied and go a few at a time, idle ones
+// and pools in a trough first, spread over the time that there is; hosts that are off fill the rest
+// of the bound. Hosts go where the need is, out of the spare pool and back: those whose maintenance
+// is due stay off or go there.
 #pragma once
 
 #include "fleet/fleethost.h"
@@ -52,6 +53,7 @@
     std::span<const FleetHost> hosts;
     const std::map<std::string, FleetPool> &pools;
     const std::map<std::string, HostErrand> &errands; // under way, by host
+    std::set<std::string> due = {}; // hosts whose maintenance has yet to begin
 };
 
 struct WaveState
@@ -67,8 +69,8 @@
 struct MaintenanceOptions
 {
     Duration cycle = std::chrono::milliseconds(5'000); // to empty a host and have it back
-    double haste = 1.6; // times the rate that would just be in time
-    double maxPartOfPool = 0.25; // of a pool's runners on errands at once, at least one
+    double haste = 1.6; // of hosts in pools, times the rate that would just be in time
+    double maxPartOfPool = 0.25; // of a pool's hosts on errands at once, at least one
 };
 
 // Errands to begin now. O(h log h) a wave.
--- a/node/fleetowner.cpp
+++ b/node/fleetowner.cpp
@@ -287,7 +287,12 @@
         return;
     m_nextMoves = now + MovesInterval;
     errands = errandsUnderWay();
-    const std::vector<HostErrand> moves = planMoves(view, m_context.weights, {});
+    FleetView movesView = view;
+    for (const auto &[number, wave] : waves) {
+        const std::vector<std::string> remaining = remainingHosts(wave, m_hosts);
+        movesView.due.insert(remaining.begin(), remaining.end());
+    }
+    const std::vector<HostErrand> moves = planMoves(movesView, m_context.weights, {});
     if (!moves.empty())
         notePools();
     begin(moves);
