Judge a pool's runners against their peers; start stalled tasks elsewhere

Change: the trial's WorkerQuarantine moves to jobs/ and judges the pools' runners, up to a quarter of a pool, from four tasks on and against peers that have as many. A task whose progress stands still for 0.8 s or a tenth of its run time is stopped and placed again; one that failed or stalled goes to another runner next. A failure counts once the task has ended well elsewhere. Ruled out: each failure counted at once, which set runners aside for hopeless jobs (two forms of it failed Engine.HopelessJobsCondemnNoRunner); a bound on the run time, which slow runners pass.

--- a/controller/jobrunner.h
+++ b/controller/jobrunner.h
@@ -10,7 +10,7 @@
 
 #include "controller/jobturn.h"
 #include "controller/runstopper.h"
-#include "controller/workerquarantine.h"
+#include "jobs/workerquarantine.h"
 #include "platform/tasks.h"
 #include "sequoiapier/configuration.h"
 #include "sequoiapier/table.h"
--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -1,6 +1,7 @@
 // Callers' side of the engine, and the batches that carry it to the store. What runners report is
 // taken in engineruns.cpp; placement is in engineplan.cpp, the need for hosts in enginedemand.cpp,
-// emptying them in engineevacuation.cpp, pacing in enginepace.cpp, advice in engineadvice.cpp.
+// emptying them in engineevacuation.cpp, their health in enginehealth.cpp, pacing in
+// enginepace.cpp, advice in engineadvice.cpp.
 #include "jobs/engine.h"
 
 #include <algorithm>
@@ -15,6 +16,7 @@
     , m_arrivals(options.arrivals)
     , m_shares(options.shares)
     , m_advice(options.advice)
+    , m_quarantine(options.quarantine)
 { }
 
 void Engine::setConfiguration(const Configuration &configuration)
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -25,6 +25,7 @@
 #include "jobs/joborder.h"
 #include "jobs/runner.h"
 #include "jobs/sharemeter.h"
+#include "jobs/workerquarantine.h"
 #include "jobs/workrate.h"
 #include "sequoiapier/configuration.h"
 
@@ -138,6 +139,10 @@
         WorkRate::Options arrivals;
         ShareMeter::Options shares;
         AdviceBoard::Options advice;
+        // A few tasks tell enough: what a bad runner takes is late for certain, and one that is set
+        // aside in vain is missed for some seconds.
+        WorkerQuarantine::Options quarantine{
+            .minStarts = 4, .maxPart = 0.25, .halfLife = std::chrono::seconds(5)};
     };
 
     struct Hooks
@@ -221,6 +226,7 @@
         bool isWriting = false; // a batch with it is under way
         bool isRemoved = false;
         bool isBeyondShare = false; // of its team, when it came
+        bool hasChargedRunner = false; // a stalled task of it has counted against its runner
         TimePoint arrivedAt{};
     };
 
@@ -263,6 +269,11 @@
     static bool isPaced(const Runner &runner);
     void controlPace(Runner &runner, TimePoint now);
     void takeMissing(Runner &runner, const RunnerReport &report, TimePoint sentAt);
+    void takeProgress(Runner &runner, Run &run, const Spot &spot, std::uint32_t percent,
+                      TimePoint now);
+    Duration stallTime(const Spot &spot) const;
+    void judgeEnd(const Runner &runner, const Spot &spot, const RunEnd &end, TimePoint now);
+    void judgeRunners(TimePoint now);
     bool isResolvedBy(const Run &run, const Task *task, TimePoint sentAt) const;
     void takeCheckpoint(const Spot &spot, const RunEnd &end);
     void finishTask(const TaskName &name, const Spot &spot);
@@ -280,7 +291,7 @@
     void countTeams(std::span<const Candidate> candidates);
     void place(const Candidate &candidate, TimePoint now);
     void placeGang(const Candidate &candidate, TimePoint now);
-    Runner *pickRunner(const Candidate &candidate, TimePoint now);
+    Runner *pickRunner(const Candidate &candidate, const Task &task, TimePoint now);
     void moveLasting(TimePoint now);
     bool isAtWork(const Task &task) const;
     double urgency(const Entry &entry, const StepSpec &step, TimePoint now) const;
@@ -301,6 +312,8 @@
     WorkRate m_arrivals; // of runner-seconds
     ShareMeter m_shares;
     AdviceBoard m_advice;
+    WorkerQuarantine m_quarantine; // of runners, by identifier
+    TimePoint m_nextJudgement{};
     bool m_hasAdvisedQueues = false; // some queue's policy is to be asked
     std::map<std::string, Entry, std::less<>> m_jobs;
     std::set<std::string> m_live; // jobs that have not ended
--- a/jobs/enginedemand.cpp
+++ b/jobs/enginedemand.cpp
@@ -61,7 +61,7 @@
         use += runner.used;
         // The list names a runner for seconds after its host was moved away.
         const bool isOpen = runner.isListed && !runner.entry.isDraining
-            && now >= runner.evacuatedUntil && runner.missedCalls == 0;
+            && now >= runner.evacuatedUntil && runner.missedCalls == 0 && !runner.isSetAside;
         if (!isOpen)
             continue;
         ++demand.runners;
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -50,6 +50,7 @@
     for (const std::string &id : m_live)
         beginOccurrences(m_jobs.find(id)->second, now);
     moveLasting(now);
+    judgeRunners(now);
     for (auto &[id, runner] : m_runners)
         runner.isKept = false;
     m_advice.clearWants();
@@ -132,7 +133,7 @@
     const bool isOpen = runner.isListed && runner.isFenced && !runner.entry.isDraining
         && now >= runner.evacuatedUntil && runner.missedCalls == 0 && now >= runner.avoidUntil
         && runner.answeredAt + m_options.answerAge >= now;
-    if (!isOpen || (runner.isKept && !step.isLasting))
+    if (!isOpen || runner.isSetAside || (runner.isKept && !step.isLasting))
         return false;
     const std::vector<std::string> &labels = runner.entry.labels;
     if (!step.requiredLabel.empty()
@@ -182,7 +183,7 @@
         && !isOver(use.accelerators, ceiling->accelerators);
 }
 
-Runner *Engine::pickRunner(const Candidate &candidate, TimePoint now)
+Runner *Engine::pickRunner(const Candidate &candidate, const Task &task, TimePoint now)
 {
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
     Runner *best = nullptr;
@@ -199,6 +200,8 @@
             score -= 2;
         if (disturbs(step, runner))
             score -= 1; // as much as all difference in fullness
+        if (id == task.avoidedRunner)
+            score -= 4; // more than all else
         if (score > bestScore) {
             best = &runner;
             bestScore = score;
@@ -217,7 +220,7 @@
             continue;
         if (!isWithinCeiling(job.team, spec.size))
             return;
-        Runner *runner = pickRunner(candidate, now);
+        Runner *runner = pickRunner(candidate, tasks[index], now);
         if (runner == nullptr) {
             if (spec.isLasting)
                 keepRunner(candidate, now);
@@ -242,8 +245,9 @@
     }
     std::vector<Runner *> picked;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        Runner *runner
-            = isWithinCeiling(job.team, spec.size) ? pickRunner(candidate, now) : nullptr;
+        Runner *runner = isWithinCeiling(job.team, spec.size)
+            ? pickRunner(candidate, tasks[index], now)
+            : nullptr;
         if (runner == nullptr)
             break;
         // Held while the others are picked.
@@ -275,6 +279,7 @@
     task.runner = runner.entry.id;
     task.startedAt = {};
     task.percent = 0;
+    task.progressedAt = {};
     task.figure = 0;
     task.missing = 0;
     addRun(runner, makeRun(job, name, run));
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -135,6 +135,8 @@
             note("runner.unlisted", {.job = next->first});
         runner.isListed = listed.contains(next->first);
         const bool isForgotten = !runner.isListed && runner.runs.empty();
+        if (isForgotten)
+            m_quarantine.forget(next->first);
         next = isForgotten ? m_runners.erase(next) : std::next(next);
     }
 }
@@ -153,6 +155,7 @@
 void Engine::onRebirth(Runner &runner, const RunnerReport &report, TimePoint sentAt)
 {
     note("runner.reborn", {.job = runner.entry.id});
+    m_quarantine.forget(runner.entry.id);
     m_advice.forgetRunner(runner.entry.id);
     std::set<RunKey> reported;
     for (const RunReport &entry : report.running)
@@ -234,7 +237,6 @@
             continue;
         }
         task->missing = 0;
-        task->percent = entry.percent;
         task->figure = entry.figure;
         if (!entry.checkpoint.empty())
             task->checkpoint = entry.checkpoint;
@@ -245,6 +247,7 @@
             task->runPhase = RunPhase::Running;
             task->startedAt = now;
         }
+        takeProgress(runner, run, find(entry.task), entry.percent, now);
         beginJob(entry.task.job);
     }
 }
@@ -305,6 +308,7 @@
     if (spot.task == nullptr || spot.task->phase == TaskPhase::Done)
         return;
     takeCheckpoint(spot, end);
+    judgeEnd(runner, spot, end, now);
     if (end.kind == EndKind::Done && !spot.spec->isLasting) {
         if (spot.task->run == end.run && spot.task->startedAt != TimePoint{}) {
             const std::chrono::duration<double, std::milli> took = now - spot.task->startedAt;
@@ -312,6 +316,7 @@
         }
         finishTask(end.task, spot);
     } else if (end.kind == EndKind::Failed) {
+        spot.task->avoidedRunner = runner.entry.id;
         failTask(end.task, spot, end.run);
     } else {
         freeTask(end.task, end.run);
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -59,9 +59,11 @@
 
     RunPhase runPhase = RunPhase::Ordered;
     std::uint32_t percent = 0; // of its processor share that it works at, or of its progress
+    TimePoint progressedAt{}; // when a report first showed this percentage
     std::uint32_t figure = 0; // the runner's measure of it, in the runner's unit
     std::uint32_t missing = 0; // reports in a row without it
     TimePoint startedAt{}; // when the start was answered
+    std::string avoidedRunner; // on which its last run failed or stood still
 };
 
 struct Step
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -59,6 +59,7 @@
     std::int64_t bornAt = 0; // of the life that reported last
     PaceControl pace; // of the tasks that fill
     bool isKept = false; // for a task that lasts and waits for room here
+    bool isSetAside = false; // fails, stalls or slows down what it runs, unlike its peers
     TimePoint evacuatedUntil{}; // its host is to go: it takes no new task before
     std::map<RunKey, Run> runs;
     Resources used; // by the runs
--- a/controller/workerquarantine.cpp
+++ b/jobs/workerquarantine.cpp
@@ -1,6 +1,6 @@
 // A job that fails everywhere raises the rate of all workers alike and condemns none of them; a
 // worker stands out only by failing much more often than its peers.
-#include "controller/workerquarantine.h"
+#include "jobs/workerquarantine.h"
 
 #include <algorithm>
 #include <cmath>
@@ -44,10 +44,10 @@
     std::vector<std::pair<double, std::string>> found;
     for (const auto &[host, counts] : m_hosts) {
         const Counts own = countsAt(counts, now);
-        if (own.starts < m_options.minStarts)
+        const double peerStarts = all.starts - own.starts;
+        if (own.starts < m_options.minStarts || peerStarts < m_options.minStarts)
             continue;
         const double rate = own.failures / own.starts;
-        const double peerStarts = std::max(1.0, all.starts - own.starts);
         const double peerRate = (all.failures - own.failures) / peerStarts;
         if (rate >= std::max(m_options.minRate, m_options.peerFactor * peerRate))
             found.emplace_back(-rate, host);
--- a/controller/workerquarantine.h
+++ b/jobs/workerquarantine.h
@@ -22,7 +22,7 @@
 public:
     struct Options
     {
-        double minStarts = 5; // before a worker is judged
+        double minStarts = 5; // of a worker and of its peers together, before it is judged
         double minRate = 0.5; // part of its starts that fail
         double peerFactor = 3; // times the rate of all other workers
         double maxPart = 0.1; // of the workers known, at least one
--- a/testing/standin/simulatedrunner.cpp
+++ b/testing/standin/simulatedrunner.cpp
@@ -135,16 +135,27 @@
     }
     jobs::RunnerReport report{.clock = clock(now), .bornAt = m_bornAt};
     for (const Running &run : m_runs) {
-        const bool isSettled = now >= run.begin + SettleTime;
         report.running.push_back({.task = run.start.task,
                                   .run = run.start.run,
-                                  .percent = run.lasts && !isSettled ? 0 : run.percent,
+                                  .percent = percentOf(run, now),
                                   .figure = tailOf(run)});
     }
     report.ends.assign(m_ends.begin(), m_ends.end());
     return report;
 }
 
+// Of its pace if it lasts, else of its progress.
+std::uint32_t SimulatedRunner::percentOf(const Running &run, TimePoint now) const
+{
+    if (run.lasts)
+        return now >= run.begin + SettleTime ? run.percent : 0;
+    const Duration length = run.endsAt - run.begin;
+    const Duration done = (m_isHanging ? m_hangingSince : now) - run.begin;
+    if (length <= Duration{})
+        return FullWork;
+    return std::uint32_t(std::clamp<std::int64_t>(FullWork * done / length, 0, FullWork));
+}
+
 void SimulatedRunner::end(const Running &run, jobs::EndKind kind, TimePoint now)
 {
     std::uint64_t &highest = m_highestRun[run.start.task];
--- a/testing/standin/simulatedrunner.h
+++ b/testing/standin/simulatedrunner.h
@@ -60,7 +60,11 @@
     // Fails all that it starts.
     void setFailing(bool isFailing) { m_isFailing = isFailing; }
     // What is running stands still.
-    void setHanging(bool isHanging) { m_isHanging = isHanging; }
+    void setHanging(bool isHanging, TimePoint now)
+    {
+        m_isHanging = isHanging;
+        m_hangingSince = now;
+    }
     bool hasEndsAfter(std::uint64_t number) const
     {
         return !m_ends.empty() && m_ends.back().number > number;
@@ -83,6 +87,7 @@
     };
 
     std::uint32_t tailOf(const Running &run) const;
+    std::uint32_t percentOf(const Running &run, TimePoint now) const;
     void end(const Running &run, jobs::EndKind kind, TimePoint now);
     Running makeRunning(const Start &start, TimePoint now) const;
 
@@ -98,6 +103,7 @@
     std::map<jobs::TaskName, std::uint64_t> m_highestRun; // stopped or ended here
     bool m_isFailing = false;
     bool m_isHanging = false;
+    TimePoint m_hangingSince{};
 };
 
 } // namespace sequoiapier
--- a/testing/unit/engine_test.cpp
+++ b/testing/unit/engine_test.cpp
@@ -368,6 +368,77 @@
     EXPECT_EQ(runningCount(pool.ledger(), "lasting"), 1U);
 }
 
+// amb-works, scale-1: two tasks stood still on a runner for five seconds and their job with them.
+TEST(Engine, TasksThatStandStillAreStartedElsewhere)
+{
+    EnginePool pool({});
+    pool.submit("a", job({step(6)}, R"({"runMs": 1000})"));
+    pool.run(milliseconds(300));
+    const std::string bad = pool.ledger().runsOf("a").front().runner;
+    pool.runner(std::stoi(bad.substr(2))).setHanging(true, pool.time().now());
+    EXPECT_LT(pool.runUntilEnded("a", Patience), milliseconds(3'200)); // notice, stop, run again
+    EXPECT_EQ(pool.phaseOf("a"), JobPhase::Completed);
+    EXPECT_NE(pool.trace().find("run.stalled"), std::string::npos);
+    EXPECT_EQ(pool.breaches(), "");
+}
+
+TEST(Engine, LongAndSlowTasksAreNotTakenForStalled)
+{
+    EnginePool pool({});
+    jobs::StepSpec slow = step(3);
+    slow.estimateMilliseconds = 5'000; // a fifth of the truth
+    pool.submit("a", job({slow}, R"({"runMs": 25000})"));
+    pool.runUntilEnded("a", Patience);
+    EXPECT_EQ(pool.phaseOf("a"), JobPhase::Completed);
+    EXPECT_EQ(pool.ledger().runsOf("a").size(), 3U);
+}
+
+// A runner whose tasks end at once looks free and would draw one task after another to it.
+TEST(Engine, RunnerThatFailsAllIsSetAsideAndTriedAgain)
+{
+    constexpr int Jobs = 60;
+    EnginePool pool({.runners = 4});
+    pool.run(seconds(1));
+    pool.runner(0).setFailing(true);
+    int completed = 0;
+    const auto submit = [&](const std::string &prefix) {
+        for (int i = 0; i < Jobs; ++i) {
+            pool.submit(prefix + std::to_string(i), job({step(4)}, R"({"runMs": 300})"));
+            pool.run(milliseconds(100));
+        }
+        pool.run(seconds(3));
+        for (int i = 0; i < Jobs; ++i)
+            completed += pool.phaseOf(prefix + std::to_string(i)) == JobPhase::Completed ? 1 : 0;
+    };
+    submit("a");
+    EXPECT_EQ(completed, Jobs);
+    EXPECT_NE(pool.trace().find("runner.set-aside"), std::string::npos);
+    pool.runner(0).setFailing(false);
+    pool.run(seconds(10));
+    const TimePoint healed = pool.time().now();
+    submit("b");
+    EXPECT_EQ(completed, 2 * Jobs);
+    const auto &runs = pool.ledger().runs();
+    EXPECT_TRUE(std::any_of(runs.begin(), runs.end(), [&](const RecordedRun &run) {
+        return run.runner == EnginePool::runnerId(0) && run.begin > healed;
+    }));
+    EXPECT_EQ(pool.breaches(), "");
+}
+
+TEST(Engine, HopelessJobsCondemnNoRunner)
+{
+    EnginePool pool({.runners = 4});
+    for (int i = 0; i < 60; ++i) {
+        pool.submit("a" + std::to_string(i), job({step(4)}, R"({"runMs": 100, "fail": true})"));
+        pool.submit("b" + std::to_string(i), job({step(4)}, R"({"runMs": 100})"));
+        pool.run(milliseconds(100));
+    }
+    pool.run(seconds(5));
+    for (int i = 0; i < 60; ++i)
+        EXPECT_EQ(pool.phaseOf("b" + std::to_string(i)), JobPhase::Completed) << i;
+    EXPECT_EQ(pool.trace().find("runner.set-aside"), std::string::npos);
+}
+
 TEST(Engine, LostStartIsResolvedByTheRunnersLists)
 {
     EnginePool pool({.runners = 1});
--- a/testing/unit/workerquarantine_test.cpp
+++ b/testing/unit/workerquarantine_test.cpp
@@ -1,4 +1,4 @@
-#include "controller/workerquarantine.h"
+#include "jobs/workerquarantine.h"
 
 #include <gtest/gtest.h>
 
