Keep hosts in pools that are in their turn; let tasks that last share runners

Later seven hosts stayed in a pool that needed two, since each of the tasks that last had been moved to whichever host was fullest. Change: a pool that needs all its hosts gives none up unless the wave is late; tasks that last prefer runners that hold such tasks.

--- a/fleet/fleetplanner.cpp
+++ b/fleet/fleetplanner.cpp
@@ -161,6 +161,10 @@
                 1U, std::uint32_t(options.maxPartOfPool * double(hostsOf(view, host->pool))));
             if (!isLate && out[host->pool] >= most)
                 continue;
+            // A pool in its turn needs all its hosts; they go when it is over.
+            const double staying = double(pool.runners) - begun[host->pool] - 1;
+            if (!pool.isStandby && !isLate && pool.needed > staying)
+                continue;
             // Tasks that must be apart would have no runner to go to, and the host would wait for
             // them while it could have taken them.
             if (!pool.isStandby
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -32,6 +32,12 @@
     });
 }
 
+bool hasLasting(const Runner &runner)
+{
+    return std::any_of(runner.runs.begin(), runner.runs.end(),
+                       [](const auto &item) { return item.second.isLasting; });
+}
+
 bool isReady(const Occurrence &occurrence, const StepSpec &step)
 {
     return std::all_of(step.after.begin(), step.after.end(),
@@ -200,6 +206,8 @@
             score -= 2;
         if (disturbs(step, runner))
             score -= 1; // as much as all difference in fullness
+        if (step.isLasting && hasLasting(runner))
+            score += 1; // fewer hosts that can't leave the pool
         if (id == task.avoidedRunner)
             score -= 4; // more than all else
         if (score > bestScore) {
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -52,6 +52,7 @@
     Run run{.task = task, .number = number, .room = step.room(), .charge = step.size};
     run.team = job.team;
     run.isFilling = step.isFilling;
+    run.isLasting = step.isLasting;
     run.targetMilliseconds = step.targetMilliseconds;
     return run;
 }
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -40,6 +40,7 @@
     Resources charge; // counted against the team's ceiling
     std::string team;
     bool isFilling = false; // takes what the others leave
+    bool isLasting = false; // keeps its runner's host in the pool
     std::uint32_t targetMilliseconds = 0; // of a task that serves, for its tail; 0: none
     std::uint32_t percent = 100; // that the runner was last told to let it work at
     TimePoint paceAgainAt{}; // not to be told again before
--- a/testing/unit/engine_test.cpp
+++ b/testing/unit/engine_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <set>
+
 namespace sequoiapier {
 namespace {
 
@@ -368,6 +370,34 @@
     EXPECT_EQ(runningCount(pool.ledger(), "lasting"), 1U);
 }
 
+// amb-works: tasks that last were moved to whichever host was fullest, and seven hosts that two
+// could have held stayed in the pool for the rest of the day.
+TEST(Engine, LastingTasksShareRunners)
+{
+    EnginePool pool({.runners = 4});
+    pool.submit("short", job({step(6)}, R"({"runMs": 2000})"));
+    pool.run(milliseconds(300));
+    const std::string full = pool.ledger().runsOf("short").front().runner;
+    jobs::JobSpec lasting = lastingJob(3, 1);
+    lasting.steps[0].maxPerRunner = 0;
+    lasting.steps[0].size.processors = 2;
+    pool.submit("a", lasting); // one fits beside the short tasks
+    pool.run(seconds(4));
+    std::set<std::string> runners;
+    for (const RecordedRun &run : pool.ledger().runsOf("a"))
+        runners.insert(run.runner);
+    EXPECT_EQ(runners.size(), 2U);
+    pool.engine().evacuate(full, pool.time().now() + seconds(10));
+    pool.run(seconds(6));
+    runners.clear();
+    for (const RecordedRun &run : pool.ledger().runsOf("a")) {
+        if (!run.end)
+            runners.insert(run.runner);
+    }
+    EXPECT_EQ(runners.size(), 1U);
+    EXPECT_EQ(pool.breaches(), "");
+}
+
 // amb-works, scale-1: two tasks stood still on a runner for five seconds and their job with them.
 TEST(Engine, TasksThatStandStillAreStartedElsewhere)
 {
--- a/testing/unit/fleetplanner_test.cpp
+++ b/testing/unit/fleetplanner_test.cpp
@@ -76,6 +76,19 @@
     EXPECT_LE(next.size(), 9U);
 }
 
+// amb-works, a calm day: in the first seconds of its turn a pool of 15 hosts that needed 30 gave
+// up 8.
+TEST(FleetPlanner, PoolInItsTurnKeepsItsHostsUnlessTheWaveIsLate)
+{
+    Fleet fleet;
+    fleet.add("vanload", 8, false);
+    fleet.pools["vanload"].needed = 12;
+    EXPECT_TRUE(maintenance(fleet, fleet.waveOfAll(9, seconds(40))).empty());
+    EXPECT_FALSE(maintenance(fleet, fleet.waveOfAll(9, seconds(9))).empty());
+    fleet.pools["vanload"].needed = 5;
+    EXPECT_EQ(maintenance(fleet, fleet.waveOfAll(9, seconds(40))).size(), 2U);
+}
+
 TEST(FleetPlanner, HostsThatAreOffGoWithinTheBoundWithoutHurry)
 {
     Fleet fleet;
