--- a/cli/crashtrace.cpp
+++ b/cli/crashtrace.cpp
@@ -60,6 +60,7 @@
     }
     line.append("\"}\n");
     line.write();
+    raise(signal); // its action is the default again
 }
 
 } // namespace
@@ -72,7 +73,7 @@
     {
     };
     action.sa_handler = report;
-    action.sa_flags = int(SA_RESETHAND | SA_NODEFER); // the signal comes again and ends the process
+    action.sa_flags = int(SA_RESETHAND | SA_NODEFER);
     for (const int signal : {SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT})
         sigaction(signal, &action, nullptr);
 }
--- /dev/null
+++ b/testing/unit/crashtrace_test.cpp
@@ -0,0 +1,23 @@
+#include "cli/crashtrace.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <csignal>
+
+namespace sequoiapier {
+namespace {
+
+TEST(CrashTrace, TellsTheStackAndEndsByTheSignal)
+{
+    const auto crash = [] {
+        dup2(STDERR_FILENO, STDOUT_FILENO); // where the test looks
+        installCrashTrace();
+        raise(SIGSEGV);
+    };
+    EXPECT_EXIT(crash(), testing::KilledBySignal(SIGSEGV),
+                "\"process.crashed\",\"signal\":\"11\",\"stack\":\"0x");
+}
+
+} // namespace
+} // namespace sequoiapier
