--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -4,11 +4,12 @@
 //               [](HttpAnswer answer) { ... });
 //
 // Each call has a connection of its own while it runs. Idle connections are kept per endpoint for
-// idleSeconds, or as long as they may serve a call that needs a proved one; one vhost ("lane") of libwebsockets stands for each, because the library would
-// otherwise queue calls to one endpoint behind each other. The callback is called exactly once, by
-// the deadline. NotSent is reported only if no byte can have left. An answer is whole only by its
-// content-length or its last chunk; one that ends with its connection alone is Lost. Bytes that
-// arrived on an idle connection belong to no call: the next one is sent on a fresh connection.
+// idleSeconds, or as long as they may serve a call that needs a proved one; one vhost ("lane") of
+// libwebsockets stands for each, because the library would otherwise queue calls to one endpoint
+// behind each other. The callback is called exactly once, by the deadline. NotSent is reported only
+// if no byte can have left. An answer is whole only by its content-length or its last chunk; one
+// that ends with its connection alone is Lost. Bytes that arrived on an idle connection belong to
+// no call: the next one is sent on a fresh connection.
 #pragma once
 
 #include "net/httpcall.h"
