Serving tasks don't draw filling ones to their runners

Cause: the preference of tasks that last for each other's runners made up for what keeps tasks that fill apart from those that serve; Pace.FillingTaskAvoidsRunnersWithServingOnes failed in the whole run. Change: the preference holds only where neither disturbs the other.

--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -206,7 +206,7 @@
             score -= 2;
         if (disturbs(step, runner))
             score -= 1; // as much as all difference in fullness
-        if (step.isLasting && hasLasting(runner))
+        else if (step.isLasting && hasLasting(runner))
             score += 1; // fewer hosts that can't leave the pool
         if (id == task.avoidedRunner)
             score -= 4; // more than all else
