Answer a caller by its deadline also where the pool is owned by its own node

Change: such a call ends at its deadline like one sent to another node, as unknown, since the pool may still store it. Ruled out: an answer that says not run, which would be untrue once the store is back.

--- a/node/jobrelay.cpp
+++ b/node/jobrelay.cpp
@@ -29,6 +29,7 @@
     TimePoint deadline;
     Answer answer;
     bool mayBeTaken = false;
+    bool isHeldHere = false; // by this node's own pool, which answers once the store has it
     bool isFinished = false;
     std::unique_ptr<Timer> retryTimer;
 };
@@ -58,7 +59,10 @@
 void JobRelay::attempt(const CallPtr &call)
 {
     const TimePoint now = BootClock::now();
+    if (call->isFinished)
+        return;
     if (now >= call->deadline) {
+        call->mayBeTaken = call->mayBeTaken || call->isHeldHere;
         api::JobReply reply;
         reply.code
             = std::int32_t(call->mayBeTaken ? ResultCode::OutcomeUnknown : ResultCode::NoUpstream);
@@ -72,6 +76,9 @@
     }
     call->call.remainingMicroseconds = (call->deadline - now).count();
     if (owner->port == 0) {
+        // The store may be away for longer than the caller waits.
+        call->isHeldHere = true;
+        call->retryTimer->startAt(call->deadline);
         m_hooks.handleHere(
             call->call, [this, call](const api::JobReply &reply) { onReply(call, &reply, false); });
         return;
@@ -86,6 +93,7 @@
 {
     if (call->isFinished)
         return;
+    call->isHeldHere = false;
     const bool isUnknown
         = reply != nullptr ? reply->code == std::int32_t(ResultCode::OutcomeUnknown) : isSent;
     call->mayBeTaken = call->mayBeTaken || isUnknown;
