--- a/testing/unit/ownership_test.cpp
+++ b/testing/unit/ownership_test.cpp
@@ -305,6 +305,7 @@
     runUntilOwned(world, ManyLenders, FewResources);
     world.run(seconds(20));
     std::vector<std::uint64_t> incarnations; // grow if a member is declared dead
+    incarnations.reserve(ManyLenders);
     for (int i = 0; i < ManyLenders; ++i)
         incarnations.push_back(world.lender(i).ownership->self().incarnation);
     const std::uint64_t before = world.table().commitCount();
