Call what is there: one timer, one request, one place for a task that ended well

Read again as a whole. Work in the wrong place: names of all members copied for each resource, the resources copied at each scan, the hosts of a pool counted for each due host, each host of a wave sought in the whole list. Behaviour is as it was; no test has changed. Ruled out: fits() for Resources::fitsInto(), which differ by a tolerance.

--- a/bench/node_bench.cpp
+++ b/bench/node_bench.cpp
@@ -1,13 +1,11 @@
 // What control costs a node: processor time and resident memory of the gateway, the scheduler and
 // the controller of one entry host, without callers, while NodeCount hosts run the system.
+#include "bench/support/processuse.h"
 #include "bench/support/report.h"
 #include "testing/support/localsystem.h"
 
-#include <unistd.h>
-
 #include <array>
 #include <cstdio>
-#include <fstream>
 #include <string>
 #include <thread>
 
@@ -33,29 +31,6 @@
     {"9 nodes, 28 services, 100 teams", 9, 28, 100},
 }};
 
-struct ProcessUse
-{
-    double processorSeconds = 0;
-    double residentMegabytes = 0;
-};
-
-ProcessUse processUse(pid_t pid)
-{
-    const std::string directory = "/proc/" + std::to_string(pid);
-    std::ifstream stat(directory + "/stat");
-    std::string field;
-    double ticks = 0;
-    constexpr int UserTimeField = 14; // of proc(5), counted from 1; system time follows
-    for (int i = 1; i <= UserTimeField + 1 && stat >> field; ++i)
-        ticks += i >= UserTimeField ? std::stod(field) : 0;
-    std::ifstream memory(directory + "/statm");
-    double totalPages = 0;
-    double residentPages = 0;
-    memory >> totalPages >> residentPages;
-    return {ticks / double(sysconf(_SC_CLK_TCK)),
-            residentPages * double(sysconf(_SC_PAGESIZE)) / 1e6};
-}
-
 std::string nameOf(const char *role, unsigned node)
 {
     return std::string(role) + "-" + std::to_string(node);
--- a/bench/platform_bench.cpp
+++ b/bench/platform_bench.cpp
@@ -1,16 +1,15 @@
 // What a task costs the node that owns its pool: processor time for all that a task takes (caller's
 // calls, store, start, lease, end, log), with the users' platform as stand-in on loopback. One node
 // owns everything, so that its figure is the owner's and the callers' entry together.
+#include "bench/support/processuse.h"
 #include "bench/support/report.h"
 #include "testing/support/localsystem.h"
 
 #include <nlohmann/json.hpp>
-#include <unistd.h>
 
 #include <array>
 #include <chrono>
 #include <cstdio>
-#include <fstream>
 #include <string>
 #include <thread>
 
@@ -35,31 +34,6 @@
 constexpr int MeasuredSeconds = 8;
 constexpr int RunMilliseconds = 1'000; // of a task
 
-double processorSeconds(pid_t pid)
-{
-    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-    std::string field;
-    double ticks = 0;
-    constexpr int UserTimeField = 14; // of proc(5), counted from 1; system time follows
-    for (int i = 1; i <= UserTimeField + 1 && stat >> field; ++i)
-        ticks += i >= UserTimeField ? std::stod(field) : 0;
-    return ticks / double(sysconf(_SC_CLK_TCK));
-}
-
-void configure(const LocalSystem &system)
-{
-    const json route{{"name", "quotes"},  {"host", "127.0.0.1"}, {"prefix", "/quotes/"},
-                     {"service", "pool"}, {"max_attempts", 3},   {"stretch", 1.6},
-                     {"slo_ms", 600},     {"public", false}};
-    const json services{{{"name", "pool"}}, {{"name", "spare"}, {"standby", true}}};
-    const json team{{"name", "drivers"}, {"api_keys", {"good-key"}}};
-    const json configuration{{"version", 1},
-                             {"routes", json::array({route})},
-                             {"services", services},
-                             {"tenants", json::array({team})}};
-    system.writeOperatorRow("config", configuration.dump());
-}
-
 HttpRequest submission(int number, int tasks)
 {
     char id[17];
@@ -76,16 +50,17 @@
 bool measure(Report &report, const Load &load)
 {
     LocalSystem system("platform-bench");
-    const std::string pools = "pool:" + std::to_string(load.runners) + ",spare:1";
+    const std::string pools = "vanload:" + std::to_string(load.runners) + ",sundries:1";
     if (!system.startPlatform(pools, load.runners + 1, 64))
         return false;
-    configure(system);
+    if (!system.configureOneQueue())
+        return false;
     if (!system.startNode("node-1") || !system.waitReady("node-1"))
         return false;
     std::this_thread::sleep_for(std::chrono::seconds(2)); // the pool is taken, runners are asked
     const Member &node = system.member("node-1");
     const auto begin = std::chrono::steady_clock::now();
-    const double before = processorSeconds(node.process.pid());
+    const double before = processUse(node.process.pid()).processorSeconds;
     const int jobs = load.jobsPerSecond * MeasuredSeconds;
     int accepted = 0;
     for (int i = 0; i < jobs; ++i) {
@@ -93,7 +68,7 @@
         accepted += system.call(node.workPort, submission(i, load.tasks)).response.status == 200;
     }
     std::this_thread::sleep_until(begin + std::chrono::seconds(MeasuredSeconds + 2));
-    const double used = processorSeconds(node.process.pid()) - before;
+    const double used = processUse(node.process.pid()).processorSeconds - before;
     const double tasks = double(accepted) * load.tasks;
     report.add(load.label,
                {{"accepted", double(accepted)},
--- a/fleet/fleetplanner.cpp
+++ b/fleet/fleetplanner.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
 #include <tuple>
 
 namespace sequoiapier {
@@ -54,10 +55,12 @@
     return underWay;
 }
 
-std::size_t hostsOf(const FleetView &view, const std::string &pool)
+std::map<std::string, std::uint32_t> hostsByPool(const FleetView &view)
 {
-    return std::size_t(std::count_if(view.hosts.begin(), view.hosts.end(),
-                                     [&](const FleetHost &host) { return host.pool == pool; }));
+    std::map<std::string, std::uint32_t> counts;
+    for (const FleetHost &host : view.hosts)
+        ++counts[host.pool];
+    return counts;
 }
 
 // Hosts of each pool that are on errands.
@@ -122,11 +125,12 @@
 
 std::vector<std::string> remainingHosts(const WaveState &wave, std::span<const FleetHost> hosts)
 {
+    std::set<std::string_view> names;
+    for (const FleetHost &host : hosts)
+        names.insert(host.name);
     std::vector<std::string> remaining;
     for (const std::string &name : wave.order.hosts) {
-        const bool isThere = std::any_of(hosts.begin(), hosts.end(),
-                                         [&](const FleetHost &h) { return h.name == name; });
-        if (isThere && !wave.begun.contains(name))
+        if (names.contains(name) && !wave.begun.contains(name))
             remaining.push_back(name);
     }
     return remaining;
@@ -137,6 +141,7 @@
                                         const MaintenanceOptions &options, TimePoint now)
 {
     std::vector<HostErrand> next;
+    const std::map<std::string, std::uint32_t> hosts = hostsByPool(view);
     std::map<std::string, std::uint32_t> out = hostsOnErrands(view);
     std::map<std::string, std::uint32_t> begun; // by pool, now
     for (const auto &[key, state] : waves) {
@@ -157,8 +162,8 @@
             if (free == 0)
                 break;
             const FleetPool &pool = *findPool(view, host->pool);
-            const auto most = std::max(
-                1U, std::uint32_t(options.maxPartOfPool * double(hostsOf(view, host->pool))));
+            const auto most
+                = std::max(1U, std::uint32_t(options.maxPartOfPool * double(hosts.at(host->pool))));
             if (!isLate && out[host->pool] >= most)
                 continue;
             // A pool in its turn needs all its hosts; they go when it is over.
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -272,7 +272,7 @@
     void takeProgress(Runner &runner, Run &run, const Spot &spot, std::uint32_t percent,
                       TimePoint now);
     Duration stallTime(const Spot &spot) const;
-    void judgeEnd(const Runner &runner, const Spot &spot, const RunEnd &end, TimePoint now);
+    void learn(const Runner &runner, const Spot &spot, std::uint64_t run, TimePoint now);
     void judgeRunners(TimePoint now);
     bool isResolvedBy(const Run &run, const Task *task, TimePoint sentAt) const;
     void takeCheckpoint(const Spot &spot, const RunEnd &end);
--- a/jobs/enginedemand.cpp
+++ b/jobs/enginedemand.cpp
@@ -59,10 +59,7 @@
     Resources lasting; // part of `use`
     for (const auto &[id, runner] : m_runners) {
         use += runner.used;
-        // The list names a runner for seconds after its host was moved away.
-        const bool isOpen = runner.isListed && !runner.entry.isDraining
-            && now >= runner.evacuatedUntil && runner.missedCalls == 0 && !runner.isSetAside;
-        if (!isOpen)
+        if (!runner.isOpen(now))
             continue;
         ++demand.runners;
         if (runner.runs.empty() && runner.isFenced)
--- a/jobs/engineevacuation.cpp
+++ b/jobs/engineevacuation.cpp
@@ -10,12 +10,6 @@
 
 namespace sequoiapier::jobs {
 
-namespace {
-
-constexpr std::uint32_t FullWork = 100; // percent
-
-} // namespace
-
 void Engine::evacuate(const std::string &id, TimePoint until)
 {
     const auto found = m_runners.find(id);
--- a/jobs/enginehealth.cpp
+++ b/jobs/enginehealth.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::uint32_t FullWork = 100; // percent
 constexpr Duration JudgeInterval = std::chrono::milliseconds(100);
 // Times its queue's mean that a slow task takes: one far from its data takes two or three.
 constexpr double SlowFactor = 4;
@@ -61,19 +60,19 @@
         m_quarantine.record(runner.entry.id, true, now);
 }
 
-// A failure counts once the task has ended well elsewhere: hopeless ones never do. Tasks that last
-// may end at any time by themselves.
-void Engine::judgeEnd(const Runner &runner, const Spot &spot, const RunEnd &end, TimePoint now)
+// From a task that ended well: how long its queue's tasks run, and how its runners do. A failure
+// counts only now, as hopeless tasks fail everywhere.
+void Engine::learn(const Runner &runner, const Spot &spot, std::uint64_t run, TimePoint now)
 {
-    if (end.kind != EndKind::Done || spot.spec->isLasting)
-        return;
     const Task &task = *spot.task;
+    const std::string &queue = spot.entry->job.queue;
     if (task.avoidedRunner != runner.entry.id && m_runners.contains(task.avoidedRunner))
         m_quarantine.record(task.avoidedRunner, true, now);
     bool isSlow = false;
-    if (task.run == end.run && task.startedAt != TimePoint{}) {
+    if (task.run == run && task.startedAt != TimePoint{}) {
         const std::chrono::duration<double, std::milli> took = now - task.startedAt;
-        isSlow = took.count() > SlowFactor * m_order.runTime(spot.entry->job.queue, *spot.spec);
+        isSlow = took.count() > SlowFactor * m_order.runTime(queue, *spot.spec);
+        m_order.learn(queue, took.count());
     }
     m_quarantine.record(runner.entry.id, isSlow, now);
 }
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -136,10 +136,9 @@
 bool Engine::isFitFor(const Runner &runner, const Candidate &candidate, TimePoint now) const
 {
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
-    const bool isOpen = runner.isListed && runner.isFenced && !runner.entry.isDraining
-        && now >= runner.evacuatedUntil && runner.missedCalls == 0 && now >= runner.avoidUntil
+    const bool isReachable = runner.isFenced && now >= runner.avoidUntil
         && runner.answeredAt + m_options.answerAge >= now;
-    if (!isOpen || runner.isSetAside || (runner.isKept && !step.isLasting))
+    if (!runner.isOpen(now) || !isReachable || (runner.isKept && !step.isLasting))
         return false;
     const std::vector<std::string> &labels = runner.entry.labels;
     if (!step.requiredLabel.empty()
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -309,12 +309,8 @@
     if (spot.task == nullptr || spot.task->phase == TaskPhase::Done)
         return;
     takeCheckpoint(spot, end);
-    judgeEnd(runner, spot, end, now);
     if (end.kind == EndKind::Done && !spot.spec->isLasting) {
-        if (spot.task->run == end.run && spot.task->startedAt != TimePoint{}) {
-            const std::chrono::duration<double, std::milli> took = now - spot.task->startedAt;
-            m_order.learn(spot.entry->job.queue, took.count());
-        }
+        learn(runner, spot, end.run, now);
         finishTask(end.task, spot);
     } else if (end.kind == EndKind::Failed) {
         spot.task->avoidedRunner = runner.entry.id;
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -41,6 +41,8 @@
     Done,
 };
 
+inline constexpr std::uint32_t FullWork = 100; // percent, of a task's share or of its progress
+
 // What this process knows of a placed run. Not kept in the store.
 enum class RunPhase : std::uint8_t {
     Ordered, // its start waits for the commit or for the answer
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -74,6 +74,13 @@
     // Ends that the runner may forget. After a missed call another life may answer, whose ends have
     // the same numbers.
     std::uint64_t seenEnds() const { return missedCalls == 0 ? durableEnds : 0; }
+    // Whether it counts as a place for tasks, however full it is. The list names a runner for
+    // seconds after its host was moved away; such a one misses calls.
+    bool isOpen(TimePoint now) const
+    {
+        return isListed && !entry.isDraining && now >= evacuatedUntil && missedCalls == 0
+            && !isSetAside;
+    }
     Resources room() const
     {
         Resources room = entry.capacity;
--- a/net/httpcall.h
+++ b/net/httpcall.h
@@ -42,6 +42,8 @@
     HttpOutcome outcome = HttpOutcome::NotSent;
     bool timedOut = false;
     HttpResponse response{.status = 0}; // complete only if Answered
+
+    bool isOk() const { return outcome == HttpOutcome::Answered && response.status == StatusOk; }
 };
 
 using HttpCallback = std::function<void(HttpAnswer)>;
--- a/net/httpmessage.h
+++ b/net/httpmessage.h
@@ -33,9 +33,11 @@
     std::string body;
 };
 
+inline constexpr int StatusOk = 200;
+
 struct HttpResponse
 {
-    int status = 200;
+    int status = StatusOk;
     std::vector<HttpHeader> headers;
     std::string body;
 };
--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -1,5 +1,7 @@
 #include "net/loop.h"
 
+#include "net/timer.h"
+
 #include <libwebsockets.h>
 #include <sys/resource.h>
 
@@ -39,27 +41,23 @@
 // late by the threshold tells of a pause before any event of that turn is handled.
 struct Loop::Heartbeat
 {
-    lws_sorted_usec_list_t list{};
-    Loop *loop = nullptr;
-    TimePoint due;
-    std::optional<DueTimes::Handle> handle;
+    explicit Heartbeat(Loop &loop)
+        : timer(loop, [&loop] { loop.onHeartbeat(); })
+    { }
 
     void start()
     {
         due = BootClock::now() + HeartbeatInterval;
-        if (handle)
-            loop->m_dueTimes.remove(*handle);
-        handle = loop->m_dueTimes.add(due);
-        const auto fire = [](lws_sorted_usec_list_t *list) {
-            reinterpret_cast<Heartbeat *>(list)->loop->onHeartbeat();
-        };
-        lws_sul_schedule(loop->m_context, 0, &list, fire, HeartbeatInterval.count());
+        timer.startAt(due);
     }
+
+    Timer timer;
+    TimePoint due;
 };
 
 Loop::Loop(Options options)
     : m_options(options)
-    , m_heartbeat(std::make_unique<Heartbeat>())
+    , m_heartbeat(std::make_unique<Heartbeat>(*this))
 {
     lws_set_log_level(0, nullptr);
     lws_context_creation_info info{};
@@ -74,7 +72,6 @@
     info.pt_serv_buf_size = 16 * 1024;
     m_context = lws_create_context(&info);
     std::signal(SIGPIPE, SIG_IGN);
-    m_heartbeat->loop = this;
     m_heartbeat->start();
 }
 
@@ -90,7 +87,7 @@
 
 Loop::~Loop()
 {
-    lws_sul_cancel(&m_heartbeat->list);
+    m_heartbeat.reset();
     signalContext = nullptr;
     lws_context_destroy(m_context);
 }
--- a/sequoiapier/ownership.cpp
+++ b/sequoiapier/ownership.cpp
@@ -297,18 +297,17 @@
 {
     std::vector<OwnerCandidate> members;
     const TimePoint now = m_hooks.now();
-    for (const auto &[key, entry] : m_members.entries()) {
-        const MemberId &member = key;
+    std::map<MemberId, std::size_t> owned;
+    for (const auto &[resource, owner] : m_owners)
+        owned[owner.row.owner] += isConfigured(resource) ? 1 : 0;
+    for (const auto &[member, entry] : m_members.entries()) {
         const bool isSelf = member == m_options.self;
         const bool isAlive
             = m_members.isAlive(member, now) && !isEarlierSelf(member) && !entry.row.isLeaving;
         if (!(isSelf ? !m_isLeaving : isAlive))
             continue;
-        const auto owned = std::count_if(m_owners.begin(), m_owners.end(), [&](const auto &item) {
-            return item.second.row.owner == member && isConfigured(item.first);
-        });
         const bool isWatching = isSelf ? m_isWatching : entry.row.terms == 1;
-        members.push_back({member.name, entry.row.capacity, std::size_t(owned), isWatching});
+        members.push_back({member.name, entry.row.capacity, owned[member], isWatching});
     }
     return members;
 }
@@ -323,29 +322,34 @@
     return latest;
 }
 
-// The member that rendezvous hashing names for `resource`; none without members.
-MemberId Ownership::pick(const std::string &resource, std::span<const OwnerCandidate> members) const
+// The member that rendezvous hashing names for `resource`; none without names.
+MemberId Ownership::pick(const std::string &resource, std::span<const std::string> names) const
 {
-    std::vector<std::string> names;
-    names.reserve(members.size());
-    for (const OwnerCandidate &member : members)
-        names.push_back(member.name);
     return names.empty() ? MemberId() : latestLife(names[rendezvousPick(resource, names)]);
 }
 
+// Index of the resource's owner; members.size() if it has none among them.
+std::size_t Ownership::ownerIndex(const std::string &resource,
+                                  std::span<const OwnerCandidate> members) const
+{
+    const OwnerRow *row = ownerOf(resource);
+    if (row == nullptr || row->owner != latestLife(row->owner.name))
+        return members.size();
+    const auto owner = std::find_if(members.begin(), members.end(), [&](const auto &member) {
+        return member.name == row->owner.name;
+    });
+    return std::size_t(owner - members.begin());
+}
+
 // Whether this member is an owner or an heir. Of resources that are not sticky any one may be next.
 bool Ownership::isToWatch(const std::vector<OwnerCandidate> &members) const
 {
     if (!m_options.isSticky || m_isLeaving || m_resources.empty())
         return true;
     std::vector<std::size_t> owners;
-    for (const std::string &resource : m_resources) {
-        const OwnerRow *row = ownerOf(resource);
-        const auto owner = std::find_if(members.begin(), members.end(), [&](const auto &member) {
-            return row != nullptr && row->owner == latestLife(member.name);
-        });
-        owners.push_back(std::size_t(owner - members.begin()));
-    }
+    owners.reserve(m_resources.size());
+    for (const std::string &resource : m_resources)
+        owners.push_back(ownerIndex(resource, members));
     const std::vector<std::size_t> watching = watchers(m_resources, owners, members);
     return std::any_of(watching.begin(), watching.end(), [&](std::size_t index) {
         return members[index].name == m_options.self.name;
@@ -361,27 +365,21 @@
     }
 }
 
-// Who is to own `resource`, whose load is counted in `members` from then on.
+// Who is to own a sticky resource, whose load is counted in `members` from then on.
 MemberId Ownership::chooseOwner(const std::string &resource,
                                 std::vector<OwnerCandidate> &members) const
 {
-    if (!m_options.isSticky)
-        return pick(resource, members);
-    const OwnerRow *row = ownerOf(resource);
-    const auto owner = std::find_if(members.begin(), members.end(), [&](const auto &member) {
-        return row != nullptr && row->owner == latestLife(member.name);
-    });
-    const bool isMine = row != nullptr && row->owner == m_options.self;
-    if (owner != members.end() && !isMine)
-        return row->owner; // its own to hand over
+    const std::size_t owner = ownerIndex(resource, members);
+    const bool isOwned = owner != members.size();
+    if (isOwned && ownerOf(resource)->owner != m_options.self)
+        return ownerOf(resource)->owner; // its own to hand over
     const std::size_t next = leastLoaded(resource, members);
     if (next == members.size())
         return {};
-    if (owner != members.end()) {
-        const bool isItsTurn = mostLoaded(members) == std::size_t(owner - members.begin());
-        if (!isItsTurn || !isWorthHandingOver(*owner, members[next]))
-            return row->owner;
-        --owner->owned;
+    if (isOwned) {
+        if (mostLoaded(members) != owner || !isWorthHandingOver(members[owner], members[next]))
+            return m_options.self;
+        --members[owner].owned;
     }
     ++members[next].owned;
     return latestLife(members[next].name);
@@ -400,17 +398,23 @@
     // others.
     if (std::any_of(members.begin(), members.end(), [](const auto &m) { return m.isWatching; }))
         std::erase_if(members, [](const auto &member) { return !member.isWatching; });
+    std::vector<std::string> names;
+    names.reserve(members.size());
+    for (const OwnerCandidate &member : members)
+        names.push_back(member.name);
     Commit commit;
     for (const auto &[member, entry] : m_members.entries()) {
         const std::string key = lenderKey(member);
         const bool isDead = member != m_options.self && !m_members.isAlive(member, m_hooks.now());
-        if (isEarlierSelf(member) || (isDead && pick(key, members) == m_options.self))
+        if (isEarlierSelf(member) || (isDead && pick(key, names) == m_options.self))
             commit.writes.push_back({key, std::nullopt, entry.version});
     }
-    const std::vector<std::string> lastFirst(m_resources.rbegin(), m_resources.rend());
-    for (const std::string &resource : lastFirst) {
-        if (commit.writes.size() < MaxWritesPerCommit)
-            planResource(resource, chooseOwner(resource, members), commit);
+    for (std::size_t i = m_resources.size();
+         i-- > 0 && commit.writes.size() < MaxWritesPerCommit;) {
+        const std::string &resource = m_resources[i];
+        const MemberId next
+            = m_options.isSticky ? chooseOwner(resource, members) : pick(resource, names);
+        planResource(resource, next, commit);
     }
     if (m_isLeaving && commit.writes.empty()) {
         giveUp([](const std::string &, std::uint64_t) { return true; });
--- a/sequoiapier/ownership.h
+++ b/sequoiapier/ownership.h
@@ -125,7 +125,9 @@
 
     bool isEarlierSelf(const MemberId &member) const;
     std::vector<OwnerCandidate> candidates() const;
-    MemberId pick(const std::string &resource, std::span<const OwnerCandidate> members) const;
+    MemberId pick(const std::string &resource, std::span<const std::string> names) const;
+    std::size_t ownerIndex(const std::string &resource,
+                           std::span<const OwnerCandidate> members) const;
     MemberId latestLife(const std::string &name) const;
     void plan();
     void planResource(const std::string &resource, const MemberId &next, Commit &commit);
--- a/testing/support/demo.cpp
+++ b/testing/support/demo.cpp
@@ -64,24 +64,10 @@
     return nlohmann::json::parse(answer.response.body, nullptr, false).value("state", "");
 }
 
-void configurePlatform(LocalSystem &system)
-{
-    const nlohmann::json route{
-        {"name", "quotes"},  {"host", "127.0.0.1"}, {"prefix", "/quotes/"}, {"service", "vanload"},
-        {"max_attempts", 3}, {"stretch", 1.6},      {"slo_ms", 600},        {"public", false}};
-    const nlohmann::json services{{{"name", "vanload"}}, {{"name", "sundries"}, {"standby", true}}};
-    const nlohmann::json team{{"name", "drivers"}, {"api_keys", {"good-key"}}};
-    const nlohmann::json configuration{{"version", 1},
-                                       {"routes", nlohmann::json::array({route})},
-                                       {"services", services},
-                                       {"tenants", nlohmann::json::array({team})}};
-    check(system.writeOperatorRow("config", configuration.dump()) == 200, "operator's row");
-}
-
 void runPlatformDemo(LocalSystem &system)
 {
     check(system.startPlatform("vanload:3,sundries:1", 4), "stand-in of the platform");
-    configurePlatform(system);
+    check(system.configureOneQueue(), "operator's row");
     for (const char *name : {"node-1", "node-2", "node-3"})
         check(system.startNode(name) && system.waitReady(name), std::string(name) + " is ready");
     const std::string path = "/quotes/5c0e7a21d94b36f8";
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -140,6 +140,21 @@
         .response.status;
 }
 
+bool LocalSystem::configureOneQueue() const
+{
+    using nlohmann::json;
+    const json route{{"name", "quotes"},     {"host", Loopback},  {"prefix", "/quotes/"},
+                     {"service", "vanload"}, {"max_attempts", 3}, {"stretch", 1.6},
+                     {"slo_ms", 600},        {"public", false}};
+    const json services{{{"name", "vanload"}}, {{"name", "sundries"}, {"standby", true}}};
+    const json team{{"name", "drivers"}, {"api_keys", {"good-key"}}};
+    const json configuration{{"version", 1},
+                             {"routes", json::array({route})},
+                             {"services", services},
+                             {"tenants", json::array({team})}};
+    return writeOperatorRow("config", configuration.dump()) == 200;
+}
+
 bool LocalSystem::startNode(const std::string &name)
 {
     const std::uint16_t peerPort = freePort();
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -53,6 +53,9 @@
     bool startPlatform(const std::string &pools, int hosts, int processors = 8);
     // Writes a row of the platform's operator; returns the status.
     int writeOperatorRow(const std::string &key, const std::string &json) const;
+    // The queue "/quotes/" on the pool "vanload", beside the spare pool "sundries", and a team with
+    // the key "good-key".
+    bool configureOneQueue() const;
     // A node on that platform.
     bool startNode(const std::string &name);
 
