--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -248,7 +248,11 @@
 
     Spot find(const TaskName &name);
     Spot find(const TaskName &name) const { return const_cast<Engine *>(this)->find(name); }
-    Task *currentTask(const TaskName &name, std::uint64_t run);
+    static Task *currentTask(const Spot &spot, std::uint64_t run);
+    Task *currentTask(const TaskName &name, std::uint64_t run)
+    {
+        return currentTask(find(name), run);
+    }
     void markDirty(Entry &entry);
     void note(std::string_view event, const TaskName &task, std::string_view detail = {}) const;
     const QueueConfig *queueOf(const Job &job) const;
@@ -277,7 +281,7 @@
     bool isResolvedBy(const Run &run, const Task *task, TimePoint sentAt) const;
     void takeCheckpoint(const Spot &spot, const RunEnd &end);
     void finishTask(const TaskName &name, const Spot &spot);
-    void beginJob(const std::string &id);
+    void beginJob(Entry &entry);
     void finishStep(Entry &entry, std::uint32_t occurrence);
     void endJob(Entry &entry, JobPhase phase);
     void failTask(const TaskName &name, const Spot &spot, std::uint64_t run);
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -37,9 +37,8 @@
 }
 
 // The task whose placed run is `run`; nullptr if that run is not the task's any more.
-Task *Engine::currentTask(const TaskName &name, std::uint64_t run)
+Task *Engine::currentTask(const Spot &spot, std::uint64_t run)
 {
-    const Spot spot = find(name);
     const bool isCurrent
         = spot.task != nullptr && spot.task->phase == TaskPhase::Placed && spot.task->run == run;
     return isCurrent ? spot.task : nullptr;
@@ -228,7 +227,8 @@
 {
     for (const RunReport &entry : report.running) {
         const RunKey key(entry.task, entry.run);
-        Task *task = currentTask(entry.task, entry.run);
+        const Spot spot = find(entry.task);
+        Task *task = currentTask(spot, entry.run);
         if (task == nullptr || task->runner != runner.entry.id) {
             if (!runner.runs.contains(key)) {
                 note("run.stray", entry.task, runner.entry.id);
@@ -248,14 +248,13 @@
             task->runPhase = RunPhase::Running;
             task->startedAt = now;
         }
-        takeProgress(runner, run, find(entry.task), entry.percent, now);
-        beginJob(entry.task.job);
+        takeProgress(runner, run, spot, entry.percent, now);
+        beginJob(*spot.entry);
     }
 }
 
-void Engine::beginJob(const std::string &id)
+void Engine::beginJob(Entry &entry)
 {
-    Entry &entry = m_jobs.find(id)->second;
     if (entry.job.phase != JobPhase::Queued)
         return;
     entry.job.phase = JobPhase::Running;
@@ -404,7 +403,7 @@
         if (isOrdered) {
             task->runPhase = RunPhase::Running;
             task->startedAt = now;
-            beginJob(start.task.job);
+            beginJob(m_jobs.find(start.task.job)->second);
         }
         return;
     case StartOutcome::Unanswered:
