--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -69,6 +69,9 @@
     std::string payload;
     std::string checkpoint;
     std::string ticket;
+    TimePoint placedAt{};
+    TimePoint sentAt{};
+    TimePoint listedAt{}; // the live list in use when it was sent tells nothing newer
 };
 
 struct StopOrder
@@ -172,8 +175,9 @@
     // Whether the job's newest change is in the store.
     bool isDurable(std::string_view job) const;
 
-    // The newest live list, of the pool's runners only.
-    void setRunners(std::span<const RunnerEntry> entries);
+    // The newest live list, of the pool's runners only; `listedAt`: it tells nothing newer.
+    void setRunners(std::span<const RunnerEntry> entries, TimePoint listedAt);
+    TimePoint listedAt() const { return m_listedAt; }
     // `sentAt`: when the call was sent that this answers.
     void onReport(const std::string &runner, const RunnerReport &report, TimePoint sentAt,
                   TimePoint now);
@@ -323,6 +327,7 @@
     std::set<std::string> m_live; // jobs that have not ended
     std::set<std::string> m_dirty;
     std::map<std::string, Runner> m_runners;
+    TimePoint m_listedAt{}; // of the live list
     std::map<std::string, Resources, std::less<>> m_teamUse; // of runs that may exist
     std::map<std::string, TeamDemand> m_teamDemands;
     std::vector<StartOrder> m_planned; // wait for their job's batch
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -296,7 +296,8 @@
          .run = run,
          .payload = job.spec.payload,
          .checkpoint = task.checkpoint,
-         .ticket = std::string(m_advice.ticket(stepName(name), runner.entry.id, now))});
+         .ticket = std::string(m_advice.ticket(stepName(name), runner.entry.id, now)),
+         .placedAt = now});
     markDirty(*candidate.entry);
 }
 
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -16,6 +16,22 @@
 // gone: a report on another connection may have overtaken the answer.
 constexpr std::uint32_t MissingReports = 2;
 
+std::string millisecondText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count())
+        + " ms";
+}
+
+// What the start relied on when it was sent, and how long its answer took.
+std::string agesOf(const StartOrder &start, TimePoint now)
+{
+    if (start.sentAt == TimePoint{})
+        return {};
+    return ", placed " + millisecondText(start.sentAt - start.placedAt) + " and list "
+        + millisecondText(start.sentAt - start.listedAt) + " before, answer after "
+        + millisecondText(now - start.sentAt);
+}
+
 } // namespace
 
 Engine::Spot Engine::find(const TaskName &name)
@@ -116,8 +132,9 @@
     }
 }
 
-void Engine::setRunners(std::span<const RunnerEntry> entries)
+void Engine::setRunners(std::span<const RunnerEntry> entries, TimePoint listedAt)
 {
+    m_listedAt = listedAt;
     std::set<std::string> listed;
     for (const RunnerEntry &entry : entries) {
         listed.insert(entry.id);
@@ -393,7 +410,7 @@
     Runner &runner = found->second;
     note(outcome == StartOutcome::Started ? "run.started" : "run.not-started", start.task,
          std::string(toString(outcome)) + " run " + std::to_string(start.run) + " on "
-             + start.runner);
+             + start.runner + agesOf(start, now));
     if (outcome != StartOutcome::NotSent && outcome != StartOutcome::Unanswered)
         runner.answeredAt = std::max(runner.answeredAt, now);
     Task *task = currentTask(start.task, start.run);
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -70,9 +70,9 @@
                        }})
     , m_runnerWatch(
           daemon.loop(), m_store, m_log,
-          [this](const std::vector<jobs::RunnerEntry> &runners) {
+          [this](const std::vector<jobs::RunnerEntry> &runners, TimePoint readAt) {
               for (const auto &[name, pool] : m_pools)
-                  pool->setRunners(runners);
+                  pool->setRunners(runners, readAt);
           },
           [this] {
               return std::any_of(m_pools.begin(), m_pools.end(),
@@ -93,11 +93,13 @@
                           const JobRelay::Sent &sent) { send(endpoint, call, deadline, sent); }})
     , m_ingress(m_relay, m_operators, m_log, daemon.metrics())
     , m_advice(daemon.httpClient(), m_settings.advice)
+    , m_startTimes(daemon.metrics())
     , m_poolContext{.loop = daemon.loop(),
                     .store = m_store,
                     .runners = m_runners,
                     .advice = m_advice,
                     .log = m_log,
+                    .startTimes = m_startTimes,
                     .settings = m_settings,
                     .isOwner = [this] { return isOwner(); },
                     .onDeposed = [this](const std::string &pool) { lose(resourceOf(pool)); },
@@ -253,7 +255,7 @@
 {
     auto owner = std::make_unique<PoolOwner>(m_poolContext, pool, epoch);
     owner->setConfiguration(m_operators.configuration());
-    owner->setRunners(m_runnerWatch.runners());
+    owner->setRunners(m_runnerWatch.runners(), m_runnerWatch.readAt());
     PoolOwner &started = *owner;
     m_pools[pool] = std::move(owner);
     m_runnerWatch.setActive(true);
--- a/node/node.h
+++ b/node/node.h
@@ -17,6 +17,7 @@
 #include "node/operatorwatch.h"
 #include "node/poolowner.h"
 #include "node/runnerwatch.h"
+#include "node/starttimes.h"
 #include "platform/fleetclient.h"
 #include "platform/nodesettings.h"
 #include "platform/runnerclient.h"
@@ -84,6 +85,7 @@
     JobRelay m_relay;
     Ingress m_ingress;
     AdviceClient m_advice;
+    StartTimes m_startTimes;
     PoolContext m_poolContext;
     std::map<std::string, std::unique_ptr<PoolOwner>> m_pools; // owned here
     std::vector<std::unique_ptr<PoolOwner>> m_deposed; // destroyed in the next tick
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -212,7 +212,7 @@
                         {"jobs", std::to_string(loaded.size())}});
     m_engine.load(std::move(loaded), now);
     m_isReady = true;
-    m_engine.setRunners(m_listed);
+    m_engine.setRunners(m_listed, m_listedAt);
     turn();
 }
 
@@ -233,14 +233,15 @@
     poke();
 }
 
-void PoolOwner::setRunners(const std::vector<jobs::RunnerEntry> &runners)
+void PoolOwner::setRunners(const std::vector<jobs::RunnerEntry> &runners, TimePoint readAt)
 {
+    m_listedAt = readAt;
     m_listed.clear();
     std::copy_if(runners.begin(), runners.end(), std::back_inserter(m_listed),
                  [&](const jobs::RunnerEntry &entry) { return entry.service == m_pool; });
     if (!m_isReady)
         return;
-    m_engine.setRunners(m_listed);
+    m_engine.setRunners(m_listed, m_listedAt);
     forgetRunners();
     poke();
 }
@@ -489,9 +490,9 @@
         m_starts[order.runner].push_back(order);
     for (auto &[runner, queue] : m_starts) {
         while (!queue.empty() && m_startsUnderWay[runner] < MaxStartsUnderWay) {
-            const jobs::StartOrder order = std::move(queue.front());
+            jobs::StartOrder order = std::move(queue.front());
             queue.pop_front();
-            sendStart(order);
+            sendStart(std::move(order));
         }
     }
     for (const jobs::StopOrder &order : m_engine.takeStops(BootClock::now()))
@@ -515,16 +516,20 @@
                          });
 }
 
-void PoolOwner::sendStart(const jobs::StartOrder &order)
+void PoolOwner::sendStart(jobs::StartOrder order)
 {
+    const TimePoint now = BootClock::now();
     const auto runner = m_engine.runners().find(order.runner);
     if (runner == m_engine.runners().end() || !m_engine.isWanted(order)) {
-        m_engine.onStartAnswer(order, jobs::StartOutcome::Rejected, BootClock::now());
+        m_engine.onStartAnswer(order, jobs::StartOutcome::Rejected, now);
         return;
     }
+    order.sentAt = now;
+    order.listedAt = m_engine.listedAt();
+    m_context.startTimes.observe(order);
     const RunnerTarget target{order.runner, runner->second.entry.endpoint};
     const Duration lease = leaseLength(m_context.settings);
-    m_engine.onLeaseSent(order.runner, BootClock::now());
+    m_engine.onLeaseSent(order.runner, now);
     ++m_startsUnderWay[order.runner];
     m_context.runners.start(target, {.order = order, .fence = m_epoch, .lease = lease},
                             [this, guard = Guard(m_guard), order](jobs::StartOutcome outcome) {
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -15,6 +15,7 @@
 #include "net/timer.h"
 #include "node/ceilingdesk.h"
 #include "node/decisionlog.h"
+#include "node/starttimes.h"
 #include "platform/adviceclient.h"
 #include "platform/nodesettings.h"
 #include "platform/runnerclient.h"
@@ -37,6 +38,7 @@
     RunnerClient &runners;
     AdviceClient &advice;
     DecisionLog &log;
+    StartTimes &startTimes;
     const NodeSettings &settings;
     // Whether no other node can own the pool now.
     std::function<bool()> isOwner;
@@ -58,7 +60,8 @@
 
     void start() { claim(); }
     void setConfiguration(const Configuration &configuration);
-    void setRunners(const std::vector<jobs::RunnerEntry> &runners);
+    // `readAt`: the list tells nothing newer.
+    void setRunners(const std::vector<jobs::RunnerEntry> &runners, TimePoint readAt);
     void handle(const api::JobCall &call, Answer answer);
     api::EvacuationReply evacuate(const api::EvacuationCall &call);
     api::DemandReply demand(const api::DemandCall &call);
@@ -110,7 +113,7 @@
     void onBatchWritten(std::uint64_t version);
     void sendOrders();
     void askAdvice();
-    void sendStart(const jobs::StartOrder &order);
+    void sendStart(jobs::StartOrder order);
     void sendStop(const jobs::StopOrder &order);
     void sendPace(const jobs::PaceOrder &order);
     void renewLeases();
@@ -124,7 +127,8 @@
     std::uint64_t m_epoch;
     CeilingDesk m_ceilings;
     jobs::Engine m_engine;
-    std::vector<jobs::RunnerEntry> m_listed; // before the jobs are loaded
+    std::vector<jobs::RunnerEntry> m_listed; // the newest live list, for when the jobs are loaded
+    TimePoint m_listedAt{};
     bool m_isReady = false;
     bool m_isShort = false; // as of the last demand
     bool m_isDeposed = false;
--- a/node/runnerwatch.cpp
+++ b/node/runnerwatch.cpp
@@ -45,17 +45,35 @@
                         m_isReading = false;
                         const TimePoint now = BootClock::now();
                         if (page)
-                            take(page.value(), now);
+                            take(page.value(), sentAt, now);
                         else
-                            m_failedAt = now;
+                            noteFailure(page.error().detail, now);
                         const Duration interval = m_isShort() ? ShortInterval : ReadInterval;
                         if (m_isActive)
                             m_timer.startAt(std::max(now, sentAt + interval));
                     });
 }
 
-void RunnerWatch::take(const StorePage &page, TimePoint now)
+void RunnerWatch::noteFailure(std::string_view why, TimePoint now)
 {
+    if (!isLost())
+        m_log.warn("runners.lost", {{"age_ms", ageText(now)}, {"detail", std::string(why)}});
+    m_failedAt = now;
+}
+
+std::string RunnerWatch::ageText(TimePoint now) const
+{
+    return m_readAt == TimePoint{}
+        ? std::string("none")
+        : std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_readAt).count());
+}
+
+void RunnerWatch::take(const StorePage &page, TimePoint sentAt, TimePoint now)
+{
+    if (isLost())
+        m_log.warn("runners.regained", {{"age_ms", ageText(now)}});
+    m_readAt = sentAt;
     std::vector<jobs::RunnerEntry> runners
         = parseRunnerRows(page.rows, [this](const StoreRow &row) {
               if (m_unreadable.insert(row.key.key).second)
@@ -71,7 +89,7 @@
         }
     }
     m_runners = std::move(runners);
-    m_hook(m_runners);
+    m_hook(m_runners, m_readAt);
 }
 
 } // namespace sequoiapier
--- a/node/runnerwatch.h
+++ b/node/runnerwatch.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sequoiapier {
@@ -24,17 +25,22 @@
 class RunnerWatch
 {
 public:
-    using Hook = std::function<void(const std::vector<jobs::RunnerEntry> &)>;
+    // `readAt`: when the read was sent that brought them.
+    using Hook = std::function<void(const std::vector<jobs::RunnerEntry> &, TimePoint readAt)>;
 
     RunnerWatch(Loop &loop, StoreClient &store, DecisionLog &log, Hook hook,
                 std::function<bool()> isShort);
 
     void setActive(bool isActive);
     const std::vector<jobs::RunnerEntry> &runners() const { return m_runners; }
+    TimePoint readAt() const { return m_readAt; }
 
 private:
     void read();
-    void take(const StorePage &page, TimePoint now);
+    void take(const StorePage &page, TimePoint sentAt, TimePoint now);
+    void noteFailure(std::string_view why, TimePoint now);
+    bool isLost() const { return m_failedAt > m_readAt; }
+    std::string ageText(TimePoint now) const; // of the list, in milliseconds
 
     StoreClient &m_store;
     DecisionLog &m_log;
@@ -44,6 +50,7 @@
     std::set<std::string> m_unreadable; // rows already logged
     bool m_isActive = false;
     bool m_isReading = false;
+    TimePoint m_readAt{}; // of m_runners
     TimePoint m_failedAt{};
     Timer m_timer;
 };
--- /dev/null
+++ b/node/starttimes.cpp
@@ -0,0 +1,37 @@
+#include "node/starttimes.h"
+
+#include <chrono>
+
+namespace sequoiapier {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries Bounds{0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3, 5};
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+StartTimes::StartTimes(prometheus::Registry &metrics)
+    : m_listAge(prometheus::BuildHistogram()
+                    .Name("sequoiapier_start_list_age_seconds")
+                    .Help("Age of the live list of runners when a start was sent")
+                    .Register(metrics)
+                    .Add({}, Bounds))
+    , m_delay(prometheus::BuildHistogram()
+                  .Name("sequoiapier_start_delay_seconds")
+                  .Help("From a task's placement to the sending of its start")
+                  .Register(metrics)
+                  .Add({}, Bounds))
+{ }
+
+void StartTimes::observe(const jobs::StartOrder &order)
+{
+    m_listAge.Observe(seconds(order.sentAt - order.listedAt));
+    m_delay.Observe(seconds(order.sentAt - order.placedAt));
+}
+
+} // namespace sequoiapier
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -142,7 +142,7 @@
         entry.labels = {"a", "r" + std::to_string(i / 2)};
         entries.push_back(std::move(entry));
     }
-    m_engine->setRunners(entries);
+    m_engine->setRunners(entries, m_time.now());
 }
 
 int EnginePool::indexOf(const std::string &runner) const
