--- a/testing/process/platform_test.cpp
+++ b/testing/process/platform_test.cpp
@@ -3,6 +3,7 @@
 #include "testing/process/platformtest.h"
 
 #include <fstream>
+#include <thread>
 
 namespace sequoiapier {
 
@@ -163,6 +164,23 @@
     EXPECT_EQ(breaches(), "[]");
 }
 
+TEST_F(Platform, DrainingRunnerGetsNoStartWhileTheListCannotBeRead)
+{
+    EXPECT_EQ(submit("node-1", JobA, 6, 50), 200);
+    ASSERT_TRUE(waitState("node-2", JobA, "completed"));
+    ASSERT_TRUE(system().setFaults("platform", R"({"listDown": true})"));
+    const std::string leaving = runsOf(JobA).front()["runner"];
+    ASSERT_TRUE(system().post("platform", "/drain", nlohmann::json{{"runner", leaving}}.dump()));
+    std::this_thread::sleep_for(milliseconds(2'500)); // a start is late after two seconds
+    EXPECT_EQ(submit("node-1", JobB, 6, 50), 200);
+    std::this_thread::sleep_for(milliseconds(500));
+    ASSERT_TRUE(system().setFaults("platform", "{}"));
+    EXPECT_TRUE(waitState("node-2", JobB, "completed"));
+    for (const nlohmann::json &run : runsOf(JobB))
+        EXPECT_NE(run["runner"], leaving);
+    EXPECT_EQ(breaches(), "[]");
+}
+
 TEST_F(Platform, StoreOutageAcceptsNothingAndLosesNothing)
 {
     EXPECT_EQ(submit("node-1", JobA, 2, 1'000), 200);
--- a/testing/standin/platformstandin.cpp
+++ b/testing/standin/platformstandin.cpp
@@ -143,6 +143,7 @@
     route("/record", &PlatformStandin::serveRecord);
     route("/faults", &PlatformStandin::takeFaults);
     route("/crash", &PlatformStandin::crash);
+    route("/drain", &PlatformStandin::drain);
     m_daemon.route("/v1/machine-move", [this](const ExchangePtr &e) { orderHost(e, true); });
     m_daemon.route("/v1/machine-upkeep", [this](const ExchangePtr &e) { orderHost(e, false); });
 }
@@ -197,7 +198,7 @@
         {"zone", host.fleet.zone},
         {"version", "v1"},
         {"slots", 8},
-        {"state", "ready"},
+        {"state", host.isDraining ? "draining" : "ready"},
         {"cold_remaining_ms", 0},
         {"machine", host.fleet.name},
         {"capacity", {{"cpu", m_settings.processors * 1'000}, {"mem_mb", 262'144}, {"gpu", 0}}},
@@ -282,6 +283,10 @@
     if (isStoreAway(exchange))
         return;
     std::map<std::string, std::string> query = queryOf(exchange->request());
+    if (m_faults.listDown && query["table"] == "servers") {
+        exchange->reply({.status = 429});
+        return;
+    }
     json rows = json::array();
     for (const StoreRow &row :
          m_rows.read({query["table"], query["part"], query["from"], query["to"]})) {
@@ -504,6 +509,7 @@
     const json body = parseBody(exchange->request().body);
     m_faults = {.storeDown = flagField(body, "storeDown"),
                 .storeSilent = flagField(body, "storeSilent"),
+                .listDown = flagField(body, "listDown"),
                 .lostCommits = int(numberField(body, "lostCommits").value_or(0)),
                 .lostStarts = int(numberField(body, "lostStarts").value_or(0))};
     for (const json &runner : listField(body, "silentRunners"))
@@ -511,14 +517,30 @@
     exchange->reply({});
 }
 
-void PlatformStandin::crash(const ExchangePtr &exchange)
+// That the request names; nullptr if there is none.
+PlatformStandin::Host *PlatformStandin::findRunner(const ExchangePtr &exchange)
 {
     const std::string id = textField(parseBody(exchange->request().body), "runner").value_or("");
-    for (const auto &host : m_hosts) {
-        if (host->runner && host->runner->id() == id) {
-            host->runner->crash(BootClock::now());
-            writeBeat(*host);
-        }
+    const auto found = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const auto &host) {
+        return host->runner && host->runner->id() == id;
+    });
+    return found != m_hosts.end() ? found->get() : nullptr;
+}
+
+void PlatformStandin::crash(const ExchangePtr &exchange)
+{
+    if (Host *host = findRunner(exchange)) {
+        host->runner->crash(BootClock::now());
+        writeBeat(*host);
+    }
+    exchange->reply({});
+}
+
+void PlatformStandin::drain(const ExchangePtr &exchange)
+{
+    if (Host *host = findRunner(exchange)) {
+        host->isDraining = true;
+        writeBeat(*host);
     }
     exchange->reply({});
 }
--- a/testing/standin/platformstandin.h
+++ b/testing/standin/platformstandin.h
@@ -4,10 +4,12 @@
 // The store and the fleet answer on the admin port; each runner on a port of its own. Beside them:
 //   POST /operator {"key": "config", "value": {...}}   writes a row of the operator's table
 //   POST /crash {"runner": "i-0"}                      the runner loses everything and starts again
+//   POST /drain {"runner": "i-0"}                      the runner says that it will leave
 //   GET /record                                        runs and breaches of the rules on runs
 //   POST /faults {...}, which replaces the faults before:
 //     "storeDown": true          every call to the store is refused with 503
 //     "storeSilent": true        or is not answered
+//     "listDown": true           reads of the runners' table are refused with 429
 //     "lostCommits": 2           the next 2 transactions are carried out and not answered
 //     "lostStarts": 2            the next 2 starts are carried out and not answered
 //     "silentRunners": ["i-1"]   they answer nothing
@@ -52,6 +54,7 @@
         std::unique_ptr<SimulatedRunner> runner;
         std::unique_ptr<HttpServer> server;
         std::uint16_t port = 0;
+        bool isDraining = false;
         int lives = 0;
         TimePoint backAt{}; // from a move or maintenance
         std::string nextPool;
@@ -75,6 +78,7 @@
     {
         bool storeDown = false;
         bool storeSilent = false;
+        bool listDown = false;
         int lostCommits = 0;
         int lostStarts = 0;
         std::set<std::string> silentRunners;
@@ -105,6 +109,8 @@
     void serveRecord(const ExchangePtr &exchange) const;
     void takeFaults(const ExchangePtr &exchange);
     void crash(const ExchangePtr &exchange);
+    void drain(const ExchangePtr &exchange);
+    Host *findRunner(const ExchangePtr &exchange);
 
     Daemon &m_daemon;
     PlatformStandinSettings m_settings;
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -126,9 +126,15 @@
     listRunners();
 }
 
+void EnginePool::setListReadable(bool isReadable)
+{
+    m_isListReadable = isReadable;
+    listRunners();
+}
+
 void EnginePool::listRunners()
 {
-    if (!m_engine)
+    if (!m_engine || !m_isListReadable)
         return;
     std::vector<jobs::RunnerEntry> entries;
     for (std::size_t i = 0; i < m_runners.size(); ++i) {
--- a/testing/support/enginepool.h
+++ b/testing/support/enginepool.h
@@ -64,6 +64,8 @@
     void setReachable(int runner, bool isReachable);
     void setListed(int runner, bool isListed);
     void setDraining(int runner, bool isDraining);
+    // Reads of the live list fail while it is not.
+    void setListReadable(bool isReadable);
     // It loses everything and answers again after RestartTime, as another life.
     void crash(int runner);
     SimulatedRunner &runner(int index) { return *m_runners[std::size_t(index)]; }
@@ -125,6 +127,7 @@
     std::map<std::string, StoredJob> m_store;
     std::optional<jobs::Batch> m_batch;
     bool m_isStoreDown = false;
+    bool m_isListReadable = true;
     double m_lostShare = 0;
     double m_lateShare = 0;
     std::optional<Resources> m_ceiling;
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -220,8 +220,13 @@
 
 bool LocalSystem::setFaults(const std::string &name, const std::string &document) const
 {
-    return call(m_members.at(name).adminPort,
-                {.method = "POST", .path = "/faults", .body = document})
+    return post(name, "/faults", document);
+}
+
+bool LocalSystem::post(const std::string &name, const std::string &path,
+                       const std::string &document) const
+{
+    return call(m_members.at(name).adminPort, {.method = "POST", .path = path, .body = document})
                .response.status
         == 200;
 }
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -75,6 +75,8 @@
                     std::chrono::milliseconds patience = Patience) const;
     HttpAnswer fetch(const std::string &name, const std::string &path) const;
     bool setFaults(const std::string &name, const std::string &document) const;
+    // Posts a document to a stand-in's admin port; false if it is refused.
+    bool post(const std::string &name, const std::string &path, const std::string &document) const;
 
     // Sends a caller's request to a gateway. Headers may override the defaults.
     HttpAnswer work(const std::string &gateway, const std::string &queue, const std::string &key,
--- /dev/null
+++ b/testing/unit/enginestarts_test.cpp
@@ -0,0 +1,66 @@
+// What is checked again when a start is sent, some time after its task was placed.
+#include "testing/support/enginepool.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace sequoiapier {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration Patience = seconds(10);
+constexpr Duration Settled = milliseconds(100); // all runners have answered once
+
+jobs::JobSpec job(std::uint32_t count)
+{
+    const jobs::StepSpec step{.count = count, .size = {.processors = 1, .memory = 1}};
+    return {.payload = R"({"runMs": 100})", .steps = {step}};
+}
+
+std::set<std::string> runnersOf(const EnginePool &pool, std::string_view id)
+{
+    std::set<std::string> runners;
+    for (const RecordedRun &run : pool.ledger().runsOf(id))
+        runners.insert(run.runner);
+    return runners;
+}
+
+// The store doesn't answer from the placement until long after the runner's notice.
+TEST(EngineStarts, TaskPlacedBeforeItsRunnerDrainedIsNotStartedThereLater)
+{
+    EnginePool pool({.runners = 2});
+    pool.run(Settled);
+    pool.setStoreDown(true);
+    pool.submit("a", job(4));
+    pool.run(Settled);
+    pool.setDraining(0, true);
+    pool.run(seconds(4));
+    pool.setStoreDown(false);
+    pool.runUntilEnded("a", Patience);
+    EXPECT_EQ(pool.phaseOf("a"), jobs::JobPhase::Completed);
+    EXPECT_EQ(runnersOf(pool, "a"), std::set<std::string>{"i-1"}) << pool.trace();
+    EXPECT_EQ(pool.breaches(), "");
+}
+
+// The list can't be read while the store takes writes.
+TEST(EngineStarts, NothingIsStartedByAListThatIsNotReadAnyMore)
+{
+    EnginePool pool({.runners = 2});
+    pool.run(Settled);
+    pool.setListReadable(false);
+    pool.setDraining(0, true);
+    pool.run(seconds(4));
+    pool.submit("a", job(4));
+    pool.run(seconds(1));
+    pool.setListReadable(true);
+    pool.runUntilEnded("a", Patience);
+    EXPECT_EQ(pool.phaseOf("a"), jobs::JobPhase::Completed);
+    EXPECT_EQ(runnersOf(pool, "a"), std::set<std::string>{"i-1"}) << pool.trace();
+    EXPECT_EQ(pool.breaches(), "");
+}
+
+} // namespace
+} // namespace sequoiapier
