Check again when a start is sent what its placement relied on

Callers and operators saw tasks start on runners that had said seconds before that they leave (DRAIN); the runner ends them with itself, and they run again.

Cause: whether a runner takes tasks was checked when a task was placed. Its start went out when its batch was in the store and the earlier starts at the runner were answered, and only the task was checked then. Nor did anything bound the age of the live list: it stayed in use for as long as reads failed.

Change: the engine keeps the starts by runner and checks each when it is taken: the run is wanted, the runner is open, its entry is younger than the notice less the patience of a call. Each entry carries the time of the list that had it last, so one kept through an outage, or the list of an earlier ownership, starts nothing. A gang with a member that can't be started is placed anew. Tickets are taken then, too.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -211,7 +211,7 @@
     }
     for (const StartOrder &start : batch.starts) {
         if (currentTask(start.task, start.run) != nullptr)
-            m_starts.push_back(start);
+            m_starts[start.runner].push_back(start);
     }
     for (const auto &[id, ends] : batch.ends) {
         const auto runner = m_runners.find(id);
@@ -220,16 +220,6 @@
     }
 }
 
-bool Engine::isWanted(const StartOrder &order)
-{
-    return currentTask(order.task, order.run) != nullptr;
-}
-
-std::vector<StartOrder> Engine::takeStarts()
-{
-    return std::exchange(m_starts, {});
-}
-
 // A job that has ended is dropped once callers ask for it no more.
 void Engine::dropEnded()
 {
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -6,13 +6,17 @@
 //   engine.plan(now);
 //   Batch batch = engine.takeBatch();                // write it; on success:
 //   engine.onCommitted(batch);                       // answers may go out
-//   for (StartOrder &order : engine.takeStarts()) ...  // send; then onStartAnswer()
+//   for (StartOrder &order : engine.takeStarts(now)) ...  // send; then onStartAnswer()
 //   for (StopOrder &order : engine.takeStops(now)) ...  // send; then onStopAnswer()
 //
 // Order of things: a change of a job is made here first, is written in the next batch, and has its
 // effects only then: the caller's answer, the start at the runner, the acknowledgement of an end.
 // One batch is under way at a time. What callers are shown is what the store holds.
 //
+// Between a task's placement and its start lie the batch and the earlier starts at the runner. So
+// what the placement relied on is checked again when the start is taken: a runner that drains or
+// must be emptied gets none, nor one that was not listed lately.
+//
 // At most one run of a task exists: a task is placed again only after the end of its run was
 // listed, its stop was answered, its runner's life is over, or its lease has lapsed for certain.
 //
@@ -29,6 +33,7 @@
 #include "jobs/workrate.h"
 #include "sequoiapier/configuration.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -71,7 +76,7 @@
     std::string ticket;
     TimePoint placedAt{};
     TimePoint sentAt{};
-    TimePoint listedAt{}; // the live list in use when it was sent tells nothing newer
+    TimePoint listedAt{}; // of its runner, when it was sent
 };
 
 struct StopOrder
@@ -129,6 +134,9 @@
         Duration leaseSlack = std::chrono::milliseconds(250); // for calls on their way
         Duration answerAge
             = std::chrono::milliseconds(2'500); // a runner silent longer gets no task
+        // A runner takes tasks that long after it was listed as ready: it may have given notice.
+        Duration listTerm = std::chrono::milliseconds(1'500);
+        std::uint32_t maxStartsUnderWay = 2; // at one runner, each on a connection of its own
         Duration unhealthyPause = std::chrono::milliseconds(1'000);
         Duration stopTime = std::chrono::milliseconds(200); // that a stop may take at a runner
         Duration paceRetry = std::chrono::milliseconds(300); // of a pace without an answer
@@ -170,14 +178,11 @@
     std::optional<JobPhase> phaseOf(std::string_view job) const;
     // Jobs of the queue none of whose tasks has begun, those at set times left out.
     std::uint32_t waitingCount(std::string_view queue) const;
-    // Whether the start is still to be sent: its run is its task's current one.
-    bool isWanted(const StartOrder &order);
     // Whether the job's newest change is in the store.
     bool isDurable(std::string_view job) const;
 
-    // The newest live list, of the pool's runners only; `listedAt`: it tells nothing newer.
-    void setRunners(std::span<const RunnerEntry> entries, TimePoint listedAt);
-    TimePoint listedAt() const { return m_listedAt; }
+    // The newest live list, of the pool's runners only.
+    void setRunners(std::span<const RunnerEntry> entries);
     // `sentAt`: when the call was sent that this answers.
     void onReport(const std::string &runner, const RunnerReport &report, TimePoint sentAt,
                   TimePoint now);
@@ -206,7 +211,8 @@
     void plan(TimePoint now);
     Batch takeBatch();
     void onCommitted(const Batch &batch);
-    std::vector<StartOrder> takeStarts();
+    // The starts to be sent now, each of which must get its onStartAnswer().
+    std::vector<StartOrder> takeStarts(TimePoint now);
     std::vector<StopOrder> takeStops(TimePoint now);
     std::vector<PaceOrder> takePaces(TimePoint now);
     // What to ask the policy of a queue that needs its advice; nullopt: nothing now.
@@ -262,6 +268,10 @@
     const QueueConfig *queueOf(const Job &job) const;
     std::uint32_t maxAttempts(const Job &job) const;
 
+    bool isWanted(const StartOrder &start, TimePoint now);
+    bool isHeld(const Runner &runner, TimePoint now) const;
+    bool isListedLately(const Runner &runner, TimePoint now) const;
+    void withhold(const StartOrder &start);
     Run makeRun(const Job &job, const TaskName &task, std::uint64_t number) const;
     void addRun(Runner &runner, Run run);
     void removeRun(Runner &runner, const RunKey &key);
@@ -327,11 +337,10 @@
     std::set<std::string> m_live; // jobs that have not ended
     std::set<std::string> m_dirty;
     std::map<std::string, Runner> m_runners;
-    TimePoint m_listedAt{}; // of the live list
     std::map<std::string, Resources, std::less<>> m_teamUse; // of runs that may exist
     std::map<std::string, TeamDemand> m_teamDemands;
     std::vector<StartOrder> m_planned; // wait for their job's batch
-    std::vector<StartOrder> m_starts; // may be sent
+    std::map<std::string, std::deque<StartOrder>> m_starts; // by runner; in the store, not sent
     bool m_hasUnwanted = false; // some run is to be stopped
     TimePoint m_nextDrop{}; // when ended jobs are looked through
 };
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -138,7 +138,8 @@
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
     const bool isReachable = runner.isFenced && now >= runner.avoidUntil
         && runner.answeredAt + m_options.answerAge >= now;
-    if (!runner.isOpen(now) || !isReachable || (runner.isKept && !step.isLasting))
+    if (!runner.isOpen(now) || !isListedLately(runner, now) || !isReachable
+        || (runner.isKept && !step.isLasting))
         return false;
     const std::vector<std::string> &labels = runner.entry.labels;
     if (!step.requiredLabel.empty()
@@ -290,14 +291,12 @@
     task.figure = 0;
     task.missing = 0;
     addRun(runner, makeRun(job, name, run));
-    m_planned.push_back(
-        {.runner = runner.entry.id,
-         .task = name,
-         .run = run,
-         .payload = job.spec.payload,
-         .checkpoint = task.checkpoint,
-         .ticket = std::string(m_advice.ticket(stepName(name), runner.entry.id, now)),
-         .placedAt = now});
+    m_planned.push_back({.runner = runner.entry.id,
+                         .task = name,
+                         .run = run,
+                         .payload = job.spec.payload,
+                         .checkpoint = task.checkpoint,
+                         .placedAt = now});
     markDirty(*candidate.entry);
 }
 
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -132,9 +132,8 @@
     }
 }
 
-void Engine::setRunners(std::span<const RunnerEntry> entries, TimePoint listedAt)
+void Engine::setRunners(std::span<const RunnerEntry> entries)
 {
-    m_listedAt = listedAt;
     std::set<std::string> listed;
     for (const RunnerEntry &entry : entries) {
         listed.insert(entry.id);
@@ -408,6 +407,8 @@
     if (found == m_runners.end())
         return;
     Runner &runner = found->second;
+    if (runner.startsUnderWay > 0)
+        --runner.startsUnderWay;
     note(outcome == StartOutcome::Started ? "run.started" : "run.not-started", start.task,
          std::string(toString(outcome)) + " run " + std::to_string(start.run) + " on "
              + start.runner + agesOf(start, now));
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -27,6 +27,7 @@
     Resources capacity;
     bool isDraining = false;
     bool isCold = false; // just started and still slow
+    TimePoint listedAt{}; // when the read was sent of the list that it was in last
 
     std::string_view rack() const { return labels.size() > 1 ? labels[1] : std::string_view(); }
 };
@@ -70,6 +71,7 @@
     TimePoint answeredAt{};
     TimePoint avoidUntil{}; // takes no new task before
     std::uint32_t missedCalls = 0; // since the last answer
+    std::uint32_t startsUnderWay = 0; // sent and not answered
 
     // Ends that the runner may forget. After a missed call another life may answer, whose ends have
     // the same numbers.
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -70,14 +70,15 @@
                        }})
     , m_runnerWatch(
           daemon.loop(), m_store, m_log,
-          [this](const std::vector<jobs::RunnerEntry> &runners, TimePoint readAt) {
+          [this](const std::vector<jobs::RunnerEntry> &runners) {
               for (const auto &[name, pool] : m_pools)
-                  pool->setRunners(runners, readAt);
+                  pool->setRunners(runners);
           },
           [this] {
               return std::any_of(m_pools.begin(), m_pools.end(),
                                  [](const auto &pool) { return pool.second->isShort(); });
-          })
+          },
+          m_settings.drainNotice)
     , m_relay(
           daemon.loop(),
           {.findOwner =
@@ -255,7 +256,7 @@
 {
     auto owner = std::make_unique<PoolOwner>(m_poolContext, pool, epoch);
     owner->setConfiguration(m_operators.configuration());
-    owner->setRunners(m_runnerWatch.runners(), m_runnerWatch.readAt());
+    owner->setRunners(m_runnerWatch.runners());
     PoolOwner &started = *owner;
     m_pools[pool] = std::move(owner);
     m_runnerWatch.setActive(true);
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -35,8 +35,6 @@
 constexpr Duration SilentRetry = milliseconds(200);
 constexpr Duration WatchedWait = milliseconds(200); // where answers are needed often
 constexpr Duration EvacuationTerm = milliseconds(1'500); // of a call, which is repeated
-// At one runner, each on a connection of its own: some dozen starts are through in 50 ms.
-constexpr int MaxStartsUnderWay = 2;
 
 api::JobReply reply(ResultCode code)
 {
@@ -54,6 +52,8 @@
 {
     jobs::Engine::Options options;
     options.lease = leaseLength(settings);
+    options.listTerm
+        = std::max(settings.drainNotice - RunnerClient::OrderPatience, settings.drainNotice / 2);
     options.stopTime = settings.stopTime + milliseconds(100);
     options.keepEnded = settings.keepEnded + std::chrono::seconds(10);
     return options;
@@ -212,7 +212,7 @@
                         {"jobs", std::to_string(loaded.size())}});
     m_engine.load(std::move(loaded), now);
     m_isReady = true;
-    m_engine.setRunners(m_listed, m_listedAt);
+    m_engine.setRunners(m_listed);
     turn();
 }
 
@@ -233,15 +233,14 @@
     poke();
 }
 
-void PoolOwner::setRunners(const std::vector<jobs::RunnerEntry> &runners, TimePoint readAt)
+void PoolOwner::setRunners(const std::vector<jobs::RunnerEntry> &runners)
 {
-    m_listedAt = readAt;
     m_listed.clear();
     std::copy_if(runners.begin(), runners.end(), std::back_inserter(m_listed),
                  [&](const jobs::RunnerEntry &entry) { return entry.service == m_pool; });
     if (!m_isReady)
         return;
-    m_engine.setRunners(m_listed, m_listedAt);
+    m_engine.setRunners(m_listed);
     forgetRunners();
     poke();
 }
@@ -251,11 +250,8 @@
 {
     std::erase_if(m_renewals, [&](const auto &item) {
         const bool isGone = !item.second.isUnderWay && !m_engine.runners().contains(item.first);
-        if (isGone) {
+        if (isGone)
             m_context.runners.forget(item.first);
-            m_starts.erase(item.first);
-            m_startsUnderWay.erase(item.first);
-        }
         return isGone;
     });
 }
@@ -486,15 +482,8 @@
 
 void PoolOwner::sendOrders()
 {
-    for (const jobs::StartOrder &order : m_engine.takeStarts())
-        m_starts[order.runner].push_back(order);
-    for (auto &[runner, queue] : m_starts) {
-        while (!queue.empty() && m_startsUnderWay[runner] < MaxStartsUnderWay) {
-            jobs::StartOrder order = std::move(queue.front());
-            queue.pop_front();
-            sendStart(std::move(order));
-        }
-    }
+    for (const jobs::StartOrder &order : m_engine.takeStarts(BootClock::now()))
+        sendStart(order);
     for (const jobs::StopOrder &order : m_engine.takeStops(BootClock::now()))
         sendStop(order);
     for (const jobs::PaceOrder &order : m_engine.takePaces(BootClock::now()))
@@ -516,26 +505,15 @@
                          });
 }
 
-void PoolOwner::sendStart(jobs::StartOrder order)
+void PoolOwner::sendStart(const jobs::StartOrder &order)
 {
-    const TimePoint now = BootClock::now();
-    const auto runner = m_engine.runners().find(order.runner);
-    if (runner == m_engine.runners().end() || !m_engine.isWanted(order)) {
-        m_engine.onStartAnswer(order, jobs::StartOutcome::Rejected, now);
-        return;
-    }
-    order.sentAt = now;
-    order.listedAt = m_engine.listedAt();
     m_context.startTimes.observe(order);
-    const RunnerTarget target{order.runner, runner->second.entry.endpoint};
+    const RunnerTarget target{order.runner, m_engine.runners().at(order.runner).entry.endpoint};
     const Duration lease = leaseLength(m_context.settings);
-    m_engine.onLeaseSent(order.runner, now);
-    ++m_startsUnderWay[order.runner];
     m_context.runners.start(target, {.order = order, .fence = m_epoch, .lease = lease},
                             [this, guard = Guard(m_guard), order](jobs::StartOutcome outcome) {
                                 if (guard.expired())
                                     return;
-                                --m_startsUnderWay[order.runner];
                                 m_engine.onStartAnswer(order, outcome, BootClock::now());
                                 poke();
                             });
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -21,7 +21,6 @@
 #include "platform/runnerclient.h"
 #include "platform/storeclient.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -60,8 +59,7 @@
 
     void start() { claim(); }
     void setConfiguration(const Configuration &configuration);
-    // `readAt`: the list tells nothing newer.
-    void setRunners(const std::vector<jobs::RunnerEntry> &runners, TimePoint readAt);
+    void setRunners(const std::vector<jobs::RunnerEntry> &runners);
     void handle(const api::JobCall &call, Answer answer);
     api::EvacuationReply evacuate(const api::EvacuationCall &call);
     api::DemandReply demand(const api::DemandCall &call);
@@ -113,7 +111,7 @@
     void onBatchWritten(std::uint64_t version);
     void sendOrders();
     void askAdvice();
-    void sendStart(jobs::StartOrder order);
+    void sendStart(const jobs::StartOrder &order);
     void sendStop(const jobs::StopOrder &order);
     void sendPace(const jobs::PaceOrder &order);
     void renewLeases();
@@ -127,8 +125,7 @@
     std::uint64_t m_epoch;
     CeilingDesk m_ceilings;
     jobs::Engine m_engine;
-    std::vector<jobs::RunnerEntry> m_listed; // the newest live list, for when the jobs are loaded
-    TimePoint m_listedAt{};
+    std::vector<jobs::RunnerEntry> m_listed; // before the jobs are loaded
     bool m_isReady = false;
     bool m_isShort = false; // as of the last demand
     bool m_isDeposed = false;
@@ -138,8 +135,6 @@
     StoreTransaction m_transaction; // of it
     std::vector<Waiter> m_waiters;
     std::map<std::string, Renewal> m_renewals; // by runner
-    std::map<std::string, std::deque<jobs::StartOrder>> m_starts; // by runner, to be sent
-    std::map<std::string, int> m_startsUnderWay; // by runner
     TimePoint m_writeDue{};
     TimePoint m_turnDue{}; // unset: no turn is due
     Timer m_claimTimer;
--- a/node/runnerwatch.cpp
+++ b/node/runnerwatch.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// A runner that drains must get no new work within two seconds.
-constexpr Duration ReadInterval = std::chrono::milliseconds(500);
+constexpr Duration LongestInterval = std::chrono::milliseconds(500);
+constexpr int ReadsPerNotice = 4; // one of them may fail
 // A host takes 1.5 s to change its pool; a read is a paid call.
 constexpr Duration ShortInterval = std::chrono::milliseconds(150);
 constexpr Duration ReadPatience = std::chrono::milliseconds(800);
@@ -18,9 +18,10 @@
 } // namespace
 
 RunnerWatch::RunnerWatch(Loop &loop, StoreClient &store, DecisionLog &log, Hook hook,
-                         std::function<bool()> isShort)
+                         std::function<bool()> isShort, Duration drainNotice)
     : m_store(store)
     , m_log(log)
+    , m_interval(std::min(LongestInterval, drainNotice / ReadsPerNotice))
     , m_hook(std::move(hook))
     , m_isShort(std::move(isShort))
     , m_timer(loop, [this] { read(); })
@@ -48,7 +49,7 @@
                             take(page.value(), sentAt, now);
                         else
                             noteFailure(page.error().detail, now);
-                        const Duration interval = m_isShort() ? ShortInterval : ReadInterval;
+                        const Duration interval = m_isShort() ? ShortInterval : m_interval;
                         if (m_isActive)
                             m_timer.startAt(std::max(now, sentAt + interval));
                     });
@@ -79,6 +80,8 @@
               if (m_unreadable.insert(row.key.key).second)
                   m_log.warn("runner.unreadable", {{"runner", row.key.key}});
           });
+    for (jobs::RunnerEntry &entry : runners)
+        entry.listedAt = sentAt;
     if (m_failedAt != TimePoint{} && now < m_failedAt + ReturnTime) {
         std::set<std::string> listed;
         for (const jobs::RunnerEntry &entry : runners)
@@ -89,7 +92,7 @@
         }
     }
     m_runners = std::move(runners);
-    m_hook(m_runners, m_readAt);
+    m_hook(m_runners);
 }
 
 } // namespace sequoiapier
--- a/node/runnerwatch.h
+++ b/node/runnerwatch.h
@@ -4,8 +4,8 @@
 //   watch.setActive(true);
 //
 // While a pool is short of runners the list is polled often, so that one that joins is used at
-// once. While the store is away, and for ReturnTime after, entries that are missing stay: runners
-// put theirs back then.
+// once. While the store is away, and for ReturnTime after, entries that are missing stay, with the
+// time at which they were listed last: runners put theirs back then.
 #pragma once
 
 #include "jobs/runner.h"
@@ -25,15 +25,14 @@
 class RunnerWatch
 {
 public:
-    // `readAt`: when the read was sent that brought them.
-    using Hook = std::function<void(const std::vector<jobs::RunnerEntry> &, TimePoint readAt)>;
+    using Hook = std::function<void(const std::vector<jobs::RunnerEntry> &)>;
 
+    // A runner that drains must get no start `drainNotice` after it has said so.
     RunnerWatch(Loop &loop, StoreClient &store, DecisionLog &log, Hook hook,
-                std::function<bool()> isShort);
+                std::function<bool()> isShort, Duration drainNotice);
 
     void setActive(bool isActive);
     const std::vector<jobs::RunnerEntry> &runners() const { return m_runners; }
-    TimePoint readAt() const { return m_readAt; }
 
 private:
     void read();
@@ -44,13 +43,14 @@
 
     StoreClient &m_store;
     DecisionLog &m_log;
+    Duration m_interval; // between reads
     Hook m_hook;
     std::function<bool()> m_isShort; // of runners that may be on their way
     std::vector<jobs::RunnerEntry> m_runners;
     std::set<std::string> m_unreadable; // rows already logged
     bool m_isActive = false;
     bool m_isReading = false;
-    TimePoint m_readAt{}; // of m_runners
+    TimePoint m_readAt{}; // when the read was sent that brought the list
     TimePoint m_failedAt{};
     Timer m_timer;
 };
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -144,11 +144,12 @@
                                 .bornAt = m_runners[i]->bornAt(),
                                 .service = "pool",
                                 .capacity = m_options.capacity,
-                                .isDraining = m_switches[i].isDraining};
+                                .isDraining = m_switches[i].isDraining,
+                                .listedAt = m_time.now()};
         entry.labels = {"a", "r" + std::to_string(i / 2)};
         entries.push_back(std::move(entry));
     }
-    m_engine->setRunners(entries, m_time.now());
+    m_engine->setRunners(entries);
 }
 
 int EnginePool::indexOf(const std::string &runner) const
@@ -235,7 +236,7 @@
 {
     if (!m_engine)
         return;
-    for (const jobs::StartOrder &order : m_engine->takeStarts())
+    for (const jobs::StartOrder &order : m_engine->takeStarts(m_time.now()))
         send(order);
     for (const jobs::StopOrder &order : m_engine->takeStops(m_time.now()))
         send(order);
@@ -255,7 +256,6 @@
                                        .checkpoint = order.checkpoint,
                                        .fence = m_epoch,
                                        .until = until};
-    m_engine->onLeaseSent(order.runner, m_time.now());
     m_time.after(CallTime, [=, this, &runner] {
         auto outcome = std::make_shared<jobs::StartOutcome>(jobs::StartOutcome::Unanswered);
         const bool isAnswered
--- a/testing/unit/enginestarts_test.cpp
+++ b/testing/unit/enginestarts_test.cpp
@@ -62,5 +62,44 @@
     EXPECT_EQ(pool.breaches(), "");
 }
 
+// The answers of an overloaded runner are lost, so that its other starts wait for their patience.
+TEST(EngineStarts, StartsThatWaitBehindOthersAreNotSentOnceTheRunnerDrains)
+{
+    EnginePool pool({.runners = 2});
+    pool.run(Settled);
+    pool.setReachable(0, false);
+    pool.submit("a", job(8));
+    pool.run(milliseconds(50));
+    pool.setDraining(0, true);
+    pool.setReachable(0, true);
+    pool.runUntilEnded("a", Patience);
+    EXPECT_EQ(pool.phaseOf("a"), jobs::JobPhase::Completed);
+    EXPECT_EQ(runnersOf(pool, "a"), std::set<std::string>{"i-1"}) << pool.trace();
+    EXPECT_EQ(pool.breaches(), "");
+}
+
+// One member can't be started where it was placed: none works alone.
+TEST(EngineStarts, GangIsPlacedAnewWhenOneOfItsRunnersDrains)
+{
+    EnginePool pool({.runners = 3});
+    pool.run(Settled);
+    pool.setStoreDown(true);
+    jobs::JobSpec gang = job(2);
+    gang.steps[0].isGang = true;
+    gang.steps[0].size.processors = 5; // of a runner's 8
+    pool.submit("a", gang);
+    pool.run(Settled);
+    pool.setDraining(0, true);
+    pool.run(seconds(1));
+    pool.setStoreDown(false);
+    pool.runUntilEnded("a", Patience);
+    EXPECT_EQ(pool.phaseOf("a"), jobs::JobPhase::Completed);
+    for (const RecordedRun &run : pool.ledger().runsOf("a")) {
+        EXPECT_NE(run.runner, "i-0");
+        EXPECT_NE(run.how, "alone") << pool.trace();
+    }
+    EXPECT_EQ(pool.breaches(), "");
+}
+
 } // namespace
 } // namespace sequoiapier
