Write the jobs that wait longest first

Under load a pool's owner left some callers' submissions unanswered and some placed tasks unsent for seconds while later ones went through.

Change: changed jobs are written in the order in which they changed. Ruled out: the queue of starts at a runner, which is the same for all jobs. Evidence: Engine.ChangedJobIsNotPassedOverByLaterOnesInTheBatches fails before and passes after.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -135,8 +135,8 @@
 
 void Engine::markDirty(Entry &entry)
 {
-    entry.isStateDirty = true;
-    m_dirty.insert(entry.job.id);
+    if (!std::exchange(entry.isStateDirty, true))
+        m_dirty.push_back(entry.job.id);
 }
 
 // Unwanted runs of the job are stopped once its end is in the store.
@@ -158,12 +158,10 @@
 Batch Engine::takeBatch()
 {
     Batch batch;
-    for (auto next = m_dirty.begin(); next != m_dirty.end();) {
-        if (batch.rows.size() >= m_options.maxJobsInBatch)
-            break;
-        const auto found = m_jobs.find(*next);
-        next = m_dirty.erase(next);
-        if (found == m_jobs.end())
+    while (!m_dirty.empty() && batch.rows.size() < m_options.maxJobsInBatch) {
+        const auto found = m_jobs.find(m_dirty.front());
+        m_dirty.pop_front();
+        if (found == m_jobs.end() || !found->second.isStateDirty)
             continue;
         Entry &entry = found->second;
         RowChange change{.job = entry.job.id, .isRemoved = entry.isRemoved};
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -335,7 +335,7 @@
     bool m_hasAdvisedQueues = false; // some queue's policy is to be asked
     std::map<std::string, Entry, std::less<>> m_jobs;
     std::set<std::string> m_live; // jobs that have not ended
-    std::set<std::string> m_dirty;
+    std::deque<std::string> m_dirty; // jobs to be written, those that wait longest first
     std::map<std::string, Runner> m_runners;
     std::map<std::string, Resources, std::less<>> m_teamUse; // of runs that may exist
     std::map<std::string, TeamDemand> m_teamDemands;
--- a/testing/unit/engine_test.cpp
+++ b/testing/unit/engine_test.cpp
@@ -71,6 +71,24 @@
     EXPECT_EQ(pool.phaseOf("a"), JobPhase::Completed);
 }
 
+// More jobs change than the batches hold, all of them before this one by name.
+TEST(Engine, ChangedJobIsNotPassedOverByLaterOnesInTheBatches)
+{
+    EnginePool pool({});
+    int count = 0;
+    const auto submitOthers = [&] {
+        for (int i = 0; i < 60; ++i)
+            pool.submit("a" + std::to_string(count++), job({step(1)}));
+        pool.run(milliseconds(10));
+    };
+    for (int i = 0; i < 10; ++i)
+        submitOthers();
+    pool.submit("z", job({step(1)}));
+    for (int i = 0; i < 30; ++i)
+        submitOthers();
+    EXPECT_TRUE(pool.engine().isDurable("z"));
+}
+
 TEST(Engine, ShowsOnlyWhatIsInTheStore)
 {
     EnginePool pool({});
