Keep a runner's notice that it leaves for the rest of its life

Change: within a life (the same birth) a runner that drains stays so, and an entry of an earlier life is not taken. Evidence: EngineStarts.RunnerThatHasGivenNoticeIsNotReadyAgainInTheSameLife failed before.

--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -281,6 +281,7 @@
     void freeTask(const TaskName &name, std::uint64_t run);
     void adoptInherited(const Job &job, TimePoint now);
 
+    void takeEntry(Runner &runner, const RunnerEntry &entry);
     void onRebirth(Runner &runner, const RunnerReport &report, TimePoint sentAt);
     void takeRunning(Runner &runner, const RunnerReport &report, TimePoint now);
     void takeEnd(Runner &runner, const RunEnd &end, TimePoint now);
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -138,12 +138,10 @@
     for (const RunnerEntry &entry : entries) {
         listed.insert(entry.id);
         Runner &runner = m_runners[entry.id];
-        if (runner.entry.isDraining != entry.isDraining)
-            note(entry.isDraining ? "runner.draining" : "runner.ready", {.job = entry.id});
         if (!runner.isListed)
             note("runner.listed", {.job = entry.id}, toString(entry.endpoint));
-        runner.entry = entry;
         runner.isListed = true;
+        takeEntry(runner, entry);
     }
     for (auto next = m_runners.begin(); next != m_runners.end();) {
         Runner &runner = next->second;
@@ -157,6 +155,20 @@
     }
 }
 
+// Entries may go back: the store can carry out an earlier write of the runner after a later one. A
+// notice stands for the rest of the runner's life.
+void Engine::takeEntry(Runner &runner, const RunnerEntry &entry)
+{
+    if (entry.bornAt < runner.entry.bornAt)
+        return;
+    const bool hasGivenNotice = runner.entry.isDraining && runner.entry.bornAt == entry.bornAt;
+    const bool isDraining = entry.isDraining || hasGivenNotice;
+    if (runner.entry.isDraining != isDraining)
+        note(isDraining ? "runner.draining" : "runner.ready", {.job = entry.id});
+    runner.entry = entry;
+    runner.entry.isDraining = isDraining;
+}
+
 void Engine::onLifeOver(const std::string &id)
 {
     const auto found = m_runners.find(id);
--- a/testing/unit/enginestarts_test.cpp
+++ b/testing/unit/enginestarts_test.cpp
@@ -78,6 +78,24 @@
     EXPECT_EQ(pool.breaches(), "");
 }
 
+// An earlier entry of the runner is written after the one with its notice.
+TEST(EngineStarts, RunnerThatHasGivenNoticeIsNotReadyAgainInTheSameLife)
+{
+    EnginePool pool({.runners = 2});
+    pool.run(Settled);
+    pool.setDraining(0, true);
+    pool.setDraining(0, false);
+    pool.submit("a", job(4));
+    pool.runUntilEnded("a", Patience);
+    EXPECT_EQ(runnersOf(pool, "a"), std::set<std::string>{"i-1"}) << pool.trace();
+
+    pool.crash(0); // another life under the same identifier
+    pool.run(seconds(2));
+    pool.submit("b", job(12));
+    pool.runUntilEnded("b", Patience);
+    EXPECT_EQ(runnersOf(pool, "b"), (std::set<std::string>{"i-0", "i-1"})) << pool.trace();
+}
+
 // One member can't be started where it was placed: none works alone.
 TEST(EngineStarts, GangIsPlacedAnewWhenOneOfItsRunnersDrains)
 {
