Keep a host empty until the order for it is accepted

Tasks were ended by the maintenance or the move of their host although it had been emptied before.

An order that was refused, waited for the wave's bound or for the fleet's ownership went out later, when tasks had been placed there again. An errand also went on for the host's earlier life when its runner had been started anew.

Change: the answer holds for its term, and the host is asked for again every 0.5 s until the order is accepted; an errand whose host has another runner ends. Evidence: Platform.OrderThatIsAcceptedLateEndsNoTask fails before (a run of a job ends with its host) and passes after; Platform.WaveMaintainsEveryHost still passes.

--- a/node/fleetowner.cpp
+++ b/node/fleetowner.cpp
@@ -1,5 +1,6 @@
 #include "node/fleetowner.h"
 
+#include "node/evacuation.h"
 #include "platform/jsonfields.h"
 #include "platform/operatorrows.h"
 #include "sequoiapier/wallclock.h"
@@ -27,6 +28,7 @@
 constexpr Duration CallPatience = milliseconds(1'500);
 constexpr Duration StorePatience = milliseconds(1'000);
 constexpr Duration OrderRetry = milliseconds(400);
+constexpr Duration EmptyInterval = EvacuationTerm / 3; // between calls that keep a host empty
 constexpr Duration MovePatience = milliseconds(1'500); // to empty a host that was idle
 // The platform takes orders of two holders for one host within three seconds as a conflict.
 constexpr Duration HolderPause = milliseconds(3'000);
@@ -185,9 +187,28 @@
     completeWaves();
     if (mayOrder())
         plan();
+    advanceErrands();
+    m_timer.startAt(now + TurnInterval);
+}
+
+void FleetOwner::advanceErrands()
+{
+    std::erase_if(m_errands, [&](const auto &item) {
+        const bool isOver = isForOtherLife(item.first, item.second);
+        if (isOver)
+            m_context.log.note("host.errand-ended", {{"host", item.first}, {"detail", "reborn"}});
+        return isOver;
+    });
     for (auto &[host, errand] : m_errands)
         advance(host, errand);
-    m_timer.startAt(now + TurnInterval);
+}
+
+// Whether the host has another runner than the one that was emptied, not by this errand's order.
+bool FleetOwner::isForOtherLife(const std::string &host, const Errand &errand) const
+{
+    const FleetHost *known = findHost(host);
+    return known != nullptr && known->runner != errand.runner && !errand.mayBeOrdered
+        && errand.orderedAt == TimePoint{};
 }
 
 void FleetOwner::readHosts()
@@ -348,46 +369,51 @@
                                 .runner = host->runner,
                                 .fromPool = host->pool,
                                 .begunAt = BootClock::now(),
-                                .isEmpty = isOff};
+                                .emptyUntil = isOff ? TimePoint::max() : TimePoint{},
+                                .askAgainAt = isOff ? TimePoint::max() : TimePoint{}};
     }
 }
 
+// The host is kept empty until its order is accepted, which may be long after it was found empty.
 void FleetOwner::advance(const std::string &host, Errand &errand)
 {
     const TimePoint now = BootClock::now();
-    if (errand.orderedAt != TimePoint{} || errand.isOrderSent || now < errand.retryAt)
+    if (errand.orderedAt != TimePoint{})
         return;
-    if (errand.isEmpty && mayOrder())
+    if (!errand.isOrderSent && now >= errand.retryAt && now < errand.emptyUntil && mayOrder())
         order(host, errand);
-    else if (!errand.isEmpty && !errand.isAsking)
+    else if (!errand.isAsking && now >= errand.askAgainAt)
         askPool(host, errand);
 }
 
 void FleetOwner::askPool(const std::string &host, Errand &errand)
 {
     errand.isAsking = true;
+    const TimePoint askedAt = BootClock::now();
     api::EvacuationCall call;
     call.pool = errand.fromPool;
     call.runner = errand.runner;
-    m_context.evacuate(call,
-                       [this, guard = Guard(m_guard), host](const api::EvacuationReply *reply) {
-                           if (guard.expired())
-                               return;
-                           const auto found = m_errands.find(host);
-                           if (found == m_errands.end())
-                               return;
-                           Errand &asked = found->second;
-                           asked.isAsking = false;
-                           asked.isEmpty = reply != nullptr
-                               && reply->code == std::int32_t(ResultCode::Ok) && reply->isEmpty;
-                           if (asked.isEmpty) {
-                               advance(host, asked);
-                               return;
-                           }
-                           const bool isMove = asked.what.kind == ErrandKind::Move;
-                           if (isMove && BootClock::now() > asked.begunAt + MovePatience)
-                               m_errands.erase(found);
-                       });
+    m_context.evacuate(
+        call, [this, guard = Guard(m_guard), host, askedAt](const api::EvacuationReply *reply) {
+            if (guard.expired())
+                return;
+            const auto found = m_errands.find(host);
+            if (found == m_errands.end())
+                return;
+            Errand &asked = found->second;
+            asked.isAsking = false;
+            const bool isEmpty
+                = reply != nullptr && reply->code == std::int32_t(ResultCode::Ok) && reply->isEmpty;
+            if (isEmpty) {
+                asked.emptyUntil = askedAt + EvacuationTerm;
+                asked.askAgainAt = askedAt + EmptyInterval;
+                advance(host, asked);
+                return;
+            }
+            const bool isMove = asked.what.kind == ErrandKind::Move;
+            if (isMove && !asked.mayBeOrdered && BootClock::now() > asked.begunAt + MovePatience)
+                m_errands.erase(found);
+        });
 }
 
 // Hosts of the wave that are down for it, or may be.
--- a/node/fleetowner.h
+++ b/node/fleetowner.h
@@ -65,7 +65,8 @@
         std::string fromPool;
         TimePoint begunAt;
         bool isAsking = false; // its pool's owner is asked
-        bool isEmpty = false;
+        TimePoint emptyUntil{}; // nothing runs on it, and nothing is started there before
+        TimePoint askAgainAt{}; // to keep it empty
         bool isOrderSent = false; // and not answered yet
         bool mayBeOrdered = false; // an order may have been carried out
         TimePoint orderedAt{}; // accepted
@@ -99,7 +100,9 @@
     void notePools() const;
     std::map<std::string, HostErrand> errandsUnderWay() const;
     void begin(const std::vector<HostErrand> &errands);
+    void advanceErrands();
     void advance(const std::string &host, Errand &errand);
+    bool isForOtherLife(const std::string &host, const Errand &errand) const;
     void askPool(const std::string &host, Errand &errand);
     void order(const std::string &host, Errand &errand);
     void onOrdered(const std::string &host, FleetAnswer answer);
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -2,6 +2,7 @@
 // as it was until the store says what became of it. Store calls: at most one a BatchInterval.
 #include "node/poolowner.h"
 
+#include "node/evacuation.h"
 #include "platform/jsonfields.h"
 #include "sequoiapier/resultcode.h"
 #include "sequoiapier/wallclock.h"
@@ -34,7 +35,6 @@
 constexpr Duration EndsDelay = milliseconds(15); // collects the ends of a moment
 constexpr Duration SilentRetry = milliseconds(200);
 constexpr Duration WatchedWait = milliseconds(200); // where answers are needed often
-constexpr Duration EvacuationTerm = milliseconds(1'500); // of a call, which is repeated
 
 api::JobReply reply(ResultCode code)
 {
--- a/testing/process/platform_test.cpp
+++ b/testing/process/platform_test.cpp
@@ -245,5 +245,26 @@
         EXPECT_EQ(host["waves"].size(), 1U) << name;
 }
 
+// The hosts are empty when the order for them is refused, and work has come when it is accepted.
+TEST_F(Platform, OrderThatIsAcceptedLateEndsNoTask)
+{
+    ASSERT_TRUE(system().setFaults("platform", R"({"ordersRefused": true})"));
+    writeOperatorRow(
+        "wave/7",
+        {{"wave", 7}, {"machines", {"m-0", "m-1", "m-2", "m-3"}}, {"duration_s", 10}, {"cap", 2}});
+    std::this_thread::sleep_for(milliseconds(1'000));
+    for (int i = 0; i < 6; ++i) { // more than one host takes
+        EXPECT_EQ(submit("node-1", "000000000000000" + std::to_string(i), 3, 1'500), 200);
+        std::this_thread::sleep_for(milliseconds(400));
+    }
+    ASSERT_TRUE(system().setFaults("platform", "{}"));
+    EXPECT_TRUE(LocalSystem::waitUntil(
+        [&] { return record()["statuses"]["wave/7"]["state"] == "completed"; },
+        milliseconds(15'000)));
+    const nlohmann::json all = record();
+    for (const nlohmann::json &run : all["runs"])
+        EXPECT_NE(run["how"], "crashed") << run;
+}
+
 } // namespace
 } // namespace sequoiapier
--- a/testing/standin/platformstandin.cpp
+++ b/testing/standin/platformstandin.cpp
@@ -444,8 +444,8 @@
     const std::string name = textField(body, "machine").value_or("");
     const auto found = std::find_if(m_hosts.begin(), m_hosts.end(),
                                     [&](const auto &h) { return h->fleet.name == name; });
-    if (found == m_hosts.end()) {
-        exchange->reply({.status = 400});
+    if (found == m_hosts.end() || m_faults.ordersRefused) {
+        exchange->reply({.status = m_faults.ordersRefused ? 429 : 400});
         return;
     }
     Host &host = **found;
@@ -510,6 +510,7 @@
     m_faults = {.storeDown = flagField(body, "storeDown"),
                 .storeSilent = flagField(body, "storeSilent"),
                 .listDown = flagField(body, "listDown"),
+                .ordersRefused = flagField(body, "ordersRefused"),
                 .lostCommits = int(numberField(body, "lostCommits").value_or(0)),
                 .lostStarts = int(numberField(body, "lostStarts").value_or(0))};
     for (const json &runner : listField(body, "silentRunners"))
--- a/testing/standin/platformstandin.h
+++ b/testing/standin/platformstandin.h
@@ -10,6 +10,7 @@
 //     "storeDown": true          every call to the store is refused with 503
 //     "storeSilent": true        or is not answered
 //     "listDown": true           reads of the runners' table are refused with 429
+//     "ordersRefused": true      orders for hosts are refused with 429
 //     "lostCommits": 2           the next 2 transactions are carried out and not answered
 //     "lostStarts": 2            the next 2 starts are carried out and not answered
 //     "silentRunners": ["i-1"]   they answer nothing
@@ -79,6 +80,7 @@
         bool storeDown = false;
         bool storeSilent = false;
         bool listDown = false;
+        bool ordersRefused = false;
         int lostCommits = 0;
         int lostStarts = 0;
         std::set<std::string> silentRunners;
