Don't walk the errands of hosts while they change

Suspected from the code: an errand that is given up when the pool's owner answers at once (the same node) was erased from the map that the turn was walking, which then read freed memory. The turn walks the names instead. Not reproduced; Platform.* pass.

--- a/node/fleetowner.cpp
+++ b/node/fleetowner.cpp
@@ -199,8 +199,15 @@
             m_context.log.note("host.errand-ended", {{"host", item.first}, {"detail", "reborn"}});
         return isOver;
     });
-    for (auto &[host, errand] : m_errands)
-        advance(host, errand);
+    // An errand may end while it is advanced: the pool's owner or the client may answer at once.
+    std::vector<std::string> hosts;
+    for (const auto &[host, errand] : m_errands)
+        hosts.push_back(host);
+    for (const std::string &host : hosts) {
+        const auto found = m_errands.find(host);
+        if (found != m_errands.end())
+            advance(host, found->second);
+    }
 }
 
 // Whether the host has another runner than the one that was emptied, not by this errand's order.
