Bound the depth and the numbers of documents that others wrote

A report from other operators: one odd entry among those of the runners ends the machines that read the list, again and again. Shown here: RunnerList.DeeplyNestedEntry..., CallerApi.DeeplyNestedSubmission... and OperatorRows.DeeplyNestedRows... ended with signal 11, so one call of a caller could end an entry host; an entry with a birth of 1e300 or 2^63, or an endless amount, named a runner to use.

Cause: values of the JSON library are copied by recursion (parseBody() returned one through a conditional expression) and CBOR is read by it. Doubles were converted to integers that can't hold them, which is undefined; unsigned numbers above 2^63 became negative.

Change: parseJson() and parseCbor() are the only places where bytes become JSON; they refuse what is nested deeper than 32 before anything is built.

--- a/cli/ctljob.cpp
+++ b/cli/ctljob.cpp
@@ -1,6 +1,7 @@
 // Teams' commands. The key stands in a file, so that it is not seen in a list of processes.
 #include "cli/ctlcall.h"
 #include "gen/JobService.h"
+#include "sequoiapier/boundedjson.h"
 #include "sequoiapier/resultcode.h"
 
 #include <nlohmann/json.hpp>
@@ -110,7 +111,7 @@
     for (std::string line; std::getline(stream, line);) {
         if (line.empty())
             continue;
-        Result<api::JobRequest> job = parseJob(nlohmann::json::parse(line, nullptr, false));
+        Result<api::JobRequest> job = parseJob(parseJson(line));
         if (!job)
             return Error{ResultCode::Usage, file + ": " + job.error().detail};
         jobs.push_back(std::move(job.value()));
--- a/cli/eventjson.cpp
+++ b/cli/eventjson.cpp
@@ -1,5 +1,7 @@
 #include "cli/eventjson.h"
 
+#include "sequoiapier/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace sequoiapier {
@@ -31,7 +33,7 @@
     std::vector<Event> events;
     for (std::size_t line = 1; !text.empty(); ++line) {
         const auto end = text.find('\n');
-        const auto json = nlohmann::json::parse(text.substr(0, end), nullptr, false);
+        const auto json = parseJson(text.substr(0, end));
         text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
         try {
             events.push_back({.time = {json.at("time_us"), json.at("counter")},
--- a/controller/operationrecord.cpp
+++ b/controller/operationrecord.cpp
@@ -1,5 +1,7 @@
 #include "controller/operationrecord.h"
 
+#include "sequoiapier/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace sequoiapier {
@@ -27,7 +29,7 @@
 
 Result<OperationRecord> parseOperationRecord(std::string_view text)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto json = parseJson(text);
     if (!json.is_object())
         return Error{ResultCode::RowMalformed, "the operation's record is not a JSON object"};
     try {
--- a/controller/rowcodec.h
+++ b/controller/rowcodec.h
@@ -6,6 +6,7 @@
 // another document (unknown or missing member, wrong type, unknown enumerator) is rejected whole.
 #pragma once
 
+#include "sequoiapier/boundedjson.h"
 #include "sequoiapier/result.h"
 
 #include <nlohmann/json.hpp>
@@ -19,7 +20,7 @@
 template<typename Row>
 Result<Row> parseRow(std::string_view document, std::string_view kind)
 {
-    const auto json = nlohmann::json::parse(document, nullptr, false);
+    const auto json = parseJson(document);
     const Error malformed{ResultCode::RowMalformed, std::string(kind) + " is malformed"};
     if (json.is_discarded())
         return malformed;
--- a/jobs/ceilingparts.cpp
+++ b/jobs/ceilingparts.cpp
@@ -1,5 +1,6 @@
 #include "jobs/ceilingparts.h"
 
+#include "sequoiapier/boundedjson.h"
 #include "sequoiapier/maxminshare.h"
 
 #include <nlohmann/json.hpp>
@@ -58,7 +59,7 @@
 
 Result<CeilingParts> parseCeilingParts(std::string_view bytes)
 {
-    const json document = json::parse(bytes, nullptr, false);
+    const json document = parseJson(bytes);
     if (!document.is_object())
         return Error{ResultCode::RowMalformed, "not the parts of a ceiling"};
     CeilingParts parts;
--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -2,6 +2,8 @@
 // placed is 0, any other an array; so the row of a large job stays small.
 #include "jobs/job.h"
 
+#include "sequoiapier/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -168,7 +170,7 @@
     const Error malformed{ResultCode::RowMalformed, "not a job's state: " + job.id};
     try {
         // Throws for lengths beyond what memory could hold, also where it is told not to.
-        const json document = json::from_cbor(bytes, true, false);
+        const json document = parseCbor(bytes);
         if (!document.is_array() || document.size() != StateFields || document[0] != StateFormat)
             return malformed;
         document[1].get_to(job.queue);
--- a/jobs/jobspec.cpp
+++ b/jobs/jobspec.cpp
@@ -1,6 +1,8 @@
 // CBOR arrays in the order of the fields; steps are arrays within.
 #include "jobs/jobspec.h"
 
+#include "sequoiapier/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <sstream>
@@ -72,6 +74,8 @@
             return malformed(name + " has no tasks or too many");
         if (step.size.processors < 0 || step.size.memory < 0 || step.size.accelerators < 0)
             return malformed(name + " asks for a negative amount");
+        if (!isPlausible(step.size))
+            return malformed(name + " asks for more than any host has");
         for (const std::uint32_t before : step.after) {
             if (before >= i)
                 return malformed(name + " waits for a step that is not before it");
@@ -129,7 +133,7 @@
 {
     try {
         // Throws for lengths beyond what memory could hold, also where it is told not to.
-        const json document = json::from_cbor(bytes, true, false);
+        const json document = parseCbor(bytes);
         if (!document.is_array() || document.size() != SpecFields || document[0] != SpecFormat)
             return Error{ResultCode::RowMalformed, "not a job's specification"};
         JobSpec spec;
--- /dev/null
+++ b/sequoiapier/boundedjson.cpp
@@ -0,0 +1,85 @@
+// Text is scanned for brackets outside of strings, which costs little beside parsing it. CBOR has
+// no such mark, so it is read twice, first by a reader that builds nothing.
+#include "sequoiapier/boundedjson.h"
+
+#include <string>
+
+namespace sequoiapier {
+
+namespace {
+
+using nlohmann::json;
+
+bool isWithinDepth(std::string_view text)
+{
+    int depth = 0;
+    bool isInString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (isInString) {
+            if (c == '\\')
+                ++i; // the escaped character
+            else if (c == '"')
+                isInString = false;
+        } else if (c == '"') {
+            isInString = true;
+        } else if (c == '[' || c == '{') {
+            if (++depth > MaxJsonDepth)
+                return false;
+        } else if (c == ']' || c == '}') {
+            --depth;
+        }
+    }
+    return true;
+}
+
+// Stops the reader at the first value that is nested too deeply.
+class DepthCheck : public nlohmann::json_sax<json>
+{
+public:
+    bool null() override { return true; }
+    bool boolean(bool /*value*/) override { return true; }
+    bool number_integer(number_integer_t /*value*/) override { return true; }
+    bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+    bool number_float(number_float_t /*value*/, const string_t & /*text*/) override { return true; }
+    bool string(string_t & /*value*/) override { return true; }
+    bool binary(binary_t & /*value*/) override { return true; }
+    bool key(string_t & /*value*/) override { return true; }
+    bool start_object(std::size_t /*size*/) override { return ++m_depth <= MaxJsonDepth; }
+    bool start_array(std::size_t /*size*/) override { return ++m_depth <= MaxJsonDepth; }
+    bool end_object() override { return leave(); }
+    bool end_array() override { return leave(); }
+    bool parse_error(std::size_t /*position*/, const std::string & /*token*/,
+                     const nlohmann::detail::exception & /*exception*/) override
+    {
+        return false;
+    }
+
+private:
+    bool leave()
+    {
+        --m_depth;
+        return true;
+    }
+
+    int m_depth = 0;
+};
+
+} // namespace
+
+json parseJson(std::string_view text)
+{
+    if (!isWithinDepth(text))
+        return json(json::value_t::discarded);
+    return json::parse(text, nullptr, false);
+}
+
+json parseCbor(std::string_view bytes)
+{
+    DepthCheck check;
+    if (!json::sax_parse(bytes, &check, json::input_format_t::cbor))
+        return json(json::value_t::discarded);
+    return json::from_cbor(bytes, true, false);
+}
+
+} // namespace sequoiapier
--- a/sequoiapier/configuration.cpp
+++ b/sequoiapier/configuration.cpp
@@ -2,6 +2,8 @@
 // the whole document.
 #include "sequoiapier/configuration.h"
 
+#include "sequoiapier/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -234,7 +236,7 @@
 
 Result<Configuration> parseConfiguration(std::string_view document, std::uint64_t version)
 {
-    const Json json = Json::parse(document, nullptr, false);
+    const Json json = parseJson(document);
     if (json.is_discarded())
         return Error{ResultCode::RowMalformed, "not a JSON document"};
     std::string error;
--- a/sequoiapier/memberrow.cpp
+++ b/sequoiapier/memberrow.cpp
@@ -1,12 +1,14 @@
 #include "sequoiapier/memberrow.h"
 
+#include "sequoiapier/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace sequoiapier {
 
 Result<MemberRow> parseMemberRow(const TableRow &row)
 {
-    const auto json = nlohmann::json::parse(row.value, nullptr, false);
+    const auto json = parseJson(row.value);
     if (!json.is_object())
         return Error{ResultCode::RowMalformed, row.key + " is not a JSON object"};
     try {
--- a/sequoiapier/ownerrow.cpp
+++ b/sequoiapier/ownerrow.cpp
@@ -1,5 +1,7 @@
 #include "sequoiapier/ownerrow.h"
 
+#include "sequoiapier/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -59,7 +61,7 @@
 
 Result<OwnerRow> parseOwnerRow(std::string_view value)
 {
-    const Json json = Json::parse(value, nullptr, false);
+    const Json json = parseJson(value);
     if (!hasText(json, "owner") || !hasNumber(json, "incarnation") || !hasNumber(json, "epoch"))
         return malformed("owner row");
     return OwnerRow{{json["owner"].get<std::string>(), json["incarnation"].get<std::uint64_t>()},
@@ -68,7 +70,7 @@
 
 Result<LenderRow> parseLenderRow(std::string_view value)
 {
-    const Json json = Json::parse(value, nullptr, false);
+    const Json json = parseJson(value);
     const bool isWhole
         = hasText(json, "zone") && hasText(json, "address") && hasNumber(json, "renewal");
     if (!isWhole || (json.contains("leaving") && !json["leaving"].is_boolean()))
--- a/sequoiapier/resources.h
+++ b/sequoiapier/resources.h
@@ -40,4 +40,14 @@
                      part(use.accelerators, total.accelerators)});
 }
 
+inline constexpr double MaxAmount = 1e6; // of one resource, above that of any host
+
+// Whether each amount is one that a host may have; sums of such amounts are exact enough.
+inline bool isPlausible(const Resources &amount)
+{
+    const auto isInRange = [](double part) { return part >= 0 && part <= MaxAmount; };
+    return isInRange(amount.processors) && isInRange(amount.memory)
+        && isInRange(amount.accelerators);
+}
+
 } // namespace sequoiapier
--- a/testing/process/platform_test.cpp
+++ b/testing/process/platform_test.cpp
@@ -181,6 +181,38 @@
     EXPECT_EQ(breaches(), "[]");
 }
 
+// Another writer left them among those of the runners.
+TEST_F(Platform, OddEntriesOfTheListEndNoNodeAndHideNoRunner)
+{
+    const std::string deep = std::string(160'000, '[') + std::string(160'000, ']');
+    const std::vector<std::string> entries{
+        R"({"service":"vanload","more":)" + deep + "}",
+        R"({"service":"vanload","addr":"127.0.0.1:70000","state":"ready","capacity":{}})",
+        R"({"service":"vanload","addr":"127.0.0.1:1","state":"ready","capacity":{"cpu":1e300}})",
+        R"({"service":"vanload","addr":"127.0.0.1:1","state":"ready","capacity":{},"born":1e300})",
+        "\x01"};
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        const nlohmann::json entry{{"key", "odd-" + std::to_string(i)}, {"text", entries[i]}};
+        ASSERT_TRUE(system().post("platform", "/entry", entry.dump()));
+    }
+    std::this_thread::sleep_for(milliseconds(1'500)); // some reads of the list
+    EXPECT_EQ(submit("node-1", JobA, 6, 50), 200);
+    EXPECT_TRUE(waitState("node-2", JobA, "completed"));
+    for (const std::string &node : nodes())
+        EXPECT_FALSE(system().member(node).process.waitExit(milliseconds(1))) << node;
+    EXPECT_EQ(breaches(), "[]");
+}
+
+// One call that is nested so deeply is refused, and the node serves on.
+TEST_F(Platform, DeeplyNestedSubmissionIsRefused)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    EXPECT_EQ(call("node-1", "POST", "/quotes/" + JobA, R"({"spec":"","steps":)" + deep + "}")
+                  .response.status,
+              400);
+    EXPECT_EQ(submit("node-1", JobB), 200);
+}
+
 TEST_F(Platform, StoreOutageAcceptsNothingAndLosesNothing)
 {
     EXPECT_EQ(submit("node-1", JobA, 2, 1'000), 200);
--- a/testing/standin/platformstandin.cpp
+++ b/testing/standin/platformstandin.cpp
@@ -140,6 +140,7 @@
     route("/v1/rows-feed", &PlatformStandin::watch);
     route("/v1/machines", &PlatformStandin::listHosts);
     route("/operator", &PlatformStandin::serveOperator);
+    route("/entry", &PlatformStandin::writeEntry);
     route("/record", &PlatformStandin::serveRecord);
     route("/faults", &PlatformStandin::takeFaults);
     route("/crash", &PlatformStandin::crash);
@@ -480,6 +481,14 @@
     answer(exchange, 200, {{"ver", m_rows.version()}});
 }
 
+void PlatformStandin::writeEntry(const ExchangePtr &exchange)
+{
+    const json body = parseBody(exchange->request().body);
+    const std::string key = textField(body, "key").value_or("");
+    m_rows.apply({.writes = {{{.table = "servers", .key = key}, textField(body, "text")}}});
+    exchange->reply({});
+}
+
 void PlatformStandin::serveRecord(const ExchangePtr &exchange) const
 {
     json runs = json::array();
--- a/testing/standin/platformstandin.h
+++ b/testing/standin/platformstandin.h
@@ -3,6 +3,7 @@
 //
 // The store and the fleet answer on the admin port; each runner on a port of its own. Beside them:
 //   POST /operator {"key": "config", "value": {...}}   writes a row of the operator's table
+//   POST /entry {"key": "i-9", "text": "..."}          writes a row of the runners' table
 //   POST /crash {"runner": "i-0"}                      the runner loses everything and starts again
 //   POST /drain {"runner": "i-0"}                      the runner says that it will leave
 //   GET /record                                        runs and breaches of the rules on runs
@@ -108,6 +109,7 @@
     void listHosts(const ExchangePtr &exchange);
     void orderHost(const ExchangePtr &exchange, bool isMove);
     void serveOperator(const ExchangePtr &exchange);
+    void writeEntry(const ExchangePtr &exchange);
     void serveRecord(const ExchangePtr &exchange) const;
     void takeFaults(const ExchangePtr &exchange);
     void crash(const ExchangePtr &exchange);
--- a/testing/unit/platformrows_test.cpp
+++ b/testing/unit/platformrows_test.cpp
@@ -52,6 +52,65 @@
     EXPECT_EQ(unreadable, 6);
 }
 
+std::string withField(std::string_view field)
+{
+    return "{" + std::string(field) + "," + std::string(Beat).substr(1);
+}
+
+std::string nested(std::size_t depth, const std::string &open, const std::string &close)
+{
+    std::string text;
+    for (std::size_t i = 0; i < depth; ++i)
+        text += open;
+    text += "1";
+    for (std::size_t i = 0; i < depth; ++i)
+        text += close;
+    return text;
+}
+
+TEST(RunnerList, DeeplyNestedEntryNamesNoRunnerAndEndsNoProcess)
+{
+    EXPECT_TRUE(parseRunnerRow(row(withField(R"("more":[{"a":[1]}])"))));
+    EXPECT_FALSE(parseRunnerRow(row(withField(R"("more":)" + nested(400'000, "[", "]")))));
+    EXPECT_FALSE(parseRunnerRow(row(withField(R"("more":)" + nested(400'000, R"({"a":)", "}")))));
+}
+
+TEST(RunnerList, EntryWithANumberOutOfRangeNamesNoRunner)
+{
+    const auto replaced = [](const std::string &from, const std::string &to) {
+        std::string beat = Beat;
+        beat.replace(beat.find(from), from.size(), to);
+        return row(beat);
+    };
+    for (const char *born : {"1e300", "-1e300", "9223372036854775808", "18446744073709551615",
+                             "1700000000123.5", "\"1700000000123\"", "null"}) {
+        EXPECT_FALSE(parseRunnerRow(replaced("1700000000123", born))) << born;
+    }
+    for (const char *amount : {"1e300", "-1", "\"16\"", "1e15"})
+        EXPECT_FALSE(parseRunnerRow(replaced("16000", amount))) << amount;
+    for (const char *port : {"70000", "0", "-1", "18446744073709551617"})
+        EXPECT_FALSE(parseRunnerRow(replaced("8080", port))) << port;
+    EXPECT_FALSE(parseRunnerRow(replaced("1700000000123", "1e999")));
+}
+
+TEST(CallerApi, DeeplyNestedSubmissionIsRefused)
+{
+    const std::string deep = nested(250'000, "[", "]");
+    EXPECT_FALSE(parseSubmission(R"({"spec":"","steps":[{"count":1,"after":)" + deep + "}]}"));
+    EXPECT_FALSE(parseSubmission(deep));
+    EXPECT_FALSE(parseSubmission(R"({"spec":"","steps":[{"count":1,"cpu":1e300}]})"));
+}
+
+TEST(OperatorRows, DeeplyNestedRowsAreRefused)
+{
+    const std::string deep = nested(400'000, "[", "]");
+    EXPECT_FALSE(parseOperatorConfiguration(R"({"version":1,"more":)" + deep + "}"));
+    EXPECT_FALSE(parseOperatorConfiguration(R"({"version":1e300})"));
+    EXPECT_FALSE(parseWaveOrder(R"({"wave":1,"duration_s":1,"more":)" + deep + "}"));
+    EXPECT_FALSE(parseWaveOrder(R"({"wave":1,"duration_s":1e300})"));
+    EXPECT_FALSE(parseWaveOrder(R"({"wave":-1,"duration_s":1})"));
+}
+
 TEST(OperatorRows, ReadsAConfiguration)
 {
     const auto parsed = parseOperatorConfiguration(
