Begin at most 64 occurrences of a job at once

One valid submission (a million times, all due) stopped a pool's owner: it made all occurrences in one turn, with a task and a row entry each. Found while looking for documents from outside that end a process.

Change: a job has at most 64 open occurrences; times out of range are refused.

--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Duration DropInterval = std::chrono::seconds(1); // of ended jobs, kept for minutes
+constexpr std::size_t MaxOpenOccurrences = 64; // of a job; its row in the store grows with them
 constexpr double RoomTolerance = 1e-6; // of sums of fractions of a core
 
 bool fits(const Resources &size, const Resources &room)
@@ -84,11 +85,13 @@
     }
 }
 
-// Occurrences of a job at set times begin when they are due, never before.
+// Occurrences of a job at set times begin when they are due, never before, and at most
+// MaxOpenOccurrences of them are open at once.
 void Engine::beginOccurrences(Entry &entry, TimePoint now)
 {
     Job &job = entry.job;
-    while (!job.hasEnded() && job.nextOccurrence < job.spec.occurrenceCount()) {
+    while (!job.hasEnded() && job.nextOccurrence < job.spec.occurrenceCount()
+           && job.occurrences.size() < MaxOpenOccurrences) {
         const std::int64_t due
             = job.spec.firstDue + std::int64_t(job.nextOccurrence) * job.spec.intervalMilliseconds;
         if (job.spec.isTimed() && due > m_hooks.wallMilliseconds())
--- a/jobs/jobspec.cpp
+++ b/jobs/jobspec.cpp
@@ -15,6 +15,7 @@
 using nlohmann::json;
 
 constexpr int SpecFormat = 1;
+constexpr std::int64_t MaxMilliseconds = 100'000'000'000'000; // of a Unix time, some 3,000 years
 constexpr std::size_t SpecFields = 6;
 constexpr std::size_t StepFields = 18;
 
@@ -83,6 +84,11 @@
     }
     if (spec.isTimed() && spec.intervalMilliseconds < 0)
         return malformed("the interval between occurrences is negative");
+    if (spec.isTimed()
+        && (spec.firstDue < 0 || spec.firstDue > MaxMilliseconds
+            || spec.intervalMilliseconds > MaxMilliseconds)) {
+        return malformed("the times of the occurrences are out of range");
+    }
     return boost::outcome_v2::success();
 }
 
--- a/testing/unit/engine_test.cpp
+++ b/testing/unit/engine_test.cpp
@@ -71,6 +71,22 @@
     EXPECT_EQ(pool.phaseOf("a"), JobPhase::Completed);
 }
 
+// All times of the job are due at once.
+TEST(Engine, JobWithAMillionTimesTakesAsMuchAsItsOpenOnes)
+{
+    EnginePool pool({});
+    jobs::JobSpec many = job({step(1)}, R"({"runMs": 1})");
+    many.times = 1'000'000;
+    many.firstDue = 1;
+    const auto begin = std::chrono::steady_clock::now();
+    pool.submit("a", many);
+    pool.run(seconds(1));
+    EXPECT_EQ(pool.phaseOf("a"), JobPhase::Running);
+    EXPECT_GT(pool.ledger().runsOf("a").size(), 100U);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, seconds(5));
+    EXPECT_EQ(pool.breaches(), "");
+}
+
 // More jobs change than the batches hold, all of them before this one by name.
 TEST(Engine, ChangedJobIsNotPassedOverByLaterOnesInTheBatches)
 {
