Don't take an idle connection that the other end has closed for a call

Cause: asked for a connection, libwebsockets writes the request to an idle one at once. If that fails, or the client refuses because bytes or an end have arrived there, it frees the call's state and then reads it.

Change: the client looks at the socket before it offers the idle connection, and takes another lane if anything has arrived. A lane whose connection was given up may keep one again a second later; it never did before, so that its calls all made new connections. The lane freed first is taken first.

Ruled out: connections refused at once, servers that don't answer, calls on fresh connections (trials of each alone: no crash).

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <optional>
 #include <utility>
 
@@ -27,11 +28,13 @@
 constexpr int StatusNoContent = 204;
 constexpr int StatusNotModified = 304;
 
-// The other end may have sent or closed in the same turn of the loop that picked the connection.
-bool hasUnreadBytes(lws *connection)
+// Whether nothing has arrived on the socket, neither bytes nor an end. The loop may not have seen
+// what has.
+bool isQuiet(int descriptor)
 {
     char byte = 0;
-    return recv(lws_get_socket_fd(connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+    const ssize_t received = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 int clientCallback(lws *connection, lws_callback_reasons reason, void *user, void *in,
@@ -51,11 +54,11 @@
 {
     lws_vhost *vhost = nullptr;
     std::string endpoint; // that its idle connection, if any, leads to
-    bool isClosing = false; // its last connection was given up and closes in the next turn
     bool isReusable = false; // its connection may serve another call
     bool isIdle = false; // an idle connection is kept in it
+    int idleDescriptor = -1; // of the idle connection; may be closed, or another's, since
     std::optional<ConnectionHealth> health; // of the idle connection
-    TimePoint closedAt; // when the idle connection has been closed for certain
+    TimePoint closedAt{}; // when its last connection has been closed for certain
     std::unique_ptr<Transaction> transaction;
 };
 
@@ -112,6 +115,9 @@
     freeClosedLanes(idle->second);
     if (use == ConnectionUse::Fresh || idle->second.empty())
         return nullptr;
+    freeEndedLanes(idle->second);
+    if (idle->second.empty())
+        return nullptr;
     Lane *lane = idle->second.back();
     if (use == ConnectionUse::ReuseProved && !lane->health->isProvedAlive(BootClock::now()))
         return nullptr;
@@ -119,11 +125,25 @@
     return lane;
 }
 
+// libwebsockets writes to an idle connection while it is being asked for one, and reads freed
+// memory if that fails. So one that the other end has closed is left to close by itself.
+void HttpClient::freeEndedLanes(std::deque<Lane *> &idle)
+{
+    while (!idle.empty() && !isQuiet(idle.back()->idleDescriptor)) {
+        Lane *ended = idle.back();
+        idle.pop_back();
+        ended->isIdle = false;
+        ended->closedAt = BootClock::now() + CloseMargin;
+        m_freeLanes.push_back(ended);
+    }
+}
+
 // libwebsockets closes an idle connection after idleSeconds; its lane can then take any other.
 void HttpClient::freeClosedLanes(std::deque<Lane *> &idle)
 {
     const TimePoint now = BootClock::now();
     while (!idle.empty() && idle.front()->closedAt <= now) {
+        idle.front()->isIdle = false;
         m_freeLanes.push_back(idle.front());
         idle.pop_front();
     }
@@ -134,8 +154,8 @@
     if (Lane *idle = takeIdleLane(endpoint, use))
         return idle;
     if (!m_freeLanes.empty()) {
-        Lane *lane = m_freeLanes.back();
-        m_freeLanes.pop_back();
+        Lane *lane = m_freeLanes.front(); // most likely closed
+        m_freeLanes.pop_front();
         return lane;
     }
     if (m_lanes.size() >= m_options.maxConnections)
@@ -170,8 +190,8 @@
         return;
     }
     // A call must not be queued on a connection that is being closed.
-    const bool reuse = call.connectionUse != ConnectionUse::Fresh && !lane->isClosing;
-    lane->isClosing = false;
+    const bool hasClosing = !lane->isIdle && BootClock::now() < lane->closedAt;
+    const bool reuse = call.connectionUse != ConnectionUse::Fresh && !hasClosing;
     lane->isReusable = reuse;
     lane->endpoint = endpoint;
     lane->transaction
@@ -215,15 +235,15 @@
     const bool keep = outcome == HttpOutcome::Answered && lane.isReusable;
     if (owned->connection != nullptr) {
         lws_set_opaque_user_data(owned->connection, nullptr);
-        lane.isClosing = !keep;
         if (!keep)
             lws_set_timeout(owned->connection, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
     }
     const TimePoint now = BootClock::now();
     lane.health.emplace(now);
-    lane.closedAt
-        = now + std::chrono::seconds(idleSeconds(owned->call.connectionUse)) + CloseMargin;
+    const std::chrono::seconds idleTime(keep ? idleSeconds(owned->call.connectionUse) : 0);
+    lane.closedAt = now + idleTime + CloseMargin;
     lane.isIdle = keep;
+    lane.idleDescriptor = keep ? lws_get_socket_fd(owned->connection) : -1;
     if (keep)
         m_idleLanes[lane.endpoint].push_back(&lane);
     else
@@ -239,7 +259,7 @@
 int HttpClient::writeHead(Transaction &transaction, unsigned char **position, unsigned char *end)
 {
     lws *connection = transaction.connection;
-    if (transaction.isReused && hasUnreadBytes(connection)) {
+    if (transaction.isReused && !isQuiet(lws_get_socket_fd(connection))) {
         transaction.isConnectionUnfit = true;
         return -1;
     }
--- a/net/httpclient.h
+++ b/net/httpclient.h
@@ -57,6 +57,7 @@
     Lane *takeLane(const std::string &endpoint, ConnectionUse use);
     Lane *takeIdleLane(const std::string &endpoint, ConnectionUse use);
     void freeClosedLanes(std::deque<Lane *> &idle);
+    void freeEndedLanes(std::deque<Lane *> &idle);
     std::uint16_t idleSeconds(ConnectionUse use) const;
     void finish(Transaction &transaction, HttpOutcome outcome, bool timedOut);
     int writeHead(Transaction &transaction, unsigned char **position, unsigned char *end);
@@ -68,7 +69,7 @@
     Options m_options;
     std::vector<std::unique_ptr<Lane>> m_lanes;
     std::unordered_map<std::string, std::deque<Lane *>> m_idleLanes; // by endpoint, oldest first
-    std::vector<Lane *> m_freeLanes;
+    std::deque<Lane *> m_freeLanes; // freed last at the end
     std::size_t m_activeCount = 0;
     std::vector<unsigned char> m_buffer;
     char **m_parsePosition = nullptr; // in received bytes, while libwebsockets parses them
--- a/testing/unit/httpclient_test.cpp
+++ b/testing/unit/httpclient_test.cpp
@@ -5,6 +5,7 @@
 #include "testing/support/scriptedupstream.h"
 
 #include <gtest/gtest.h>
+#include <malloc.h>
 
 namespace sequoiapier {
 namespace {
@@ -122,6 +123,45 @@
     EXPECT_EQ(answered, CallCount);
 }
 
+// The server ends each connection some milliseconds after its answer, often just when it is reused.
+// Freed memory is filled, so that its use shows.
+TEST(HttpClient, IdleConnectionThatHasEndedIsNotTakenForACall)
+{
+    constexpr int CallCount = 2'000;
+    constexpr int ParallelCalls = 20;
+    constexpr int FreedByte = 0xa5;
+    mallopt(M_PERTURB, FreedByte);
+    ScriptedUpstream upstream([](const UpstreamRequest &request) {
+        return UpstreamScript{
+            .parts = {{milliseconds(0), wholeAnswer(request.body)}, {milliseconds(3), ""}},
+            .closes = true};
+    });
+    Loop loop({});
+    HttpClient client(loop, {});
+    int ended = 0;
+    int answered = 0;
+    std::vector<std::unique_ptr<Timer>> timers;
+    const auto call = [&](std::size_t index) {
+        HttpCall request{.address = "127.0.0.1", .port = upstream.port()};
+        request.deadline = BootClock::now() + milliseconds(1'000);
+        request.request = {.method = "POST", .path = "/", .body = "x"};
+        client.call(std::move(request), [&, index](const HttpAnswer &answer) {
+            answered += answer.outcome == HttpOutcome::Answered ? 1 : 0;
+            if (++ended == CallCount)
+                loop.stop();
+            timers[index]->startAt(BootClock::now() + milliseconds(ended % 6));
+        });
+    };
+    for (std::size_t i = 0; i < ParallelCalls; ++i)
+        timers.push_back(std::make_unique<Timer>(loop, [&, i] { call(i); }));
+    for (const auto &timer : timers)
+        timer->startAt(BootClock::now());
+    loop.run();
+    mallopt(M_PERTURB, 0);
+    EXPECT_GT(answered, CallCount / 2);
+    EXPECT_LE(client.laneCount(), std::size_t(2 * ParallelCalls));
+}
+
 // The bytes are there when the connection is picked, but the loop has not seen them yet.
 TEST(HttpClient, AnswerThatNobodyWaitsForIsNotTakenByTheNextCall)
 {
