--- a/testing/support/scriptedupstream.cpp
+++ b/testing/support/scriptedupstream.cpp
@@ -131,6 +131,10 @@
         }
     }
     ++m_answered;
+    if (script.resets) {
+        const linger atOnce{.l_onoff = 1, .l_linger = 0};
+        setsockopt(connected, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+    }
     return !script.closes;
 }
 
--- a/testing/support/scriptedupstream.h
+++ b/testing/support/scriptedupstream.h
@@ -35,6 +35,7 @@
 {
     std::vector<UpstreamPart> parts;
     bool closes = false; // the connection, after the last part
+    bool resets = false; // it instead of an orderly end
 };
 
 // A whole answer with `body`; it echoes `attemptId` unless that is empty.
--- a/testing/unit/httpclient_test.cpp
+++ b/testing/unit/httpclient_test.cpp
@@ -123,43 +123,79 @@
     EXPECT_EQ(answered, CallCount);
 }
 
-// The server ends each connection some milliseconds after its answer, often just when it is reused.
+// Callers that use connections again which the server ends some milliseconds after its answer.
+class CallersOfAnEndingServer
+{
+public:
+    static constexpr int CallCount = 400;
+    static constexpr std::size_t CallerCount = 20;
+
+    explicit CallersOfAnEndingServer(std::uint16_t port)
+        : m_port(port)
+    {
+        for (std::size_t i = 0; i < CallerCount; ++i) {
+            m_timers.push_back(std::make_unique<Timer>(m_loop, [this, i] { call(i); }));
+            m_timers.back()->startAt(BootClock::now());
+        }
+    }
+
+    void run() { m_loop.run(); }
+    int answered() const { return m_answered; }
+    std::size_t laneCount() const { return m_client.laneCount(); }
+
+private:
+    void call(std::size_t caller)
+    {
+        HttpCall request{.address = "127.0.0.1", .port = m_port};
+        request.deadline = BootClock::now() + milliseconds(1'000);
+        request.request
+            = {.method = "POST", .path = "/", .body = std::string(std::size_t(1 + m_ended), 'x')};
+        m_client.call(std::move(request), [this, caller](const HttpAnswer &answer) {
+            m_answered += answer.outcome == HttpOutcome::Answered ? 1 : 0;
+            if (++m_ended == CallCount)
+                m_loop.stop();
+            m_timers[caller]->startAt(BootClock::now() + milliseconds(m_ended % 6));
+        });
+    }
+
+    std::uint16_t m_port;
+    Loop m_loop{{}};
+    HttpClient m_client{m_loop, {}};
+    std::vector<std::unique_ptr<Timer>> m_timers;
+    int m_ended = 0;
+    int m_answered = 0;
+};
+
 // Freed memory is filled, so that its use shows.
-TEST(HttpClient, IdleConnectionThatHasEndedIsNotTakenForACall)
+void callAnEndingServer(bool resets)
 {
-    constexpr int CallCount = 2'000;
-    constexpr int ParallelCalls = 20;
+    constexpr int Rounds = 12;
     constexpr int FreedByte = 0xa5;
+    constexpr std::size_t LongestIdle = 7; // milliseconds
     mallopt(M_PERTURB, FreedByte);
-    ScriptedUpstream upstream([](const UpstreamRequest &request) {
-        return UpstreamScript{
-            .parts = {{milliseconds(0), wholeAnswer(request.body)}, {milliseconds(3), ""}},
-            .closes = true};
+    ScriptedUpstream upstream([resets](const UpstreamRequest &request) {
+        const milliseconds idle(request.body.size() % LongestIdle);
+        return UpstreamScript{.parts = {{milliseconds(0), wholeAnswer(request.body)}, {idle, ""}},
+                              .closes = true,
+                              .resets = resets};
     });
-    Loop loop({});
-    HttpClient client(loop, {});
-    int ended = 0;
-    int answered = 0;
-    std::vector<std::unique_ptr<Timer>> timers;
-    const auto call = [&](std::size_t index) {
-        HttpCall request{.address = "127.0.0.1", .port = upstream.port()};
-        request.deadline = BootClock::now() + milliseconds(1'000);
-        request.request = {.method = "POST", .path = "/", .body = "x"};
-        client.call(std::move(request), [&, index](const HttpAnswer &answer) {
-            answered += answer.outcome == HttpOutcome::Answered ? 1 : 0;
-            if (++ended == CallCount)
-                loop.stop();
-            timers[index]->startAt(BootClock::now() + milliseconds(ended % 6));
-        });
-    };
-    for (std::size_t i = 0; i < ParallelCalls; ++i)
-        timers.push_back(std::make_unique<Timer>(loop, [&, i] { call(i); }));
-    for (const auto &timer : timers)
-        timer->startAt(BootClock::now());
-    loop.run();
+    for (int i = 0; i < Rounds; ++i) {
+        CallersOfAnEndingServer callers(upstream.port());
+        callers.run();
+        EXPECT_GT(callers.answered(), CallersOfAnEndingServer::CallCount / 2);
+        EXPECT_LE(callers.laneCount(), 2 * CallersOfAnEndingServer::CallerCount);
+    }
     mallopt(M_PERTURB, 0);
-    EXPECT_GT(answered, CallCount / 2);
-    EXPECT_LE(client.laneCount(), std::size_t(2 * ParallelCalls));
+}
+
+TEST(HttpClient, IdleConnectionThatWasResetIsNotTakenForACall)
+{
+    callAnEndingServer(true);
+}
+
+TEST(HttpClient, IdleConnectionThatWasClosedIsNotTakenForACall)
+{
+    callAnEndingServer(false);
 }
 
 // The bytes are there when the connection is picked, but the loop has not seen them yet.
