Keep what libwebsockets frees while it is asked for a connection

Callers would see what they saw before: a process that ends by itself, with the work that it held.

Cause: looks at an idle connection before it offers it to libwebsockets, but the other end may reset it between that look and the library's write, and a call that may not be sent any more (HttpCall::maySend) fails at the same place without any reset. The library then frees the call's state, and the client frees the strings that it had handed over; lws_client_connect_via_info() reads both.

Change: DeferredFrees, the library's allocator, keeps what it frees until the call returns; the client hands over copies of the strings. The look stays, since it saves a connection that is of no use.

--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -3,6 +3,7 @@
 #include "net/httpclient.h"
 
 #include "net/connectionhealth.h"
+#include "net/deferredfrees.h"
 #include "net/headercopy.h"
 #include "net/timer.h"
 
@@ -125,8 +126,7 @@
     return lane;
 }
 
-// libwebsockets writes to an idle connection while it is being asked for one, and reads freed
-// memory if that fails. So one that the other end has closed is left to close by itself.
+// One that the other end has closed is left to close by itself.
 void HttpClient::freeEndedLanes(std::deque<Lane *> &idle)
 {
     while (!idle.empty() && !isQuiet(idle.back()->idleDescriptor)) {
@@ -200,21 +200,27 @@
     transaction.isReused = std::exchange(lane->isIdle, false);
     ++m_activeCount;
 
+    // The transaction may end while libwebsockets still reads these.
+    const std::string address = transaction.call.address;
+    const std::string path = transaction.call.request.path;
+    const std::string method = transaction.call.request.method;
     lws_client_connect_info info{};
     info.context = m_loop.context();
     info.vhost = lane->vhost;
-    info.address = transaction.call.address.c_str();
+    info.address = address.c_str();
     info.host = info.address; // idle connections are found by this name
     info.origin = info.address;
     info.port = transaction.call.port;
-    info.path = transaction.call.request.path.c_str();
-    info.method = transaction.call.request.method.c_str();
+    info.path = path.c_str();
+    info.method = method.c_str();
     info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT | (reuse ? LCCSCF_PIPELINE : 0);
     info.protocol = "http";
     info.opaque_user_data = &transaction;
     info.keep_warm_secs = idleSeconds(transaction.call.connectionUse);
     transaction.timer.startAt(transaction.call.deadline);
     // A connection that fails at once is reported through the callback, inside this call.
+    // libwebsockets reads the freed state of one that was idle and fails while it is written to.
+    const DeferredFrees frees;
     lws *connection = lws_client_connect_via_info(&info);
     if (lane->transaction.get() != &transaction)
         return;
--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -1,5 +1,6 @@
 #include "net/loop.h"
 
+#include "net/deferredfrees.h"
 #include "net/timer.h"
 
 #include <libwebsockets.h>
@@ -60,6 +61,7 @@
     , m_heartbeat(std::make_unique<Heartbeat>(*this))
 {
     lws_set_log_level(0, nullptr);
+    DeferredFrees::install();
     lws_context_creation_info info{};
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
     info.port = CONTEXT_PORT_NO_LISTEN;
--- a/testing/unit/httpclient_test.cpp
+++ b/testing/unit/httpclient_test.cpp
@@ -12,6 +12,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr int FreedByte = 0xa5; // fills freed memory, so that its use shows
+
 // Calls one after the other, each from the callback of the one before.
 class CallSequence
 {
@@ -166,11 +168,9 @@
     int m_answered = 0;
 };
 
-// Freed memory is filled, so that its use shows.
 void callAnEndingServer(bool resets)
 {
     constexpr int Rounds = 12;
-    constexpr int FreedByte = 0xa5;
     constexpr std::size_t LongestIdle = 7; // milliseconds
     mallopt(M_PERTURB, FreedByte);
     ScriptedUpstream upstream([resets](const UpstreamRequest &request) {
@@ -198,6 +198,69 @@
     callAnEndingServer(false);
 }
 
+// Leaves a connection idle, takes it for a second call in a later turn, and asks `maySend` right
+// before that is written. Returns how the second call ended.
+HttpOutcome takeIdleConnection(std::uint16_t port, const std::function<bool()> &maySend)
+{
+    constexpr milliseconds Pause(2);
+    Loop loop({});
+    HttpClient client(loop, {});
+    std::vector<HttpOutcome> outcomes;
+    std::unique_ptr<Timer> next;
+    next = std::make_unique<Timer>(loop, [&] {
+        HttpCall call{.address = "127.0.0.1", .port = port};
+        call.deadline = BootClock::now() + milliseconds(5'000);
+        call.request = {.method = "POST", .path = "/", .body = "x"};
+        if (!outcomes.empty())
+            call.maySend = maySend;
+        client.call(std::move(call), [&](const HttpAnswer &answer) {
+            outcomes.push_back(answer.outcome);
+            if (outcomes.size() == 2)
+                loop.stop();
+            else
+                next->startAt(BootClock::now() + Pause);
+        });
+    });
+    next->startAt(BootClock::now());
+    loop.run();
+    EXPECT_EQ(outcomes[0], HttpOutcome::Answered);
+    return outcomes[1];
+}
+
+TEST(HttpClient, ConnectionThatIsResetBetweenTheLookAndTheWriteEndsThatCallAlone)
+{
+    constexpr int Rounds = 20;
+    constexpr milliseconds Reset(20);
+    mallopt(M_PERTURB, FreedByte);
+    ScriptedUpstream upstream([](const UpstreamRequest &request) {
+        return UpstreamScript{.parts = {{milliseconds(0), wholeAnswer(request.body)}, {Reset, ""}},
+                              .closes = true,
+                              .resets = true};
+    });
+    for (int round = 1; round <= Rounds; ++round) {
+        const HttpOutcome outcome = takeIdleConnection(upstream.port(), [&] {
+            while (upstream.answeredCount() < round)
+                std::this_thread::sleep_for(milliseconds(1));
+            std::this_thread::sleep_for(Reset);
+            return true;
+        });
+        EXPECT_EQ(outcome, HttpOutcome::Lost);
+    }
+    mallopt(M_PERTURB, 0);
+}
+
+TEST(HttpClient, CallThatMayNotBeSentOnAnIdleConnectionEndsAlone)
+{
+    constexpr int Rounds = 20;
+    mallopt(M_PERTURB, FreedByte);
+    ScriptedUpstream upstream([](const UpstreamRequest &request) {
+        return UpstreamScript{.parts = {{milliseconds(0), wholeAnswer(request.body)}}};
+    });
+    for (int round = 0; round < Rounds; ++round)
+        EXPECT_EQ(takeIdleConnection(upstream.port(), [] { return false; }), HttpOutcome::NotSent);
+    mallopt(M_PERTURB, 0);
+}
+
 // The bytes are there when the connection is picked, but the loop has not seen them yet.
 TEST(HttpClient, AnswerThatNobodyWaitsForIsNotTakenByTheNextCall)
 {
