--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -26,6 +26,12 @@
     return duration_cast<microseconds>(system_clock::now().time_since_epoch()).count();
 }
 
+std::string inMilliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count())
+        + " ms";
+}
+
 Logger::Options loggerOptions(const CommonSettings &settings)
 {
     return {.process = settings.name,
@@ -84,8 +90,10 @@
           [this] { finish(ResultCode::Ok); })
 {
     m_loop.onSignal([this](int signal) { handleSignal(signal); });
-    m_loop.onPause([this](Duration length) {
-        report("process.paused", {.detail = std::to_string(length.count() / 1000) + " ms"});
+    m_loop.onPause([this](const Pause &pause) {
+        report("process.paused",
+               {.detail = inMilliseconds(pause.length) + ", on the processor for "
+                    + inMilliseconds(pause.processorTime)});
     });
 }
 
--- a/gateway/duplicateguard.cpp
+++ b/gateway/duplicateguard.cpp
@@ -21,7 +21,7 @@
     : m_node(node)
 {
     addMethods();
-    daemon.loop().onPause([this](Duration) {
+    daemon.loop().onPause([this](const Pause &) {
         if (m_filter)
             m_filter->onRecordMayMiss(BootClock::now() + SettleTime);
     });
--- a/gateway/loanclient.cpp
+++ b/gateway/loanclient.cpp
@@ -32,7 +32,7 @@
         sendReports(true);
     })
 {
-    daemon.loop().onPause([this](Duration) { dropLeases(); });
+    daemon.loop().onPause([this](const Pause &) { dropLeases(); });
 }
 
 void LoanClient::start()
--- a/net/loop.cpp
+++ b/net/loop.cpp
@@ -7,6 +7,7 @@
 #include <sys/resource.h>
 
 #include <csignal>
+#include <ctime>
 #include <thread>
 #include <utility>
 
@@ -29,6 +30,15 @@
         lws_cancel_service(signalContext);
 }
 
+// Spent by this thread.
+Duration processorTime()
+{
+    timespec spent{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(spent.tv_sec)
+                                                + std::chrono::nanoseconds(spent.tv_nsec));
+}
+
 // Of the process; the largest number if there is none.
 rlim_t descriptorLimit()
 {
@@ -49,11 +59,13 @@
     void start()
     {
         due = BootClock::now() + HeartbeatInterval;
+        processorTimeBefore = processorTime();
         timer.startAt(due);
     }
 
     Timer timer;
     TimePoint due;
+    Duration processorTimeBefore{};
 };
 
 Loop::Loop(Options options)
@@ -79,12 +91,13 @@
 
 void Loop::onHeartbeat()
 {
-    const Duration late = BootClock::now() - m_heartbeat->due;
+    const Pause pause{.length = BootClock::now() - m_heartbeat->due,
+                      .processorTime = processorTime() - m_heartbeat->processorTimeBefore};
     m_heartbeat->start();
-    if (late < m_options.pauseThreshold)
+    if (pause.length < m_options.pauseThreshold)
         return;
     for (const auto &hook : m_pauseHooks)
-        hook(late);
+        hook(pause);
 }
 
 Loop::~Loop()
@@ -129,7 +142,7 @@
     std::signal(SIGHUP, handleSignal);
 }
 
-void Loop::onPause(std::function<void(Duration)> hook)
+void Loop::onPause(std::function<void(const Pause &)> hook)
 {
     m_pauseHooks.push_back(std::move(hook));
 }
--- a/net/loop.h
+++ b/net/loop.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "net/duetimes.h"
+#include "net/pause.h"
 #include "sequoiapier/bootclock.h"
 
 #include <functional>
@@ -43,8 +44,8 @@
 
     // Called on the loop for SIGTERM, SIGINT and SIGHUP.
     void onSignal(std::function<void(int signal)> hook);
-    // Called first in a turn that follows a pause, with the pause's length.
-    void onPause(std::function<void(Duration length)> hook);
+    // Called first in a turn that follows a pause.
+    void onPause(std::function<void(const Pause &pause)> hook);
 
     lws_context *context() const { return m_context; }
     // Of the running timers.
@@ -62,7 +63,7 @@
     bool m_stopped = false;
     std::unique_ptr<Heartbeat> m_heartbeat;
     std::function<void(int)> m_signalHook;
-    std::vector<std::function<void(Duration)>> m_pauseHooks;
+    std::vector<std::function<void(const Pause &)>> m_pauseHooks;
 };
 
 } // namespace sequoiapier
--- a/peer/peernode.cpp
+++ b/peer/peernode.cpp
@@ -48,7 +48,7 @@
         else
             exchange->reply({.status = 503});
     });
-    daemon.loop().onPause([this](Duration) {
+    daemon.loop().onPause([this](const Pause &) {
         if (m_follower)
             m_follower->dropConfirmation(BootClock::now());
     });
