Give a draining host the whole time that its wave declares

Cause: the start of a drain and the time it is compared with are whole seconds, rounded down, and the host was overdue as soon as the second of its deadline began. A drain begun at 100.99 s with 1 s was overdue at 101.00 s.

Change: isDrainOverdue(), used by the planner and by a host's next step; the second of the deadline must be over.

WavePlanner.AHostThatBeginsToDrainAtTheEndOfASecondHasItsWholeTime fails with the old comparison. Other uses of whole seconds in the controllers: a wave's period and expected end, which are not deadlines of a host.

--- a/controller/fleetview.cpp
+++ b/controller/fleetview.cpp
@@ -17,8 +17,8 @@
         : std::to_string(report->running) + " tasks still run";
     const std::int64_t left = host.drainDeadline - now;
     return reason
-        + (left > 0 ? ", deadline in " + std::to_string(left) + " s"
-                    : ", past its deadline by " + std::to_string(-left) + " s");
+        + (left >= 0 ? ", deadline in " + std::to_string(left) + " s"
+                     : ", past its deadline by " + std::to_string(-left) + " s");
 }
 
 std::string waitReason(const HostRow &host, const FleetKnowledge &knowledge, std::int64_t now)
--- a/controller/hostmove.cpp
+++ b/controller/hostmove.cpp
@@ -63,6 +63,11 @@
 
 } // namespace
 
+bool isDrainOverdue(const HostRow &row, std::int64_t now)
+{
+    return row.state == HostState::Draining && now > row.drainDeadline;
+}
+
 HostStep nextHostStep(const HostRow &row, const HostObservation &seen, std::int64_t now)
 {
     switch (row.state) {
@@ -71,7 +76,7 @@
     case HostState::Draining:
         if (isEmpty(row, seen))
             return {.action = HostAction::ChangeRow, .row = drained(row)};
-        return {.action = HostAction::Drain, .row = row, .isOverdue = now >= row.drainDeadline};
+        return {.action = HostAction::Drain, .row = row, .isOverdue = isDrainOverdue(row, now)};
     case HostState::Out:
         if (seen.maintainedEpoch == row.epoch)
             return {.action = HostAction::ChangeRow, .row = maintained(row, now)};
--- a/controller/hostmove.h
+++ b/controller/hostmove.h
@@ -42,6 +42,10 @@
     bool isOverdue = false; // draining past its deadline
 };
 
+// Whether the host is draining past its deadline at Unix time `now`. Both times are rounded down to
+// seconds, so a host is overdue only once the whole second of its deadline has passed.
+bool isDrainOverdue(const HostRow &row, std::int64_t now);
+
 // The next step. Times are Unix times in seconds. O(1).
 HostStep nextHostStep(const HostRow &row, const HostObservation &seen, std::int64_t now);
 
--- a/controller/waveplanner.cpp
+++ b/controller/waveplanner.cpp
@@ -128,7 +128,7 @@
         for (const WaveHost &host : m_view.hosts) {
             if (!isOut(host.row) || host.row.state != HostState::Draining)
                 continue;
-            const bool isOverdue = m_now >= host.row.drainDeadline;
+            const bool isOverdue = isDrainOverdue(host.row, m_now);
             if (isOverdue)
                 m_turn.progress.overdue.push_back(host.row.host);
             if (m_view.wave.state == WaveState::Cancelled)
--- a/testing/unit/waveplanner_test.cpp
+++ b/testing/unit/waveplanner_test.cpp
@@ -222,6 +222,22 @@
     }
 }
 
+// A drain that begins at the end of a second may reach the next one within a millisecond.
+TEST(WavePlanner, AHostThatBeginsToDrainAtTheEndOfASecondHasItsWholeTime)
+{
+    WaveFleet fleet;
+    WaveRow wave = waveOf("w", {"p"});
+    wave.drainTimeout = 1;
+    wave.overduePolicy = OverduePolicy::Stop;
+    fleet.addWave(wave);
+    const std::int64_t begin = fleet.now;
+    ASSERT_FALSE(fleet.turn("w").started.empty());
+    fleet.now = begin + 1;
+    EXPECT_TRUE(fleet.plan("w").turn.progress.overdue.empty());
+    fleet.now = begin + 2;
+    EXPECT_FALSE(fleet.plan("w").turn.progress.overdue.empty());
+}
+
 TEST(WavePlanner, ACancelledWaveSendsDrainingHostsBack)
 {
     WaveFleet fleet;
