Refuse a job whose rows the store does not take, and bound the rows of a batch

Callers saw 504 for every job of a pool, for as long as its owner lived: one submission with an image's name of 70,000 bytes made a row larger than the store takes, its batch was refused with 400 and sent again for good.

Change: 413 for a job whose specification, or whose state with its gangs and lasting tasks placed, exceeds the platform's row_bytes, which was read and never used. The engine places no more tasks of a job, and begins no more occurrences, than its row holds; a batch closes at 512 KB, since a call takes 1 MB.

Ruled out: splitting a job's state over several rows, which no load in sight needs. The stand-in's store now refuses rows above 65,536 bytes.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -139,6 +139,14 @@
         m_dirty.push_back(entry.job.id);
 }
 
+// Whether the job's row in the store can grow by `bytes`.
+bool Engine::hasRowRoom(Entry &entry, std::size_t bytes) const
+{
+    if (entry.stateBytes == 0)
+        entry.stateBytes = encodeJobState(entry.job).size();
+    return entry.stateBytes + bytes <= m_options.maxRowBytes;
+}
+
 // Unwanted runs of the job are stopped once its end is in the store.
 void Engine::endJob(Entry &entry, JobPhase phase)
 {
@@ -158,7 +166,9 @@
 Batch Engine::takeBatch()
 {
     Batch batch;
-    while (!m_dirty.empty() && batch.rows.size() < m_options.maxJobsInBatch) {
+    std::size_t bytes = 0;
+    while (!m_dirty.empty() && batch.rows.size() < m_options.maxJobsInBatch
+           && bytes < m_options.maxBatchBytes) {
         const auto found = m_jobs.find(m_dirty.front());
         m_dirty.pop_front();
         if (found == m_jobs.end() || !found->second.isStateDirty)
@@ -169,11 +179,14 @@
             const bool isSpecNeeded = !entry.job.hasEnded();
             if (std::exchange(entry.isSpecDirty, false) && isSpecNeeded) {
                 change.spec = encodeJobSpec(entry.job.spec);
+                bytes += change.spec->size();
                 entry.hasSpecRow = true;
             }
             if (!isSpecNeeded)
                 change.isSpecRemoved = std::exchange(entry.hasSpecRow, false);
             change.state = encodeJobState(entry.job);
+            entry.stateBytes = change.state->size();
+            bytes += entry.stateBytes;
         }
         entry.isStateDirty = false;
         entry.isWriting = true;
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -143,6 +143,10 @@
         Duration stopRetry = std::chrono::milliseconds(400); // between stops of one run
         Duration keepEnded = std::chrono::seconds(130); // callers ask for ended jobs that long
         std::size_t maxJobsInBatch = 45; // two rows each, of 100 entries in a transaction
+        std::size_t maxBatchBytes = 512 * 1024; // of rows; one more job may be added below it
+        // Of a job's state in the store. No more of its tasks are placed, nor occurrences begun,
+        // than it holds.
+        std::size_t maxRowBytes = 65'536;
         // Jobs that will be late by then ask for fewer hosts: a move takes 1.5 s, and some of the
         // tasks that wait start meanwhile.
         Duration hostDelay = std::chrono::milliseconds(1'000);
@@ -238,6 +242,7 @@
         bool isBeyondShare = false; // of its team, when it came
         bool hasChargedRunner = false; // a stalled task of it has counted against its runner
         TimePoint arrivedAt{};
+        std::size_t stateBytes = 0; // of its row, at most; 0: not known yet
     };
 
     struct Spot
@@ -321,6 +326,7 @@
     void wantAdvice(const Candidate &candidate, TimePoint now);
     void wantAdviceAhead(TimePoint now);
     bool isWithinCeiling(const std::string &team, const Resources &size) const;
+    bool hasRowRoom(Entry &entry, std::size_t bytes) const;
     void order(const Candidate &candidate, std::uint32_t index, Runner &runner, std::uint64_t run,
                TimePoint now);
 
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -39,6 +39,12 @@
                        [](const auto &item) { return item.second.isLasting; });
 }
 
+// That a task placed there takes of its job's row.
+std::size_t placedBytes(const Runner &runner)
+{
+    return PlacedTaskBytes + runner.entry.id.size();
+}
+
 bool isReady(const Occurrence &occurrence, const StepSpec &step)
 {
     return std::all_of(step.after.begin(), step.after.end(),
@@ -96,7 +102,11 @@
             = job.spec.firstDue + std::int64_t(job.nextOccurrence) * job.spec.intervalMilliseconds;
         if (job.spec.isTimed() && due > m_hooks.wallMilliseconds())
             return;
+        const std::size_t bytes = occurrenceBytes(job.spec);
+        if (!job.occurrences.empty() && !hasRowRoom(entry, bytes))
+            return;
         job.occurrences[job.nextOccurrence++] = makeOccurrence(job.spec);
+        entry.stateBytes += bytes;
         m_arrivals.add(runnerSeconds(job), now);
         markDirty(entry);
     }
@@ -238,6 +248,8 @@
             wantAdvice(candidate, now);
             return;
         }
+        if (!hasRowRoom(*candidate.entry, placedBytes(*runner)))
+            return;
         order(candidate, index, *runner, tasks[index].run + 1, now);
     }
 }
@@ -272,6 +284,11 @@
         wantAdvice(candidate, now);
         return;
     }
+    std::size_t bytes = 0;
+    for (const Runner *runner : picked)
+        bytes += placedBytes(*runner);
+    if (!hasRowRoom(*candidate.entry, bytes))
+        return;
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
         order(candidate, index, *picked[index], run + 1, now);
 }
@@ -294,6 +311,7 @@
     task.figure = 0;
     task.missing = 0;
     addRun(runner, makeRun(job, name, run));
+    candidate.entry->stateBytes += placedBytes(runner);
     m_planned.push_back({.runner = runner.entry.id,
                          .task = name,
                          .run = run,
--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -151,6 +151,19 @@
     return occurrence;
 }
 
+std::size_t occurrenceBytes(const JobSpec &spec)
+{
+    constexpr std::size_t FrameBytes = 16;
+    constexpr std::size_t StepBytes = 8;
+    constexpr std::size_t RunnerNameBytes = 40;
+    std::size_t bytes = FrameBytes;
+    for (const StepSpec &step : spec.steps) {
+        const bool isWhole = step.isGang || step.isLasting;
+        bytes += StepBytes + step.count * (isWhole ? PlacedTaskBytes + RunnerNameBytes : 1);
+    }
+    return bytes;
+}
+
 std::string encodeJobState(const Job &job)
 {
     json occurrences = json::array();
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -118,6 +118,15 @@
 void forEachPlaced(const Job &job,
                    const std::function<void(const TaskName &name, const Task &task)> &visit);
 
+// The most that a placed task takes of its job's row beside its runner's name and its checkpoint.
+inline constexpr std::size_t PlacedTaskBytes = 24;
+// The most that a job's row takes beside its occurrences.
+inline constexpr std::size_t JobFrameBytes = 1'000;
+
+// The most that an occurrence takes of its job's row while nothing of it is placed but what must be
+// placed together: gangs and tasks that last, at runners with names of common length. O(steps).
+std::size_t occurrenceBytes(const JobSpec &spec);
+
 // The changing part of a job, for its row.
 std::string encodeJobState(const Job &job);
 // Fills the changing part of `job`, whose spec is set. RowMalformed leaves `job` half filled.
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -56,6 +56,7 @@
         = std::max(settings.drainNotice - RunnerClient::OrderPatience, settings.drainNotice / 2);
     options.stopTime = settings.stopTime + milliseconds(100);
     options.keepEnded = settings.keepEnded + std::chrono::seconds(10);
+    options.maxRowBytes = std::size_t(settings.maxRowBytes);
     return options;
 }
 
@@ -289,6 +290,12 @@
         answer(reply(ResultCode::RequestMalformed));
         return;
     }
+    const std::size_t stateBytes = jobs::JobFrameBytes + jobs::occurrenceBytes(spec.value());
+    if (std::max(call.spec.size(), stateBytes) > m_context.settings.maxRowBytes
+        && !m_engine.phaseOf(call.job)) {
+        answer(reply(ResultCode::RequestTooLarge));
+        return;
+    }
     m_engine.submit(
         {.id = call.job, .queue = call.queue, .team = call.team, .spec = std::move(spec.value())},
         BootClock::now());
--- a/testing/process/platform_test.cpp
+++ b/testing/process/platform_test.cpp
@@ -213,6 +213,18 @@
     EXPECT_EQ(submit("node-1", JobB), 200);
 }
 
+// A row of the job would be larger than the store takes.
+TEST_F(Platform, JobThatCanNotBeStoredIsRefusedAndHoldsUpNoOther)
+{
+    const std::string image(70'000, 'i');
+    EXPECT_EQ(call("node-1", "POST", "/quotes/" + JobA,
+                   R"({"spec":"","steps":[{"count":1,"cpu":100,"image":")" + image + R"("}]})")
+                  .response.status,
+              413);
+    EXPECT_EQ(submit("node-1", JobB), 200);
+    EXPECT_TRUE(waitState("node-2", JobB, "completed"));
+}
+
 TEST_F(Platform, StoreOutageAcceptsNothingAndLosesNothing)
 {
     EXPECT_EQ(submit("node-1", JobA, 2, 1'000), 200);
--- a/testing/standin/platformstandin.cpp
+++ b/testing/standin/platformstandin.cpp
@@ -17,6 +17,8 @@
 
 constexpr Duration TickInterval = milliseconds(5);
 constexpr Duration BeatInterval = milliseconds(300);
+constexpr std::size_t MaxRowBytes = 65'536;
+constexpr int StatusMalformed = 400;
 
 StoreKey keyOf(const json &entry)
 {
@@ -261,6 +263,12 @@
             {keyOf(entry), decodeBase64(textField(entry, "value").value_or(""))});
     for (const json &entry : listField(body, "remove"))
         transaction.writes.push_back({keyOf(entry), std::nullopt});
+    const auto isTooLarge
+        = [](const StoreWrite &write) { return write.value && write.value->size() > MaxRowBytes; };
+    if (std::any_of(transaction.writes.begin(), transaction.writes.end(), isTooLarge)) {
+        answer(exchange, StatusMalformed, {{"error", "a row is too large"}});
+        return;
+    }
     const auto conflicts = m_rows.apply(transaction);
     if (m_faults.lostCommits > 0) {
         --m_faults.lostCommits;
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -41,6 +41,7 @@
     m_epoch = epoch;
     jobs::Engine::Options options;
     options.lease = Lease;
+    options.maxRowBytes = m_options.maxRowBytes;
     m_engine = std::make_unique<jobs::Engine>(
         options,
         jobs::Engine::Hooks{.note =
@@ -196,6 +197,13 @@
 
 void EnginePool::apply(const jobs::Batch &batch)
 {
+    std::size_t bytes = 0;
+    for (const jobs::RowChange &row : batch.rows) {
+        const std::size_t stateBytes = row.state ? row.state->size() : 0;
+        m_largestRow = std::max(m_largestRow, stateBytes);
+        bytes += stateBytes + (row.spec ? row.spec->size() : 0);
+    }
+    m_largestBatch = std::max(m_largestBatch, bytes);
     for (const jobs::RowChange &row : batch.rows) {
         if (row.isRemoved) {
             m_store.erase(row.job);
--- a/testing/support/enginepool.h
+++ b/testing/support/enginepool.h
@@ -42,6 +42,7 @@
         Resources capacity{.processors = 8, .memory = 64, .accelerators = 2};
         std::uint32_t seed = 1;
         std::vector<TeamConfig> teams{}; // that have a share
+        std::size_t maxRowBytes = 65'536; // of the store
         QueueConfig queue{.name = "queue", .service = "pool", .maxAttempts = 3, .stretch = 2};
     };
 
@@ -85,6 +86,9 @@
     // The highest use of one runner, as a part of its capacity.
     double peakUse() const { return m_peakUse; }
     std::size_t commitCount() const { return m_commits; }
+    // The largest state of a job and the largest batch that were stored, in bytes.
+    std::size_t largestRow() const { return m_largestRow; }
+    std::size_t largestBatch() const { return m_largestBatch; }
 
 private:
     struct StoredJob
@@ -135,6 +139,8 @@
     std::string m_trace;
     double m_peakUse = 0;
     std::size_t m_commits = 0;
+    std::size_t m_largestRow = 0;
+    std::size_t m_largestBatch = 0;
 };
 
 } // namespace sequoiapier
--- a/testing/unit/engine_test.cpp
+++ b/testing/unit/engine_test.cpp
@@ -52,6 +52,36 @@
     EXPECT_EQ(pool.breaches(), "");
 }
 
+// There is room for all tasks at the runners at once.
+TEST(Engine, JobWhosePlacedTasksDoNotFitItsRowRunsInParts)
+{
+    constexpr std::size_t RowBytes = 1'000;
+    EnginePool pool(
+        {.runners = 4, .capacity = {.processors = 64, .memory = 1'000}, .maxRowBytes = RowBytes});
+    pool.submit("a", job({step(200)}));
+    pool.runUntilEnded("a", Patience);
+    EXPECT_EQ(pool.phaseOf("a"), JobPhase::Completed);
+    EXPECT_LE(pool.largestRow(), RowBytes);
+    EXPECT_EQ(pool.ledger().runsOf("a").size(), 200U);
+    EXPECT_EQ(pool.breaches(), "");
+}
+
+TEST(Engine, BatchOfLargeJobsIsBoundedInBytes)
+{
+    constexpr int Jobs = 40;
+    constexpr std::size_t PayloadBytes = 50'000;
+    EnginePool pool({});
+    const std::string padding(PayloadBytes, 'x');
+    for (int i = 0; i < Jobs; ++i)
+        pool.submit("j" + std::to_string(i),
+                    job({step(1)}, R"({"runMs": 100, "padding": ")" + padding + R"("})"));
+    for (int i = 0; i < Jobs; ++i) {
+        pool.runUntilEnded("j" + std::to_string(i), Patience);
+        EXPECT_EQ(pool.phaseOf("j" + std::to_string(i)), JobPhase::Completed);
+    }
+    EXPECT_LE(pool.largestBatch(), jobs::Engine::Options().maxBatchBytes + 2 * PayloadBytes);
+}
+
 TEST(Engine, StartsAStepOnlyAfterThoseBeforeIt)
 {
     EnginePool pool({});
