--- a/sequoiapier/resultcode.cpp
+++ b/sequoiapier/resultcode.cpp
@@ -46,7 +46,7 @@
      "A non-idempotent request with this identifier was already sent."},
     {RequestMalformed, "request-malformed", 400, RunState::NotRun, "A header or path is invalid."},
     {RequestTooLarge, "request-too-large", 413, RunState::NotRun,
-     "The body is longer than the bound."},
+     "The body, or the row that would keep the job, is longer than the bound."},
     {TooManyConnections, "too-many-connections", 503, RunState::NotRun,
      "The gateway's connection bound is reached."},
     {ResponseTooLarge, "response-too-large", 502, RunState::Unknown,
