--- a/testing/unit/httpclient_test.cpp
+++ b/testing/unit/httpclient_test.cpp
@@ -230,7 +230,7 @@
 TEST(HttpClient, ConnectionThatIsResetBetweenTheLookAndTheWriteEndsThatCallAlone)
 {
     constexpr int Rounds = 20;
-    constexpr milliseconds Reset(20);
+    static constexpr milliseconds Reset(20);
     mallopt(M_PERTURB, FreedByte);
     ScriptedUpstream upstream([](const UpstreamRequest &request) {
         return UpstreamScript{.parts = {{milliseconds(0), wholeAnswer(request.body)}, {Reset, ""}},
