Count a job's names from its first turn on

The estimate of a job's row left out its frame until the row was first encoded, so that a job which fills its row in its first turn could pass the store's bound by some hundred bytes.

--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -106,7 +106,7 @@
         if (!job.occurrences.empty() && !hasRowRoom(entry, bytes))
             return;
         job.occurrences[job.nextOccurrence++] = makeOccurrence(job.spec);
-        entry.stateBytes += bytes;
+        entry.stateBytes = std::max(entry.stateBytes, JobFrameBytes) + bytes;
         m_arrivals.add(runnerSeconds(job), now);
         markDirty(entry);
     }
