Refuse connections before a process ends, and answer those accepted until then

Callers saw: a connection lost by an entry host that was replaced under steady traffic.

Cause: a server under steady traffic is never quiet, so its drain ends at the deadline. The process then ended with the listening socket open, and the kernel reset each connection that it had not accepted or read since its last poll. The same holds for nodes at the end of their grace and for the peers' port of every process, which peers never cease to call; that one also ended with code 5 (drain-timeout) under steady calls.

Change: ServerShutdown closes a server in two steps: new connections are refused once callers are quiet or the deadline passes, by closing the socket in a turn that finds no connection waiting, and what was accepted is answered. Gateway, node and the peers' port use it.

--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -85,9 +85,7 @@
                .maxBodyBytes = MaxAdminBodyBytes},
               [this](const std::shared_ptr<HttpExchange> &exchange) { serve(exchange); })
     , m_drainTimer(m_loop, [this] { finish(ResultCode::DrainTimeout); })
-    , m_adminQuiet(
-          m_loop, [this] { return m_admin.openExchangeCount() > 0; },
-          [this] { finish(ResultCode::Ok); })
+    , m_adminShutdown(m_loop, m_admin)
 {
     m_loop.onSignal([this](int signal) { handleSignal(signal); });
     m_loop.onPause([this](const Pause &pause) {
@@ -165,9 +163,17 @@
         = BootClock::now() + std::chrono::milliseconds(m_settings.drainMilliseconds);
     m_drainTimer.startAt(deadline);
     if (m_drainHook)
-        m_drainHook([this, deadline] { m_adminQuiet.start({}, deadline); });
+        m_drainHook([this, deadline] { closeAdmin(deadline); });
     else
-        m_adminQuiet.start({}, deadline);
+        closeAdmin(deadline);
+}
+
+// At once, as peers never cease to call.
+void Daemon::closeAdmin(TimePoint deadline)
+{
+    m_adminShutdown.closeToCallers({}, BootClock::now(), [this, deadline] {
+        m_adminShutdown.awaitAnswers(deadline, [this] { finish(ResultCode::Ok); });
+    });
 }
 
 void Daemon::finish(ResultCode code)
--- a/cli/daemon.h
+++ b/cli/daemon.h
@@ -15,7 +15,7 @@
 #include "cli/settingsparser.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
-#include "net/quiettimer.h"
+#include "net/servershutdown.h"
 #include "net/timer.h"
 #include "sequoiapier/eventring.h"
 
@@ -76,6 +76,7 @@
 private:
     void serve(const std::shared_ptr<HttpExchange> &exchange);
     void handleSignal(int signal);
+    void closeAdmin(TimePoint deadline);
     void finish(ResultCode code);
 
     CommonSettings m_settings;
@@ -89,7 +90,7 @@
     DrainHook m_drainHook;
     std::function<void()> m_reloadHook;
     Timer m_drainTimer;
-    QuietTimer m_adminQuiet; // lets the last answers of the admin port go out
+    ServerShutdown m_adminShutdown;
     bool m_isReady = false;
     bool m_isDraining = false;
     ResultCode m_exitCode = ResultCode::Ok;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -55,6 +55,7 @@
                      })
     , m_server(daemon.loop(), serverOptions(settings),
                [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); })
+    , m_shutdown(daemon.loop(), m_server)
 {
     m_node.start();
     if (!settings.liveListEndpoint.empty())
@@ -177,14 +178,15 @@
 void Gateway::drain(std::function<void()> done)
 {
     const auto drainTime = std::chrono::milliseconds(m_settings.common.drainMilliseconds);
+    const TimePoint end = BootClock::now() + drainTime;
     const TimePoint deadline = BootClock::now() + std::max<Duration>(drainTime - AnswerTime, {});
-    m_server.closeAfterReplies();
+    const auto awaitAnswers
+        = [this, end, done = std::move(done)] { m_shutdown.awaitAnswers(end, done); };
     // The loans are kept until then: a request that came before the signal may still be asked for
     // at the homes of its identifier, and is queued after that.
-    m_quiet = std::make_unique<QuietTimer>(
-        m_daemon.loop(), [this] { return m_server.takeActivity(); },
-        [this, deadline, done = std::move(done)] { m_dispatcher.drain(deadline, done); });
-    m_quiet->start(std::chrono::milliseconds(m_settings.quietMilliseconds), deadline);
+    m_shutdown.closeToCallers(
+        std::chrono::milliseconds(m_settings.quietMilliseconds), deadline,
+        [this, deadline, awaitAnswers] { m_dispatcher.drain(deadline, awaitAnswers); });
 }
 
 int runGateway(CommandArgs args)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -5,7 +5,7 @@
 #include "gateway/dispatcher.h"
 #include "gateway/duplicateguard.h"
 #include "gateway/gatewaysettings.h"
-#include "net/quiettimer.h"
+#include "net/servershutdown.h"
 #include "peer/peernode.h"
 
 #include <memory>
@@ -19,7 +19,7 @@
 
     bool isListening() const { return m_server.isListening(); }
     // Refuses new requests; calls `done` when all held ones are answered, no caller has connected
-    // or sent anything for the quiet time, and the loans are returned.
+    // or sent anything for the quiet time, or none can any more, and the loans are returned.
     void drain(std::function<void()> done);
 
 private:
@@ -48,7 +48,7 @@
     Timer m_settledTimer;
     std::unique_ptr<LiveListClient> m_liveList;
     HttpServer m_server;
-    std::unique_ptr<QuietTimer> m_quiet; // while draining
+    ServerShutdown m_shutdown;
 };
 
 } // namespace sequoiapier
--- a/net/httpserver.cpp
+++ b/net/httpserver.cpp
@@ -5,6 +5,7 @@
 #include "net/headercopy.h"
 
 #include <libwebsockets.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <array>
@@ -68,6 +69,7 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_handler(std::move(handler))
+    , m_listenerTimer(loop, [this] { closeListener(); })
 {
     lws_context_creation_info info{};
     info.port = m_options.port;
@@ -99,17 +101,17 @@
     const std::string_view data(static_cast<const char *>(in), in != nullptr ? length : 0);
     switch (reason) {
     case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
-        if (server->m_connections < server->m_options.maxConnections)
-            return 0;
-        ++server->m_refusedConnections;
-        return 1;
+        return server->acceptsFrom(connection) ? 0 : 1;
     case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
         ++server->m_connections;
         server->m_wasActive = true;
         return 0;
     case LWS_CALLBACK_WSI_DESTROY:
         // The listening socket of the vhost comes here too, without having been counted.
-        server->m_connections -= std::min<std::size_t>(server->m_connections, 1);
+        if (connection == server->m_listener)
+            server->m_listener = nullptr;
+        else
+            server->m_connections -= std::min<std::size_t>(server->m_connections, 1);
         return 0;
     case LWS_CALLBACK_HTTP:
         return server->onRequest(connection, data);
@@ -127,6 +129,18 @@
     }
 }
 
+// libwebsockets names the listening socket in this callback only.
+bool HttpServer::acceptsFrom(lws *listener)
+{
+    m_listener = listener;
+    if (m_stopsListening)
+        m_listenerTimer.startAt(BootClock::now());
+    if (m_connections < m_options.maxConnections)
+        return true;
+    ++m_refusedConnections;
+    return false;
+}
+
 int HttpServer::onRequest(lws *connection, std::string_view path)
 {
     m_wasActive = true;
@@ -209,9 +223,29 @@
     m_handler(exchange);
 }
 
+void HttpServer::stopListening()
+{
+    m_stopsListening = true;
+    closeListener();
+}
+
+// Closing the socket resets the connections that wait to be accepted, so that is left to a turn
+// which finds none.
+void HttpServer::closeListener()
+{
+    if (m_listener == nullptr)
+        return;
+    pollfd waiting{.fd = lws_get_socket_fd(m_listener), .events = POLLIN, .revents = 0};
+    if (poll(&waiting, 1, 0) != 0)
+        m_listenerTimer.startAt(BootClock::now());
+    else
+        lws_set_timeout(m_listener, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_SYNC);
+}
+
 bool HttpServer::takeActivity()
 {
-    return std::exchange(m_wasActive, false) || !m_exchanges.empty()
+    const bool isListenerOpen = m_stopsListening && m_listener != nullptr;
+    return std::exchange(m_wasActive, false) || isListenerOpen || !m_exchanges.empty()
         || !m_closingConnections.empty();
 }
 
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -10,7 +10,7 @@
 #pragma once
 
 #include "net/httpexchange.h"
-#include "net/loop.h"
+#include "net/timer.h"
 #include "sequoiapier/result.h"
 
 #include <cstdint>
@@ -55,8 +55,11 @@
 
     // From now on every response says "connection: close" and ends its connection.
     void closeAfterReplies() { m_isClosing = true; }
+    // Refuses new connections as soon as none waits to be accepted; those that are open are served
+    // on. A server that has never accepted one does so after the first.
+    void stopListening();
     // Whether a request is open, or a connection, a request or a response came or went since the
-    // last call.
+    // last call, or a connection may still wait to be accepted after stopListening().
     bool takeActivity();
 
     // libwebsockets' callback; `reason` is an lws_callback_reasons.
@@ -69,6 +72,8 @@
     int onWriteable(lws *connection);
     int writeResponse(lws *connection, const HttpResponse &response);
     int closeWhenWritten(lws *connection);
+    bool acceptsFrom(lws *listener);
+    void closeListener();
     void onClosed(lws *connection);
     void readHeaders(lws *connection, HttpRequest &request) const;
     void refuse(HttpExchange &exchange, const Error &error) const;
@@ -78,6 +83,9 @@
     Options m_options;
     Handler m_handler;
     lws_vhost *m_vhost = nullptr;
+    lws *m_listener = nullptr; // known from the first connection on
+    bool m_stopsListening = false;
+    Timer m_listenerTimer;
     std::size_t m_connections = 0;
     std::uint64_t m_refusedConnections = 0;
     bool m_isClosing = false;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -26,6 +26,7 @@
 constexpr Duration CloseDelay = milliseconds(2'300); // the balancer misses two looks, a second each
 constexpr Duration QuietTime = milliseconds(300); // without a request before a drained node ends
 constexpr Duration GraceMargin = milliseconds(800); // left of the platform's grace
+constexpr Duration LastAnswersTime = milliseconds(250); // of it, for what was accepted until then
 constexpr Duration AnswerMargin = milliseconds(300); // for answers on their way at the end
 constexpr std::size_t MaxCallerBodyBytes = 512 * 1024;
 
@@ -129,8 +130,7 @@
     , m_tickTimer(daemon.loop(), [this] { tick(); })
     , m_joinTimer(daemon.loop(), [this] { join(); })
     , m_closeTimer(daemon.loop(), [this] { closeCallers(); })
-    , m_callersQuiet(
-          daemon.loop(), [this] { return m_callers.takeActivity(); }, [this] { m_drained(); })
+    , m_callersShutdown(daemon.loop(), m_callers)
 {
     addPeerMethods();
     daemon.route(PeerPath, [this](const std::shared_ptr<HttpExchange> &exchange) {
@@ -412,8 +412,9 @@
 
 void Node::closeCallers()
 {
-    m_callers.closeAfterReplies();
-    m_callersQuiet.start(QuietTime, m_graceEnd);
+    m_callersShutdown.closeToCallers(QuietTime, m_graceEnd, [this] {
+        m_callersShutdown.awaitAnswers(m_graceEnd + LastAnswersTime, m_drained);
+    });
 }
 
 } // namespace sequoiapier
--- a/node/node.h
+++ b/node/node.h
@@ -11,6 +11,7 @@
 #include "cli/daemon.h"
 #include "net/rpcclient.h"
 #include "net/rpcserver.h"
+#include "net/servershutdown.h"
 #include "node/fleetowner.h"
 #include "node/ingress.h"
 #include "node/jobrelay.h"
@@ -97,7 +98,7 @@
     Timer m_tickTimer;
     Timer m_joinTimer;
     Timer m_closeTimer;
-    QuietTimer m_callersQuiet;
+    ServerShutdown m_callersShutdown;
     std::function<void()> m_drained;
     TimePoint m_graceEnd{};
     bool m_isDraining = false;
--- a/testing/process/platform_test.cpp
+++ b/testing/process/platform_test.cpp
@@ -1,7 +1,9 @@
 // Jobs over nodes in separate processes on the users' platform, with the runners' own record of
 // what ran as the judge.
 #include "testing/process/platformtest.h"
+#include "testing/support/loadclient.h"
 
+#include <algorithm>
 #include <fstream>
 #include <thread>
 
@@ -131,6 +133,29 @@
     EXPECT_EQ(breaches(), "[]");
 }
 
+// The node is never quiet and ends with its grace.
+TEST_F(Platform, SteadyCallersOfAStoppedNodeAreAnsweredUntilConnectionsAreRefused)
+{
+    Member &node = system().member("node-3");
+    LoadOptions options{.ports = {node.workPort},
+                        .path = "/quotes/",
+                        .headers = {{"authorization", "Token good-key"}, {"deadline-ms", "4000"}},
+                        .concurrency = 8,
+                        .requestCount = 8'000,
+                        .requestsPerSecond = 1'000};
+    options.onStart = [&](unsigned count) {
+        if (count == 500)
+            node.process.signal(SIGTERM);
+    };
+    const LoadResult result = runLoad(options);
+    const auto lostCount = std::count_if(
+        result.outcomes.begin(), result.outcomes.end(),
+        [](const LoadOutcome &outcome) { return outcome.outcome == HttpOutcome::Lost; });
+    EXPECT_EQ(lostCount, 0);
+    EXPECT_EQ(result.outcomes.back().outcome, HttpOutcome::NotSent);
+    EXPECT_EQ(node.process.waitExit(milliseconds(6'000)), 0);
+}
+
 TEST_F(Platform, LostAnswersOfTheStoreDoubleNothing)
 {
     for (int i = 0; i < 6; ++i) {
--- a/testing/process/requestfailure_test.cpp
+++ b/testing/process/requestfailure_test.cpp
@@ -2,6 +2,7 @@
 #include "testing/process/failuretest.h"
 #include "testing/support/rawconnection.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace sequoiapier {
@@ -134,6 +135,46 @@
     EXPECT_EQ(record.response.body.find("kept-2"), std::string::npos);
 }
 
+class SteadyTraffic : public OneServiceTest
+{
+protected:
+    std::vector<std::string> gatewayFlags() const override { return {"--drain-ms", "1500"}; }
+
+    // Stops the gateway under calls to its `port`, which end when it refuses connections.
+    void expectNoneLost(std::uint16_t port, const std::string &path)
+    {
+        ChildProcess &gateway = system().member("gateway-1").process;
+        LoadOptions options{.ports = {port},
+                            .path = path,
+                            .headers = {{"authorization", "Bearer key"}},
+                            .concurrency = 8,
+                            .requestCount = 8'000,
+                            .requestsPerSecond = 2'000};
+        options.onStart = [&gateway](unsigned count) {
+            if (count == 1'000)
+                gateway.signal(SIGTERM);
+        };
+        const LoadResult result = runLoad(options);
+        const auto lostCount = std::count_if(
+            result.outcomes.begin(), result.outcomes.end(),
+            [](const LoadOutcome &outcome) { return outcome.outcome == HttpOutcome::Lost; });
+        EXPECT_EQ(lostCount, 0);
+        EXPECT_EQ(result.outcomes.back().outcome, HttpOutcome::NotSent);
+        EXPECT_EQ(gateway.waitExit(LocalSystem::Patience), 0);
+    }
+};
+
+// The gateway is never quiet and ends at the deadline of its drain.
+TEST_F(SteadyTraffic, OfADrainingGatewayIsAnsweredUntilConnectionsAreRefused)
+{
+    expectNoneLost(system().member("gateway-1").workPort, "/v1/queues/prices");
+}
+
+TEST_F(SteadyTraffic, OfPeersIsAnsweredUntilConnectionsAreRefused)
+{
+    expectNoneLost(system().member("gateway-1").adminPort, "/healthz");
+}
+
 TEST_F(RequestFailure, LeavingRunnerGetsNothingNewAndNothingIsLost)
 {
     ASSERT_TRUE(system().setFaults("runner-1", R"({"leaving": true})"));
