--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -26,12 +26,6 @@
     return duration_cast<microseconds>(system_clock::now().time_since_epoch()).count();
 }
 
-std::string inMilliseconds(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count())
-        + " ms";
-}
-
 Logger::Options loggerOptions(const CommonSettings &settings)
 {
     return {.process = settings.name,
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -16,20 +16,14 @@
 // gone: a report on another connection may have overtaken the answer.
 constexpr std::uint32_t MissingReports = 2;
 
-std::string millisecondText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count())
-        + " ms";
-}
-
 // What the start relied on when it was sent, and how long its answer took.
 std::string agesOf(const StartOrder &start, TimePoint now)
 {
     if (start.sentAt == TimePoint{})
         return {};
-    return ", placed " + millisecondText(start.sentAt - start.placedAt) + " and list "
-        + millisecondText(start.sentAt - start.listedAt) + " before, answer after "
-        + millisecondText(now - start.sentAt);
+    return ", placed " + inMilliseconds(start.sentAt - start.placedAt) + " and list "
+        + inMilliseconds(start.sentAt - start.listedAt) + " before, answer after "
+        + inMilliseconds(now - start.sentAt);
 }
 
 } // namespace
--- a/sequoiapier/bootclock.h
+++ b/sequoiapier/bootclock.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace sequoiapier {
 
@@ -30,4 +31,7 @@
 // Time from `now` until `deadline` in whole milliseconds, never negative. For the wire.
 std::int64_t remainingMilliseconds(TimePoint deadline, TimePoint now);
 
+// As "250 ms", in whole milliseconds. For log lines.
+std::string inMilliseconds(Duration duration);
+
 } // namespace sequoiapier
