--- a/controller/hostmove.cpp
+++ b/controller/hostmove.cpp
@@ -76,7 +76,7 @@
     case HostState::Draining:
         if (isEmpty(row, seen))
             return {.action = HostAction::ChangeRow, .row = drained(row)};
-        return {.action = HostAction::Drain, .row = row, .isOverdue = isDrainOverdue(row, now)};
+        return {.action = HostAction::Drain, .row = row};
     case HostState::Out:
         if (seen.maintainedEpoch == row.epoch)
             return {.action = HostAction::ChangeRow, .row = maintained(row, now)};
--- a/controller/hostmove.h
+++ b/controller/hostmove.h
@@ -39,7 +39,6 @@
 {
     HostAction action = HostAction::None;
     HostRow row; // the next row with ChangeRow, otherwise the row as given
-    bool isOverdue = false; // draining past its deadline
 };
 
 // Whether the host is draining past its deadline at Unix time `now`. Both times are rounded down to
