--- a/testing/unit/enginestarts_test.cpp
+++ b/testing/unit/enginestarts_test.cpp
@@ -28,6 +28,14 @@
     return runners;
 }
 
+void expectCompletedBy(EnginePool &pool, const std::string &runner)
+{
+    pool.runUntilEnded("a", Patience);
+    EXPECT_EQ(pool.phaseOf("a"), jobs::JobPhase::Completed);
+    EXPECT_EQ(runnersOf(pool, "a"), std::set<std::string>{runner}) << pool.trace();
+    EXPECT_EQ(pool.breaches(), "");
+}
+
 // The store doesn't answer from the placement until long after the runner's notice.
 TEST(EngineStarts, TaskPlacedBeforeItsRunnerDrainedIsNotStartedThereLater)
 {
@@ -39,10 +47,7 @@
     pool.setDraining(0, true);
     pool.run(seconds(4));
     pool.setStoreDown(false);
-    pool.runUntilEnded("a", Patience);
-    EXPECT_EQ(pool.phaseOf("a"), jobs::JobPhase::Completed);
-    EXPECT_EQ(runnersOf(pool, "a"), std::set<std::string>{"i-1"}) << pool.trace();
-    EXPECT_EQ(pool.breaches(), "");
+    expectCompletedBy(pool, "i-1");
 }
 
 // The list can't be read while the store takes writes.
@@ -56,10 +61,7 @@
     pool.submit("a", job(4));
     pool.run(seconds(1));
     pool.setListReadable(true);
-    pool.runUntilEnded("a", Patience);
-    EXPECT_EQ(pool.phaseOf("a"), jobs::JobPhase::Completed);
-    EXPECT_EQ(runnersOf(pool, "a"), std::set<std::string>{"i-1"}) << pool.trace();
-    EXPECT_EQ(pool.breaches(), "");
+    expectCompletedBy(pool, "i-1");
 }
 
 // The answers of an overloaded runner are lost, so that its other starts wait for their patience.
@@ -72,10 +74,7 @@
     pool.run(milliseconds(50));
     pool.setDraining(0, true);
     pool.setReachable(0, true);
-    pool.runUntilEnded("a", Patience);
-    EXPECT_EQ(pool.phaseOf("a"), jobs::JobPhase::Completed);
-    EXPECT_EQ(runnersOf(pool, "a"), std::set<std::string>{"i-1"}) << pool.trace();
-    EXPECT_EQ(pool.breaches(), "");
+    expectCompletedBy(pool, "i-1");
 }
 
 // An earlier entry of the runner is written after the one with its notice.
