Take no further turns of a pool that another controller has

Operators saw: a controller that had left a pool (jobs.left) went on taking turns of it until no turn was full, and read all of the pool's rows anew in each, as it forgets them when it leaves.

Cause: a full turn is followed by the next at once, without asking whose pool it is.

Change: only the controller that takes care of the pool goes on.

--- a/controller/jobcontrol.cpp
+++ b/controller/jobcontrol.cpp
@@ -81,7 +81,7 @@
                 },
             .turned =
                 [this](std::string_view pool, bool isFull) {
-                    if (!isFull)
+                    if (!isFull || !isMine(std::string(pool)))
                         return;
                     m_due.insert(std::string(pool));
                     m_dueTimer.startAt(BootClock::now() + SoonAgain);
