--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -47,7 +47,8 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    bool isListening() const { return m_vhost != nullptr; }
+    // Whether it could listen, until stopListening().
+    bool isListening() const { return m_vhost != nullptr && !m_stopsListening; }
     std::size_t connectionCount() const { return m_connections; }
     std::uint64_t refusedConnectionCount() const { return m_refusedConnections; }
 
