Draw the arrivals of each stream of a load from a generator of its own

Seen: Shares.EachTeamGetsItsShare... once sent 2 urgent requests of 14 expected (KNOWN-RED); the cause is not found. All streams drew from one generator in the order of the loop's timers, so the number sent differed from run to run in spite of the seed, and such a run could not be repeated.

Change: each stream has a generator from the seed and its index.

--- a/testing/support/teamload.cpp
+++ b/testing/support/teamload.cpp
@@ -14,14 +14,16 @@
 
 TeamLoad::TeamLoad(std::vector<TeamStream> streams, std::uint64_t seed)
     : m_streams(std::move(streams))
-    , m_random(seed)
     , m_loop({.maxDescriptors = MaxDescriptors})
     , m_http(m_loop, {.maxConnections = MaxConnections, .keptHeaders = {"x-sequoiapier-code"}})
     , m_due(m_streams.size())
     , m_phaseTimer(m_loop, [this] { startPhase(); })
 {
-    for (std::size_t stream = 0; stream < m_streams.size(); ++stream)
+    for (std::size_t stream = 0; stream < m_streams.size(); ++stream) {
         m_arrivals.push_back(std::make_unique<Timer>(m_loop, [this, stream] { send(stream); }));
+        std::seed_seq seeds{seed, std::uint64_t(stream)};
+        m_random.emplace_back(seeds);
+    }
 }
 
 void TeamLoad::run(const std::vector<LoadPhase> &phases)
@@ -69,7 +71,7 @@
     const TeamStream &settings = m_streams[stream];
     const double factor = settings.isSteady ? 1 : m_phases[m_phase - 1].factor;
     std::exponential_distribution<double> gap(settings.requestsPerSecond * factor);
-    m_due[stream] = due + Duration(std::int64_t(gap(m_random) * 1e6));
+    m_due[stream] = due + Duration(std::int64_t(gap(m_random[stream]) * 1e6));
     m_arrivals[stream]->startAt(m_due[stream]);
 }
 
@@ -87,7 +89,8 @@
     const std::size_t index = m_requests.size();
     const std::string id = settings.team + "." + settings.queue + "." + std::to_string(index);
     m_requests.push_back({.id = id, .stream = stream, .sentAt = now});
-    HttpCall call{.address = "127.0.0.1", .port = settings.gateways[gateway(m_random)].port};
+    HttpCall call{.address = "127.0.0.1",
+                  .port = settings.gateways[gateway(m_random[stream])].port};
     call.deadline = now + settings.deadline + Patience;
     call.request = {.method = "POST",
                     .path = "/v1/queues/" + settings.queue,
@@ -96,7 +99,7 @@
                                 {"x-idempotent", "true"},
                                 {"x-urgent", settings.isUrgent ? "true" : "false"},
                                 {"x-request-id", id}},
-                    .body = "work-ms=" + std::to_string(work(m_random))};
+                    .body = "work-ms=" + std::to_string(work(m_random[stream]))};
     ++m_unanswered;
     m_http.call(std::move(call), [this, index](const HttpAnswer &answer) {
         LoadedRequest &request = m_requests[index];
--- a/testing/support/teamload.h
+++ b/testing/support/teamload.h
@@ -6,8 +6,8 @@
 //   load.run({{.length = seconds(10), .factor = 2}});
 //   for (const LoadedRequest &request : load.requests()) ...
 //
-// Arrivals are Poisson from a fixed seed. Identifiers are "<team>.<queue>.<number>"; a runner's
-// record of its runs has the same ones.
+// Arrivals are Poisson, those of each stream from the seed and its index. Identifiers are
+// "<team>.<queue>.<number>"; a runner's record of its runs has the same ones.
 #pragma once
 
 #include "net/httpclient.h"
@@ -75,11 +75,11 @@
     void stop();
 
     std::vector<TeamStream> m_streams;
-    std::mt19937_64 m_random;
     Loop m_loop;
     HttpClient m_http;
     std::vector<std::unique_ptr<Timer>> m_arrivals; // by stream
     std::vector<TimePoint> m_due; // by stream
+    std::vector<std::mt19937_64> m_random; // by stream
     Timer m_phaseTimer;
     std::vector<LoadPhase> m_phases;
     std::size_t m_phase = 0;
