--- a/controller/jobcancellation.cpp
+++ b/controller/jobcancellation.cpp
@@ -130,13 +130,14 @@
     for (; m_nextLive < last; ++m_nextLive) {
         const TableRow &row = m_live[m_nextLive];
         Result<JobRow> job = parseJobRow(row.value);
-        if (!job)
+        if (!job) {
             m_outcomes[row.key.substr(livePrefix().size())]
                 = {job.error().code, job.error().detail};
-        else if (isSettled(job.value()))
+        } else if (isSettled(job.value())) {
             m_outcomes[job.value().id] = cancelled(job.value());
-        else
+        } else {
             batch.push_back({std::move(job.value()), row.version});
+        }
     }
     return batch;
 }
