Let waves follow each other until a move takes part in one

Cause: the test, not the controllers. The wave takes the units that come free, and about one in 16 moves finds one (63 to 74 attempts, 4 committed, in a wave of 2 s; the others 307 budget-exhausted, which the test allows).

Change: another wave is declared until a move was committed, 20 at most. All checks stay; each wave has to end and reboots every host.

--- a/testing/process/fleet_test.cpp
+++ b/testing/process/fleet_test.cpp
@@ -33,22 +33,31 @@
     EXPECT_EQ(reboots(), 0);
 }
 
+// A wave takes the units that come free, so that few of the moves find one. Waves follow each other
+// until one does.
 TEST_F(FleetTest, MovesDuringAWaveKeepTheBudgets)
 {
-    declareWave("spring");
+    constexpr int MaxWaves = 20;
+    int waves = 0;
     int moved = 0;
-    for (int attempt = 0; !isFinished("spring") && attempt < 200; ++attempt) {
-        const std::string name = hostName(attempt % HostCount);
-        const nlohmann::json before = host(name);
-        const std::string target = before.at("pool") == "dawn" ? "benches" : "dawn";
-        moved += ctl({"host", "move", name, "--pool", target}) == 0 ? 1 : 0;
-        EXPECT_TRUE(std::set<std::string>({"200", "307", "400"}).contains(answeredCode()))
-            << system().output();
+    while (moved == 0 && waves < MaxWaves) {
+        const std::string id = "spring-" + std::to_string(++waves);
+        declareWave(id);
+        for (int attempt = 0; !isFinished(id) && attempt < 200; ++attempt) {
+            const std::string name = hostName(attempt % HostCount);
+            const nlohmann::json before = host(name);
+            const std::string target = before.at("pool") == "dawn" ? "benches" : "dawn";
+            moved += ctl({"host", "move", name, "--pool", target}) == 0 ? 1 : 0;
+            EXPECT_TRUE(std::set<std::string>({"200", "307", "400"}).contains(answeredCode()))
+                << system().output();
+        }
+        ASSERT_TRUE(waitFor([&] { return isFinished(id); })) << wave(id);
+        // A host maintained in the second of a wave's declaration counts as maintained by it.
+        std::this_thread::sleep_for(1100ms);
     }
     EXPECT_GT(moved, 0);
-    EXPECT_TRUE(waitFor([&] { return isFinished("spring"); })) << wave("spring");
     EXPECT_TRUE(waitFor([&] { return countHosts("serving") == HostCount; })) << hosts();
-    EXPECT_EQ(reboots(), HostCount);
+    EXPECT_EQ(reboots(), waves * HostCount);
 }
 
 TEST_F(FleetTest, WaveEndsThoughAControllerIsKilled)
