Plan a pool only when its placements can be written, and read the changes of the live list

Cause: an owner planned after every event, several hundred times a second under load, though a batch is written at most every 20 ms; a plan searched all runners for every waiting task of a size that had just found no room; and an owner that was short of runners read and decoded the whole live list (540 entries) every 150 ms, although an entry changes every 1.5 s. Change: PoolOwner plans when a batch can be written, and at most a sixth of the time. A plan remembers sizes that found no room.

--- a/bench/platform_bench.cpp
+++ b/bench/platform_bench.cpp
@@ -1,9 +1,11 @@
 // Measures the cost of a task for the node that owns its pool: the processor time of everything
 // that a task needs (caller's calls, store, start, lease, end, log), with a stand-in of the users'
 // platform on loopback. One node owns everything, so its figure covers both the owner and the
-// callers' entry.
+// callers' entry. Jobs are sent at their due times, however many have not been answered yet.
 #include "bench/support/processuse.h"
 #include "bench/support/report.h"
+#include "net/httpclient.h"
+#include "net/timer.h"
 #include "testing/support/localsystem.h"
 
 #include <nlohmann/json.hpp>
@@ -11,6 +13,7 @@
 #include <array>
 #include <chrono>
 #include <cstdio>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -18,6 +21,7 @@
 
 using namespace sequoiapier;
 using nlohmann::json;
+using std::chrono::seconds;
 
 struct Load
 {
@@ -27,10 +31,12 @@
     int tasks; // per job
 };
 
-constexpr std::array<Load, 3> Loads{{
+constexpr std::array<Load, 4> Loads{{
     {"11 runners, idle", 11, 0, 0},
     {"11 runners, 20 jobs of 10 tasks a second", 11, 20, 10},
     {"60 runners, 40 jobs of 13 tasks a second", 60, 40, 13},
+    // The peak of the largest pool of the users' deployment with 97 hosts.
+    {"120 runners, 125 jobs of 8 tasks a second", 120, 125, 8},
 }};
 constexpr int MeasuredSeconds = 8;
 constexpr int RunMilliseconds = 1'000; // per task
@@ -48,6 +54,41 @@
             .body = body.dump()};
 }
 
+// Sends the jobs of one measurement at their due times and returns how many were accepted.
+int sendJobs(std::uint16_t port, const Load &load)
+{
+    const int jobs = load.jobsPerSecond * MeasuredSeconds;
+    if (jobs == 0)
+        return 0;
+    Loop loop({});
+    HttpClient http(loop, {.maxConnections = 128});
+    const TimePoint begin = BootClock::now();
+    int sent = 0;
+    int answered = 0;
+    int accepted = 0;
+    std::unique_ptr<Timer> timer;
+    const auto sendDue = [&] {
+        for (; sent < jobs && BootClock::now() >= begin + seconds(sent) / load.jobsPerSecond;
+             ++sent) {
+            HttpCall call{.address = "127.0.0.1",
+                          .port = port,
+                          .request = submission(sent, load.tasks),
+                          .deadline = BootClock::now() + seconds(5)};
+            http.call(std::move(call), [&](const HttpAnswer &answer) {
+                accepted += answer.isOk();
+                if (++answered == jobs)
+                    loop.stop();
+            });
+        }
+        if (sent < jobs)
+            timer->startAt(begin + seconds(sent) / load.jobsPerSecond);
+    };
+    timer = std::make_unique<Timer>(loop, sendDue);
+    sendDue();
+    loop.run();
+    return accepted;
+}
+
 bool measure(Report &report, const Load &load)
 {
     LocalSystem system("platform-bench");
@@ -63,12 +104,7 @@
     const Member &node = system.member("node-1");
     const auto begin = std::chrono::steady_clock::now();
     const double secondsBefore = processUse(node.process.pid()).processorSeconds;
-    const int jobs = load.jobsPerSecond * MeasuredSeconds;
-    int accepted = 0;
-    for (int i = 0; i < jobs; ++i) {
-        std::this_thread::sleep_until(begin + std::chrono::seconds(1) * i / load.jobsPerSecond);
-        accepted += system.call(node.workPort, submission(i, load.tasks)).response.status == 200;
-    }
+    const int accepted = sendJobs(node.workPort, load);
     std::this_thread::sleep_until(begin + std::chrono::seconds(MeasuredSeconds + 2));
     const double usedSeconds = processUse(node.process.pid()).processorSeconds - secondsBefore;
     const double tasks = double(accepted) * load.tasks;
--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -59,9 +59,10 @@
         entry.arrivedAt = now - std::chrono::milliseconds(age);
         entry.job = std::move(job);
         const std::string id = entry.job.id;
-        if (!entry.job.hasEnded())
-            m_live.insert(id);
-        adoptPlacedRuns(m_jobs.insert_or_assign(id, std::move(entry)).first->second.job, now);
+        Entry &stored = m_jobs.insert_or_assign(id, std::move(entry)).first->second;
+        if (!stored.job.hasEnded())
+            m_live[id] = &stored;
+        adoptPlacedRuns(stored.job, now);
     }
 }
 
@@ -90,7 +91,7 @@
     entry.isBeyondShare = team != nullptr && !m_shares.take(team->name, team->share, now);
     entry.isSpecDirty = true;
     Entry &stored = m_jobs.emplace(request.id, std::move(entry)).first->second;
-    m_live.insert(request.id);
+    m_live[request.id] = &stored;
     beginOccurrences(stored, now);
     markDirty(stored);
     note("job.taken", {.job = request.id},
@@ -121,8 +122,8 @@
 
 std::uint32_t Engine::waitingCount(std::string_view queue) const
 {
-    return std::uint32_t(std::count_if(m_live.begin(), m_live.end(), [&](const std::string &id) {
-        const Job &job = m_jobs.find(id)->second.job;
+    return std::uint32_t(std::count_if(m_live.begin(), m_live.end(), [&](const auto &item) {
+        const Job &job = item.second->job;
         return job.queue == queue && job.phase == JobPhase::Queued && !job.spec.isTimed();
     }));
 }
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -277,6 +277,13 @@
         JobOrder::Rank rank;
     };
 
+    // Size of a task for which no runner has room, although any runner would do.
+    struct UnplacedSize
+    {
+        Resources room;
+        bool isLasting = false; // Reserved runners were tried, too.
+    };
+
     TaskLocation find(const TaskName &name);
     TaskLocation find(const TaskName &name) const { return const_cast<Engine *>(this)->find(name); }
     static Task *currentTask(const TaskLocation &location, std::uint64_t run);
@@ -330,6 +337,8 @@
     void removeEndedJobs();
     std::vector<Candidate> candidates(TimePoint now);
     void countTeams(std::span<const Candidate> candidates);
+    bool isKnownNotToFit(const Candidate &candidate) const;
+    void recordNoRoom(const Candidate &candidate);
     void place(const Candidate &candidate, TimePoint now);
     void placeGang(const Candidate &candidate, TimePoint now);
     Runner *pickRunner(const Candidate &candidate, const Task &task, TimePoint now);
@@ -358,7 +367,7 @@
     TimePoint m_nextQuarantineUpdate{};
     bool m_hasAdvisedQueues = false; // True if some queue's policy must be asked.
     std::map<std::string, Entry, std::less<>> m_jobs;
-    std::set<std::string> m_live; // Jobs that have not ended.
+    std::map<std::string, Entry *, std::less<>> m_live; // Jobs that have not ended.
     std::deque<std::string> m_dirty; // Jobs to be written, the longest waiting first.
     std::map<std::string, Runner> m_runners;
     // Resources used by runs that may exist, by team.
@@ -367,7 +376,10 @@
     std::vector<StartOrder> m_planned; // Starts whose job's batch is not written yet.
     std::map<std::string, std::deque<StartOrder>> m_starts; // Stored but unsent starts, by runner.
     bool m_hasStopRequests = false; // True if some run is to be stopped.
+    std::size_t m_fillingRuns = 0; // Number of runs of filling tasks that may exist.
     TimePoint m_nextRemoval{}; // When to look for expired ended jobs next.
+    // Sizes for which the current plan found no runner with room.
+    std::vector<UnplacedSize> m_unplaced;
 };
 
 } // namespace sequoiapier::jobs
--- a/jobs/engineadvice.cpp
+++ b/jobs/engineadvice.cpp
@@ -45,8 +45,8 @@
 {
     if (!m_hasAdvisedQueues)
         return;
-    for (const std::string &id : m_live) {
-        Entry &entry = m_jobs.find(id)->second;
+    for (const auto &[id, live] : m_live) {
+        Entry &entry = *live;
         const QueueConfig *queue = queueOf(entry.job);
         if (queue == nullptr || !queue->needsAdvice)
             continue;
--- a/jobs/enginedemand.cpp
+++ b/jobs/enginedemand.cpp
@@ -66,8 +66,8 @@
         if (runner.runs.empty() && runner.isFenced)
             demand.idle.push_back(id);
     }
-    for (const std::string &id : m_live) {
-        const Entry &entry = m_jobs.find(id)->second;
+    for (const auto &[id, live] : m_live) {
+        const Entry &entry = *live;
         const Job &job = entry.job;
         for (const auto &[number, occurrence] : job.occurrences) {
             for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
--- a/jobs/enginepace.cpp
+++ b/jobs/enginepace.cpp
@@ -43,6 +43,8 @@
 std::vector<PaceOrder> Engine::takePaces(TimePoint now)
 {
     std::vector<PaceOrder> paces;
+    if (m_fillingRuns == 0)
+        return paces;
     for (auto &[id, runner] : m_runners) {
         for (auto &[key, run] : runner.runs) {
             if (!run.isFilling || run.percent == runner.pace.percent() || now < run.nextPaceAt)
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -29,6 +29,8 @@
 // Returns whether the placement would put a filling task and a serving task on one runner.
 bool mixesFillingAndServing(const StepSpec &step, const Runner &runner)
 {
+    if (!step.isFilling && step.targetMilliseconds == 0)
+        return false;
     return std::any_of(runner.runs.begin(), runner.runs.end(), [&](const auto &item) {
         return step.isFilling ? item.second.targetMilliseconds > 0
                               : step.targetMilliseconds > 0 && item.second.isFilling;
@@ -62,13 +64,14 @@
         m_nextRemoval = now + RemovalInterval;
         removeEndedJobs();
     }
-    for (const std::string &id : m_live)
-        beginOccurrences(m_jobs.find(id)->second, now);
+    for (const auto &[id, live] : m_live)
+        beginOccurrences(*live, now);
     moveLastingTasks(now);
     updateQuarantine(now);
     for (auto &[id, runner] : m_runners)
         runner.isReserved = false;
     m_advice.clearRequest();
+    m_unplaced.clear();
     std::vector<Candidate> waiting = candidates(now);
     std::stable_sort(waiting.begin(), waiting.end(),
                      [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
@@ -125,8 +128,8 @@
 std::vector<Engine::Candidate> Engine::candidates(TimePoint now)
 {
     std::vector<Candidate> waiting;
-    for (const std::string &id : m_live) {
-        Entry &entry = m_jobs.find(id)->second;
+    for (const auto &[id, live] : m_live) {
+        Entry &entry = *live;
         const Job &job = entry.job;
         for (const auto &[number, occurrence] : job.occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
@@ -204,8 +207,37 @@
         && !isOver(use.accelerators, ceiling->accelerators);
 }
 
+// Room only shrinks within a plan, so that a task at least as large as one that found no room finds
+// none either. When a queue asks for five times what its pool holds, this spares most candidates
+// the search.
+bool Engine::isKnownNotToFit(const Candidate &candidate) const
+{
+    const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
+    return std::any_of(m_unplaced.begin(), m_unplaced.end(), [&](const UnplacedSize &unplaced) {
+        return (unplaced.isLasting || !step.isLasting) && fits(unplaced.room, step.room());
+    });
+}
+
+// Records the size if nothing else than its size kept the task from being placed.
+void Engine::recordNoRoom(const Candidate &candidate)
+{
+    constexpr std::size_t MaxSizes = 8; // Bounds the search in isKnownNotToFit().
+    const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
+    const QueueConfig *queue = queueOf(candidate.entry->job);
+    const bool isAdvised = queue != nullptr && queue->needsAdvice;
+    if (isAdvised || !step.requiredLabel.empty() || step.maxPerRunner > 0)
+        return;
+    std::erase_if(m_unplaced, [&](const UnplacedSize &unplaced) {
+        return (step.isLasting || !unplaced.isLasting) && fits(step.room(), unplaced.room);
+    });
+    if (m_unplaced.size() < MaxSizes)
+        m_unplaced.push_back({step.room(), step.isLasting});
+}
+
 Runner *Engine::pickRunner(const Candidate &candidate, const Task &task, TimePoint now)
 {
+    if (isKnownNotToFit(candidate))
+        return nullptr;
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
     Runner *best = nullptr;
     double bestScore = -std::numeric_limits<double>::infinity();
@@ -230,6 +262,8 @@
             bestScore = score;
         }
     }
+    if (best == nullptr)
+        recordNoRoom(candidate);
     return best;
 }
 
@@ -269,6 +303,7 @@
         run = std::max(run, task.run);
     }
     std::vector<Runner *> picked;
+    const std::vector<UnplacedSize> unplacedBefore = m_unplaced;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         Runner *runner = isWithinCeiling(job.team, spec.size)
             ? pickRunner(candidate, tasks[index], now)
@@ -283,6 +318,7 @@
     for (std::uint32_t index = 0; index < picked.size(); ++index)
         removeRun(*picked[index], {{job.id, candidate.occurrence, candidate.step, index}, run + 1});
     if (picked.size() < tasks.size()) {
+        m_unplaced = unplacedBefore; // The members that were picked have given their room back.
         requestAdvice(candidate, now);
         return;
     }
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -77,7 +77,7 @@
                        }})
     , m_runnerWatch(
           daemon.loop(), m_store, m_log,
-          [this](const std::vector<jobs::RunnerEntry> &runners) {
+          [this](std::span<const jobs::RunnerEntry> runners) {
               for (const auto &[name, pool] : m_pools)
                   pool->setRunners(runners);
           },
@@ -103,13 +103,13 @@
                     const JobRelay::SendCallback &sent) { send(endpoint, call, deadline, sent); }})
     , m_ingress(m_relay, m_operators, m_log, daemon.metrics())
     , m_advice(daemon.httpClient(), m_settings.advice)
-    , m_startMetrics(daemon.metrics())
+    , m_poolMetrics(daemon.metrics())
     , m_poolContext{.loop = daemon.loop(),
                     .store = m_store,
                     .runners = m_runners,
                     .advice = m_advice,
                     .log = m_log,
-                    .startMetrics = m_startMetrics,
+                    .poolMetrics = m_poolMetrics,
                     .settings = m_settings,
                     .isOwner = [this] { return isOwner(); },
                     .onDeposed = [this](const std::string &pool) { release(poolResource(pool)); },
--- a/node/node.h
+++ b/node/node.h
@@ -17,9 +17,9 @@
 #include "node/ingress.h"
 #include "node/jobrelay.h"
 #include "node/operatorwatch.h"
+#include "node/poolmetrics.h"
 #include "node/poolowner.h"
 #include "node/runnerwatch.h"
-#include "node/startmetrics.h"
 #include "platform/fleetclient.h"
 #include "platform/nodesettings.h"
 #include "platform/runnerclient.h"
@@ -87,7 +87,7 @@
     JobRelay m_relay;
     Ingress m_ingress;
     AdviceClient m_advice;
-    StartMetrics m_startMetrics;
+    PoolMetrics m_poolMetrics;
     PoolContext m_poolContext;
     std::map<std::string, std::unique_ptr<PoolOwner>> m_pools; // pools owned by this node
     std::vector<std::unique_ptr<PoolOwner>> m_deposed; // former owners, destroyed in the next tick
--- a/node/startmetrics.cpp
+++ b/node/poolmetrics.cpp
@@ -1,21 +1,16 @@
-#include "node/startmetrics.h"
-
-#include <chrono>
+#include "node/poolmetrics.h"
 
 namespace sequoiapier {
 
 namespace {
 
 const prometheus::Histogram::BucketBoundaries Bounds{0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3, 5};
-
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
+const prometheus::Histogram::BucketBoundaries PlanBounds{0.0005, 0.001, 0.002, 0.005, 0.01,
+                                                         0.02,   0.05,  0.1,   0.2,   0.5};
 
 } // namespace
 
-StartMetrics::StartMetrics(prometheus::Registry &metrics)
+PoolMetrics::PoolMetrics(prometheus::Registry &metrics)
     : m_listAge(prometheus::BuildHistogram()
                     .Name("sequoiapier_start_list_age_seconds")
                     .Help("Age of the live list of runners when a start was sent")
@@ -26,9 +21,14 @@
                   .Help("From a task's placement to the sending of its start")
                   .Register(metrics)
                   .Add({}, Bounds))
+    , m_planTime(prometheus::BuildHistogram()
+                     .Name("sequoiapier_plan_seconds")
+                     .Help("Time taken by one plan of a pool")
+                     .Register(metrics)
+                     .Add({}, PlanBounds))
 { }
 
-void StartMetrics::observe(const jobs::StartOrder &order)
+void PoolMetrics::observeStart(const jobs::StartOrder &order)
 {
     m_listAge.Observe(seconds(order.sentAt - order.listedAt));
     m_delay.Observe(seconds(order.sentAt - order.placedAt));
--- /dev/null
+++ b/node/poolmetrics.h
@@ -0,0 +1,38 @@
+// PoolMetrics: metrics of a pool's owner. The delay of task starts and the age of the runner list
+// they rely on show how far the owner is behind; the time of its plans shows why.
+//
+//   PoolMetrics poolMetrics(daemon.metrics());
+//   poolMetrics.observeStart(order);
+//   poolMetrics.observePlan(duration);
+#pragma once
+
+#include "jobs/engine.h"
+
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <chrono>
+
+namespace sequoiapier {
+
+class PoolMetrics
+{
+public:
+    explicit PoolMetrics(prometheus::Registry &metrics);
+
+    // Records `order`, which has just been sent.
+    void observeStart(const jobs::StartOrder &order);
+    void observePlan(Duration duration) { m_planTime.Observe(seconds(duration)); }
+
+private:
+    static double seconds(Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+    prometheus::Histogram &m_listAge; // seconds
+    prometheus::Histogram &m_delay; // seconds
+    prometheus::Histogram &m_planTime; // seconds
+};
+
+} // namespace sequoiapier
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -1,6 +1,10 @@
 // One batch is in flight at a time; changes made meanwhile wait for the next. A batch is sent again
 // unchanged until the store reports its outcome. At most one batch is started in each
 // BatchInterval.
+//
+// Under load an event arrives every millisecond or less, but nothing is placed before the next
+// batch. A plan is therefore made only when its placements can be written, and plans take at most
+// PlanShare of the time, so that the loop stays responsive on a host with little processor.
 #include "node/poolowner.h"
 
 #include "node/evacuation.h"
@@ -31,6 +35,7 @@
 // Longest time between ticks, for work that falls due without an event.
 constexpr Duration TickInterval = milliseconds(100);
 constexpr Duration TickDelay = milliseconds(3); // collects events that arrive together
+constexpr int PlanShare = 5; // a plan of 1 ms is followed by 5 ms without plans
 constexpr Duration LeaseDuration = milliseconds(5'000); // outlives a takeover of about 3 s
 // Longest wait of a renewal for the end of a run.
 constexpr Duration BusyRunnerWait = milliseconds(1'000);
@@ -238,7 +243,7 @@
     requestTick();
 }
 
-void PoolOwner::setRunners(const std::vector<jobs::RunnerEntry> &runners)
+void PoolOwner::setRunners(std::span<const jobs::RunnerEntry> runners)
 {
     m_listed.clear();
     std::copy_if(runners.begin(), runners.end(), std::back_inserter(m_listed),
@@ -393,8 +398,12 @@
     if (!m_isReady)
         return;
     const TimePoint now = BootClock::now();
-    m_engine.plan(now);
-    m_ceilings.update(m_engine.teamDemands(), m_context.configuration());
+    const bool canWrite = !m_batch && now >= m_writeDue;
+    const TimePoint planDue = canWrite ? m_earliestPlan : m_latestPlan;
+    if (now >= planDue)
+        plan(now);
+    else
+        scheduleTick(planDue);
     writeBatch();
     askAdvice();
     sendOrders();
@@ -402,6 +411,16 @@
     scheduleTick(now + TickInterval);
 }
 
+void PoolOwner::plan(TimePoint now)
+{
+    m_engine.plan(now);
+    m_ceilings.update(m_engine.teamDemands(), m_context.configuration());
+    const TimePoint end = BootClock::now();
+    m_earliestPlan = end + PlanShare * (end - now);
+    m_latestPlan = std::max(now + TickInterval, m_earliestPlan);
+    m_context.poolMetrics.observePlan(end - now);
+}
+
 void PoolOwner::writeBatch()
 {
     const TimePoint now = BootClock::now();
@@ -519,7 +538,7 @@
 
 void PoolOwner::sendStart(const jobs::StartOrder &order)
 {
-    m_context.startMetrics.observe(order);
+    m_context.poolMetrics.observeStart(order);
     const RunnerTarget target{order.runner, m_engine.runners().at(order.runner).entry.endpoint};
     const Duration lease = leaseDuration(m_context.settings);
     m_context.runners.start(target, {.order = order, .fence = m_epoch, .lease = lease},
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -16,7 +16,7 @@
 #include "net/timer.h"
 #include "node/ceilingallocator.h"
 #include "node/decisionlog.h"
-#include "node/startmetrics.h"
+#include "node/poolmetrics.h"
 #include "platform/adviceclient.h"
 #include "platform/nodesettings.h"
 #include "platform/runnerclient.h"
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -38,7 +39,7 @@
     RunnerClient &runners;
     AdviceClient &advice;
     DecisionLog &log;
-    StartMetrics &startMetrics;
+    PoolMetrics &poolMetrics;
     const NodeSettings &settings;
     // Returns whether no other node can own the pool now.
     std::function<bool()> isOwner;
@@ -61,7 +62,7 @@
 
     void start() { claim(); }
     void setConfiguration(const Configuration &configuration);
-    void setRunners(const std::vector<jobs::RunnerEntry> &runners);
+    void setRunners(std::span<const jobs::RunnerEntry> runners);
     void handle(const api::JobCall &call, ReplyCallback answer);
     api::EvacuationReply evacuate(const api::EvacuationCall &call);
     api::DemandReply demand(const api::DemandCall &call);
@@ -104,6 +105,7 @@
     void answerWaiters();
 
     void tick();
+    void plan(TimePoint now);
     void scheduleTick(TimePoint due);
     void writeBatch();
     StoreTransaction transactionOf(const jobs::Batch &batch) const;
@@ -138,6 +140,8 @@
     std::vector<Waiter> m_waiters;
     std::map<std::string, Renewal> m_renewals; // renewals by runner name
     TimePoint m_writeDue{};
+    TimePoint m_earliestPlan{}; // earliest plan whose placements can be written at once
+    TimePoint m_latestPlan{}; // latest plan while a batch is in flight
     TimePoint m_tickDue{}; // unset if no tick is scheduled
     Timer m_claimTimer;
     Timer m_tickTimer;
--- a/node/runnerwatch.cpp
+++ b/node/runnerwatch.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/runnerlist.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sequoiapier {
@@ -13,8 +14,6 @@
 // A host takes 1.5 s to change its pool; each read is a paid call.
 constexpr Duration ShortageInterval = std::chrono::milliseconds(150);
 constexpr Duration ReadTimeout = std::chrono::milliseconds(800);
-// The platform specifies two seconds.
-constexpr Duration RelistPeriod = std::chrono::milliseconds(2'500);
 
 } // namespace
 
@@ -25,6 +24,9 @@
     , m_interval(std::min(MaxInterval, drainNotice / ReadsPerNotice))
     , m_hook(std::move(hook))
     , m_hasShortage(std::move(hasShortage))
+    , m_listing([&log](const std::string &runner) {
+        log.warn("runner.unreadable", {{"runner", runner}});
+    })
     , m_timer(loop, [this] { read(); })
 { }
 
@@ -32,6 +34,7 @@
 {
     if (std::exchange(m_isActive, isActive) == isActive)
         return;
+    m_version = 0; // The history since the last read may be gone.
     if (isActive && !m_isReading)
         read();
 }
@@ -42,25 +45,41 @@
         return;
     m_isReading = true;
     const TimePoint sentAt = BootClock::now();
-    m_store.readAll({.table = RunnerTable}, sentAt + ReadTimeout,
-                    [=, this](const Result<StorePage> &page) {
-                        m_isReading = false;
-                        const TimePoint now = BootClock::now();
-                        if (page)
-                            applyPage(page.value(), sentAt, now);
-                        else
-                            noteFailure(page.error().detail, now);
-                        const Duration interval = m_hasShortage() ? ShortageInterval : m_interval;
-                        if (m_isActive)
-                            m_timer.startAt(std::max(now, sentAt + interval));
-                    });
+    const std::uint64_t after = m_version;
+    const auto callback = [=, this](const Result<StorePage> &page) { onPage(page, after, sentAt); };
+    if (after == 0)
+        m_store.readAll({.table = RunnerTable}, sentAt + ReadTimeout, callback);
+    else
+        m_store.watch(RunnerTable, after, Duration{}, sentAt + ReadTimeout, callback);
 }
 
-void RunnerWatch::noteFailure(std::string_view reason, TimePoint now)
+// `after` is the version that the page continues; 0 if it is the whole list.
+void RunnerWatch::onPage(const Result<StorePage> &page, std::uint64_t after, TimePoint sentAt)
 {
+    m_isReading = false;
+    const TimePoint now = BootClock::now();
+    if (!page)
+        noteFailure(page.error(), now);
+    else if (after == m_version) // Otherwise the watch was stopped meanwhile.
+        applyPage(page.value(), sentAt, now);
+    if (!m_isActive)
+        return;
+    const bool isPartial = page && page.value().hasMore;
+    const Duration interval = m_hasShortage() ? ShortageInterval : m_interval;
+    m_timer.startAt(isPartial ? now : std::max(now, sentAt + interval));
+}
+
+// Changes may have been missed, so that the whole list is read next. A store that has only dropped
+// its history is available all the same.
+void RunnerWatch::noteFailure(const Error &error, TimePoint now)
+{
+    m_version = 0;
+    if (error.code == ResultCode::EpochStale)
+        return;
     if (!isStoreLost())
-        m_log.warn("runners.lost", {{"age_ms", ageText(now)}, {"detail", std::string(reason)}});
+        m_log.warn("runners.lost", {{"age_ms", ageText(now)}, {"detail", error.detail}});
     m_failedAt = now;
+    m_listing.onReadFailed(now);
 }
 
 std::string RunnerWatch::ageText(TimePoint now) const
@@ -73,26 +92,16 @@
 
 void RunnerWatch::applyPage(const StorePage &page, TimePoint sentAt, TimePoint now)
 {
+    if (std::exchange(m_version, page.version) == 0)
+        m_listing.replace(page.rows);
+    else
+        m_listing.apply(page.rows);
+    if (page.hasMore)
+        return;
     if (isStoreLost())
         m_log.warn("runners.regained", {{"age_ms", ageText(now)}});
     m_readAt = sentAt;
-    std::vector<jobs::RunnerEntry> runners
-        = parseRunnerRows(page.rows, [this](const StoreRow &row) {
-              if (m_unreadable.insert(row.key.key).second)
-                  m_log.warn("runner.unreadable", {{"runner", row.key.key}});
-          });
-    for (jobs::RunnerEntry &entry : runners)
-        entry.listedAt = sentAt;
-    if (m_failedAt != TimePoint{} && now < m_failedAt + RelistPeriod) {
-        std::set<std::string> listed;
-        for (const jobs::RunnerEntry &entry : runners)
-            listed.insert(entry.id);
-        for (const jobs::RunnerEntry &entry : m_runners) {
-            if (!listed.contains(entry.id))
-                runners.push_back(entry);
-        }
-    }
-    m_runners = std::move(runners);
+    m_runners = m_listing.confirm(sentAt, now);
     m_hook(m_runners);
 }
 
--- a/testing/support/freeport.cpp
+++ b/testing/support/freeport.cpp
@@ -42,4 +42,24 @@
     return 0;
 }
 
+std::vector<std::uint16_t> freePorts(std::size_t count)
+{
+    std::vector<std::uint16_t> ports;
+    if (count <= PortsPerProcess / 2) {
+        while (ports.size() < count)
+            ports.push_back(freePort());
+        return ports;
+    }
+    // The own block is left to freePort(), which may return any of its ports next.
+    const int block = getpid() % PortBlocks;
+    for (int offset = PortsPerProcess;
+         offset < PortBlocks * PortsPerProcess && ports.size() < count; ++offset) {
+        const auto port = std::uint16_t(
+            FirstPort + (block * PortsPerProcess + offset) % (PortBlocks * PortsPerProcess));
+        if (isPortFree(port))
+            ports.push_back(port);
+    }
+    return ports;
+}
+
 } // namespace sequoiapier
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -126,8 +126,8 @@
 bool LocalSystem::startPlatform(const std::string &pools, int hosts, int processors)
 {
     std::string ports;
-    for (int i = 0; i < hosts; ++i)
-        ports += (i > 0 ? "," : "") + std::to_string(freePort());
+    for (const std::uint16_t port : freePorts(std::size_t(hosts)))
+        ports += (ports.empty() ? "" : ",") + std::to_string(port);
     return startStandin("platform",
                         {"--pools", pools, "--runner-ports", ports, "--host-processors",
                          std::to_string(processors)});
--- a/testing/unit/engine_test.cpp
+++ b/testing/unit/engine_test.cpp
@@ -280,6 +280,32 @@
     EXPECT_EQ(numbers.size(), 1U);
 }
 
+// A plan remembers the sizes that found no room. Neither a gang that gave its room back nor a task
+// that only a few runners may take shows that there is none for others.
+TEST(Engine, GangThatFindsNoRoomKeepsNoOtherTaskWaiting)
+{
+    EnginePool pool({.runners = 2});
+    jobs::StepSpec gang = step(6, 3);
+    gang.isGang = true;
+    gang.estimateMilliseconds = 10; // Comes first in the order.
+    pool.submit("gang", job({gang}));
+    pool.submit("other", job({step(4, 3)}));
+    pool.run(milliseconds(200));
+    EXPECT_EQ(pool.ledger().runsOf("other").size(), 4U);
+    EXPECT_TRUE(pool.ledger().runsOf("gang").empty());
+}
+
+TEST(Engine, TaskWithoutARunnerOfItsLabelKeepsNoOtherTaskWaiting)
+{
+    EnginePool pool({.runners = 2});
+    jobs::StepSpec labelled = step(1, 3);
+    labelled.requiredLabel = "nowhere";
+    pool.submit("labelled", job({labelled}));
+    pool.submit("other", job({step(4, 3)}));
+    pool.run(milliseconds(200));
+    EXPECT_EQ(pool.ledger().runsOf("other").size(), 4U);
+}
+
 TEST(Engine, TasksStayApartAndOnTheirLabel)
 {
     EnginePool pool({.runners = 4});
--- a/testing/unit/platformrows_test.cpp
+++ b/testing/unit/platformrows_test.cpp
@@ -9,6 +9,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+
 namespace sequoiapier {
 namespace {
 
@@ -39,7 +41,6 @@
 
 TEST(RunnerList, EntriesThatNameNoRunnerAreLeftOut)
 {
-    int unreadable = 0;
     const std::vector<StoreRow> rows{
         row("\xff\xfe"),
         row("{}"),
@@ -48,8 +49,11 @@
         row(R"({"service":"a","addr":"10.0.0.1:1","state":"odd","capacity":{}})"),
         row(R"({"service":"a","addr":"nowhere","state":"ready","capacity":{}})"),
         row(RunnerRow)};
-    EXPECT_EQ(parseRunnerRows(rows, [&](const StoreRow &) { ++unreadable; }).size(), 1U);
-    EXPECT_EQ(unreadable, 6);
+    const auto usable = std::count_if(rows.begin(), rows.end(), [](const StoreRow &listed) {
+        return parseRunnerRow(listed).has_value();
+    });
+    EXPECT_EQ(usable, 1);
+    EXPECT_TRUE(parseRunnerRow(rows.back()));
 }
 
 std::string withField(std::string_view field)
