Count a lasting task whose stop may still be carried out as unavailable

Cause: after the answer to a stop was lost, a report that still listed the run took the stop back, and the task counted as at work. Another task of its step was then ended while the first stop could still be carried out. Change: a stop that was sent stays requested. The test fails without it.

--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -74,6 +74,7 @@
         return;
     runner.used += run.room;
     m_teamUse[run.team] += run.charge;
+    m_fillingRuns += run.isFilling ? 1 : 0;
     runner.runs.emplace(key, std::move(run));
 }
 
@@ -84,6 +85,7 @@
         return;
     runner.used -= found->second.room;
     m_teamUse[found->second.team] -= found->second.charge;
+    m_fillingRuns -= found->second.isFilling ? 1 : 0;
     runner.runs.erase(found);
 }
 
@@ -265,7 +267,7 @@
         if (!entry.checkpoint.empty())
             task->checkpoint = entry.checkpoint;
         Run &run = runner.runs.at(key);
-        if (!run.isStopSent && run.stopAnsweredAt == TimePoint{})
+        if (!run.mayBeStopped())
             run.isStopRequested = false;
         if (task->runPhase != RunPhase::Running) {
             task->runPhase = RunPhase::Running;
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -50,8 +50,12 @@
     TimePoint nextPaceAt{}; // Earliest time of the next pace order.
     bool isStopRequested = false; // The run is to be stopped.
     bool isStopSent = false; // A stop was sent and has not been answered yet.
-    TimePoint nextStopAt{}; // Earliest time of the next stop order.
+    TimePoint nextStopAt{}; // Earliest time of the next stop order; unset before the first answer.
     TimePoint stopAnsweredAt{}; // The run can't begin any more from then on.
+
+    // Returns whether a stop order was sent, which may be carried out seconds later even if its
+    // answer was lost.
+    bool mayBeStopped() const { return isStopSent || nextStopAt != TimePoint{}; }
 };
 
 using RunKey = std::pair<TaskName, std::uint64_t>;
--- /dev/null
+++ b/testing/unit/engineevacuation_test.cpp
@@ -0,0 +1,86 @@
+// Tests that moving lasting tasks away from runners respects the availability bound of their step
+// when the answers of runners are lost.
+#include "jobs/engine.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace sequoiapier::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t TaskCount = 3;
+
+// Three lasting tasks, one on each runner, of which one may be unavailable.
+class EngineEvacuation : public testing::Test
+{
+protected:
+    EngineEvacuation()
+        : engine({}, {.wallMilliseconds = [] { return std::int64_t(1'000); }})
+    {
+        std::vector<RunnerEntry> runners;
+        for (std::uint32_t i = 0; i < TaskCount; ++i) {
+            runners.push_back(
+                {.id = runnerId(i), .capacity = {.processors = 4, .memory = 4}, .listedAt = now});
+        }
+        engine.setRunners(runners);
+        reportAll();
+        StepSpec step{.count = TaskCount, .size = {.processors = 3, .memory = 1}};
+        step.isLasting = true;
+        step.maxPerRunner = 1;
+        step.maxUnavailable = 1;
+        engine.submit({.id = "job", .queue = "queue", .spec = {.steps = {step}}}, now);
+        tick();
+        for (const StartOrder &start : engine.takeStarts(now))
+            engine.onStartAnswer(start, StartOutcome::Started, now);
+        now += milliseconds(100);
+        reportAll();
+    }
+
+    static std::string runnerId(std::uint32_t index) { return "runner-" + std::to_string(index); }
+
+    void tick()
+    {
+        engine.plan(now);
+        engine.onCommitted(engine.takeBatch());
+    }
+
+    // Each runner reports that its task is at work.
+    void reportAll()
+    {
+        for (std::uint32_t i = 0; i < TaskCount; ++i) {
+            RunnerReport report{.bornAt = 1};
+            for (const auto &[key, run] : engine.runners().at(runnerId(i)).runs)
+                report.running.push_back({.task = key.first, .run = key.second, .percent = 100});
+            engine.onReport(runnerId(i), report, now, now);
+        }
+    }
+
+    TimePoint now{milliseconds(100'000)};
+    Engine engine;
+};
+
+// The answer to the first stop is lost, and the stop is carried out seconds later. Meanwhile the
+// runner reports the task at work.
+TEST_F(EngineEvacuation, StopThatMayStillBeCarriedOutCountsAgainstTheBound)
+{
+    engine.evacuate(runnerId(1), now + milliseconds(5'000));
+    tick();
+    const std::vector<StopOrder> stops = engine.takeStops(now);
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].runner, runnerId(1));
+    engine.onStopAnswer(stops[0], false, now);
+    now += milliseconds(100);
+    reportAll();
+    engine.evacuate(runnerId(0), now + milliseconds(5'000));
+    tick();
+    now += milliseconds(1'000);
+    for (const StopOrder &stop : engine.takeStops(now))
+        EXPECT_EQ(stop.runner, runnerId(1));
+}
+
+} // namespace
+} // namespace sequoiapier::jobs
