--- a/api/node.thrift
+++ b/api/node.thrift
@@ -50,8 +50,39 @@
   5: list<string> idle // runners without a running task
 }
 
+// Calls to runners that a pool's owner leaves to another node, the carrier. The reply comes once
+// calls of the session are answered, once a newer request of the session arrives, or after a
+// second. An answer that is lost with its reply is not sent again.
+struct RunnerCall {
+  1: i64 number // chosen by the owner; not used twice in a session
+  2: string address
+  3: i32 port
+  4: string path
+  5: list<string> headers // name and value in turn
+  6: binary body
+  7: i64 timeoutMicroseconds
+}
+
+struct RunnerAnswer {
+  1: i64 number
+  2: bool isSent // false if no byte of the call has left the carrier
+  3: i32 status // 0 if there was no answer
+  4: binary body
+}
+
+struct CarryCall {
+  1: string session // names the owner's process
+  2: list<RunnerCall> calls
+}
+
+struct CarryReply {
+  1: list<RunnerAnswer> answers
+  2: bool isLeaving // the carrier takes no new calls
+}
+
 service NodeService {
   JobReply job(1: JobCall call)
   EvacuationReply evacuate(1: EvacuationCall call)
   DemandReply demand(1: DemandCall call)
+  CarryReply carry(1: CarryCall call)
 }
--- a/gen/NodeService.cpp
+++ b/gen/NodeService.cpp
@@ -569,6 +569,193 @@
   return xfer;
 }
 
+
+NodeService_carry_args::~NodeService_carry_args() noexcept {
+}
+
+
+uint32_t NodeService_carry_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->call.read(iprot);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NodeService_carry_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NodeService_carry_args");
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->call.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+NodeService_carry_pargs::~NodeService_carry_pargs() noexcept {
+}
+
+
+uint32_t NodeService_carry_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NodeService_carry_pargs");
+
+  xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->call)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+NodeService_carry_result::~NodeService_carry_result() noexcept {
+}
+
+
+uint32_t NodeService_carry_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NodeService_carry_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("NodeService_carry_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+NodeService_carry_presult::~NodeService_carry_presult() noexcept {
+}
+
+
+uint32_t NodeService_carry_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void NodeServiceClient::job(JobReply& _return, const JobCall& call)
 {
   send_job(call);
@@ -743,6 +930,64 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "demand failed: unknown result");
 }
 
+void NodeServiceClient::carry(CarryReply& _return, const CarryCall& call)
+{
+  send_carry(call);
+  recv_carry(_return);
+}
+
+void NodeServiceClient::send_carry(const CarryCall& call)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("carry", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  NodeService_carry_pargs args;
+  args.call = &call;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void NodeServiceClient::recv_carry(CarryReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("carry") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  NodeService_carry_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "carry failed: unknown result");
+}
+
 bool NodeServiceProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -924,6 +1169,60 @@
   }
 }
 
+void NodeServiceProcessor::process_carry(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("NodeService.carry", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "NodeService.carry");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "NodeService.carry");
+  }
+
+  NodeService_carry_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "NodeService.carry", bytes);
+  }
+
+  NodeService_carry_result result;
+  try {
+    iface_->carry(result.success, args.call);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "NodeService.carry");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("carry", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "NodeService.carry");
+  }
+
+  oprot->writeMessageBegin("carry", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "NodeService.carry", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > NodeServiceProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< NodeServiceIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< NodeServiceIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -1183,5 +1482,89 @@
   } // end while(true)
 }
 
+void NodeServiceConcurrentClient::carry(CarryReply& _return, const CarryCall& call)
+{
+  int32_t seqid = send_carry(call);
+  recv_carry(_return, seqid);
+}
+
+int32_t NodeServiceConcurrentClient::send_carry(const CarryCall& call)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("carry", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  NodeService_carry_pargs args;
+  args.call = &call;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void NodeServiceConcurrentClient::recv_carry(CarryReply& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("carry") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      NodeService_carry_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "carry failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/gen/NodeService.h
+++ b/gen/NodeService.h
@@ -25,6 +25,7 @@
   virtual void job(JobReply& _return, const JobCall& call) = 0;
   virtual void evacuate(EvacuationReply& _return, const EvacuationCall& call) = 0;
   virtual void demand(DemandReply& _return, const DemandCall& call) = 0;
+  virtual void carry(CarryReply& _return, const CarryCall& call) = 0;
 };
 
 class NodeServiceIfFactory {
@@ -63,6 +64,9 @@
   void demand(DemandReply& /* _return */, const DemandCall& /* call */) override {
     return;
   }
+  void carry(CarryReply& /* _return */, const CarryCall& /* call */) override {
+    return;
+  }
 };
 
 typedef struct _NodeService_job_args__isset {
@@ -377,6 +381,110 @@
 
 };
 
+typedef struct _NodeService_carry_args__isset {
+  _NodeService_carry_args__isset() : call(false) {}
+  bool call :1;
+} _NodeService_carry_args__isset;
+
+class NodeService_carry_args {
+ public:
+
+  NodeService_carry_args(const NodeService_carry_args&);
+  NodeService_carry_args& operator=(const NodeService_carry_args&);
+  NodeService_carry_args() noexcept {
+  }
+
+  virtual ~NodeService_carry_args() noexcept;
+  CarryCall call;
+
+  _NodeService_carry_args__isset __isset;
+
+  void __set_call(const CarryCall& val);
+
+  bool operator == (const NodeService_carry_args & rhs) const
+  {
+    if (!(call == rhs.call))
+      return false;
+    return true;
+  }
+  bool operator != (const NodeService_carry_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NodeService_carry_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class NodeService_carry_pargs {
+ public:
+
+
+  virtual ~NodeService_carry_pargs() noexcept;
+  const CarryCall* call;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _NodeService_carry_result__isset {
+  _NodeService_carry_result__isset() : success(false) {}
+  bool success :1;
+} _NodeService_carry_result__isset;
+
+class NodeService_carry_result {
+ public:
+
+  NodeService_carry_result(const NodeService_carry_result&);
+  NodeService_carry_result& operator=(const NodeService_carry_result&);
+  NodeService_carry_result() noexcept {
+  }
+
+  virtual ~NodeService_carry_result() noexcept;
+  CarryReply success;
+
+  _NodeService_carry_result__isset __isset;
+
+  void __set_success(const CarryReply& val);
+
+  bool operator == (const NodeService_carry_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const NodeService_carry_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NodeService_carry_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _NodeService_carry_presult__isset {
+  _NodeService_carry_presult__isset() : success(false) {}
+  bool success :1;
+} _NodeService_carry_presult__isset;
+
+class NodeService_carry_presult {
+ public:
+
+
+  virtual ~NodeService_carry_presult() noexcept;
+  CarryReply* success;
+
+  _NodeService_carry_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class NodeServiceClient : virtual public NodeServiceIf {
  public:
   NodeServiceClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -411,6 +519,9 @@
   void demand(DemandReply& _return, const DemandCall& call) override;
   void send_demand(const DemandCall& call);
   void recv_demand(DemandReply& _return);
+  void carry(CarryReply& _return, const CarryCall& call) override;
+  void send_carry(const CarryCall& call);
+  void recv_carry(CarryReply& _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -429,12 +540,14 @@
   void process_job(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_evacuate(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_demand(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_carry(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   NodeServiceProcessor(::std::shared_ptr<NodeServiceIf> iface) :
     iface_(iface) {
     processMap_["job"] = &NodeServiceProcessor::process_job;
     processMap_["evacuate"] = &NodeServiceProcessor::process_evacuate;
     processMap_["demand"] = &NodeServiceProcessor::process_demand;
+    processMap_["carry"] = &NodeServiceProcessor::process_carry;
   }
 
   virtual ~NodeServiceProcessor() {}
@@ -493,6 +606,16 @@
     return;
   }
 
+  void carry(CarryReply& _return, const CarryCall& call) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->carry(_return, call);
+    }
+    ifaces_[i]->carry(_return, call);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -534,6 +657,9 @@
   void demand(DemandReply& _return, const DemandCall& call) override;
   int32_t send_demand(const DemandCall& call);
   void recv_demand(DemandReply& _return, const int32_t seqid);
+  void carry(CarryReply& _return, const CarryCall& call) override;
+  int32_t send_carry(const CarryCall& call);
+  void recv_carry(CarryReply& _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/gen/node_types.cpp
+++ b/gen/node_types.cpp
@@ -920,4 +920,652 @@
   out << ")";
 }
 
+
+RunnerCall::~RunnerCall() noexcept {
+}
+
+
+void RunnerCall::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void RunnerCall::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void RunnerCall::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void RunnerCall::__set_path(const std::string& val) {
+  this->path = val;
+}
+
+void RunnerCall::__set_headers(const std::vector<std::string> & val) {
+  this->headers = val;
+}
+
+void RunnerCall::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void RunnerCall::__set_timeoutMicroseconds(const int64_t val) {
+  this->timeoutMicroseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunnerCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunnerCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path);
+          this->__isset.path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->headers.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
+            {
+              xfer += iprot->readString(this->headers[_i23]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeoutMicroseconds);
+          this->__isset.timeoutMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunnerCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunnerCall");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->path);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
+    std::vector<std::string> ::const_iterator _iter24;
+    for (_iter24 = this->headers.begin(); _iter24 != this->headers.end(); ++_iter24)
+    {
+      xfer += oprot->writeString((*_iter24));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeoutMicroseconds", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->timeoutMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunnerCall &a, RunnerCall &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.path, b.path);
+  swap(a.headers, b.headers);
+  swap(a.body, b.body);
+  swap(a.timeoutMicroseconds, b.timeoutMicroseconds);
+  swap(a.__isset, b.__isset);
+}
+
+RunnerCall::RunnerCall(const RunnerCall& other25) {
+  number = other25.number;
+  address = other25.address;
+  port = other25.port;
+  path = other25.path;
+  headers = other25.headers;
+  body = other25.body;
+  timeoutMicroseconds = other25.timeoutMicroseconds;
+  __isset = other25.__isset;
+}
+RunnerCall& RunnerCall::operator=(const RunnerCall& other26) {
+  number = other26.number;
+  address = other26.address;
+  port = other26.port;
+  path = other26.path;
+  headers = other26.headers;
+  body = other26.body;
+  timeoutMicroseconds = other26.timeoutMicroseconds;
+  __isset = other26.__isset;
+  return *this;
+}
+void RunnerCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunnerCall(";
+  out << "number=" << to_string(number);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "path=" << to_string(path);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "timeoutMicroseconds=" << to_string(timeoutMicroseconds);
+  out << ")";
+}
+
+
+RunnerAnswer::~RunnerAnswer() noexcept {
+}
+
+
+void RunnerAnswer::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void RunnerAnswer::__set_isSent(const bool val) {
+  this->isSent = val;
+}
+
+void RunnerAnswer::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void RunnerAnswer::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunnerAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunnerAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isSent);
+          this->__isset.isSent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunnerAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunnerAnswer");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isSent", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isSent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunnerAnswer &a, RunnerAnswer &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.isSent, b.isSent);
+  swap(a.status, b.status);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+RunnerAnswer::RunnerAnswer(const RunnerAnswer& other27) {
+  number = other27.number;
+  isSent = other27.isSent;
+  status = other27.status;
+  body = other27.body;
+  __isset = other27.__isset;
+}
+RunnerAnswer& RunnerAnswer::operator=(const RunnerAnswer& other28) {
+  number = other28.number;
+  isSent = other28.isSent;
+  status = other28.status;
+  body = other28.body;
+  __isset = other28.__isset;
+  return *this;
+}
+void RunnerAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunnerAnswer(";
+  out << "number=" << to_string(number);
+  out << ", " << "isSent=" << to_string(isSent);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+CarryCall::~CarryCall() noexcept {
+}
+
+
+void CarryCall::__set_session(const std::string& val) {
+  this->session = val;
+}
+
+void CarryCall::__set_calls(const std::vector<RunnerCall> & val) {
+  this->calls = val;
+}
+std::ostream& operator<<(std::ostream& out, const CarryCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CarryCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->session);
+          this->__isset.session = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->calls.clear();
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->calls.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
+            {
+              xfer += this->calls[_i33].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CarryCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CarryCall");
+
+  xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->session);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
+    std::vector<RunnerCall> ::const_iterator _iter34;
+    for (_iter34 = this->calls.begin(); _iter34 != this->calls.end(); ++_iter34)
+    {
+      xfer += (*_iter34).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CarryCall &a, CarryCall &b) {
+  using ::std::swap;
+  swap(a.session, b.session);
+  swap(a.calls, b.calls);
+  swap(a.__isset, b.__isset);
+}
+
+CarryCall::CarryCall(const CarryCall& other35) {
+  session = other35.session;
+  calls = other35.calls;
+  __isset = other35.__isset;
+}
+CarryCall& CarryCall::operator=(const CarryCall& other36) {
+  session = other36.session;
+  calls = other36.calls;
+  __isset = other36.__isset;
+  return *this;
+}
+void CarryCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CarryCall(";
+  out << "session=" << to_string(session);
+  out << ", " << "calls=" << to_string(calls);
+  out << ")";
+}
+
+
+CarryReply::~CarryReply() noexcept {
+}
+
+
+void CarryReply::__set_answers(const std::vector<RunnerAnswer> & val) {
+  this->answers = val;
+}
+
+void CarryReply::__set_isLeaving(const bool val) {
+  this->isLeaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const CarryReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CarryReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answers.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->answers.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              xfer += this->answers[_i41].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isLeaving);
+          this->__isset.isLeaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CarryReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CarryReply");
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<RunnerAnswer> ::const_iterator _iter42;
+    for (_iter42 = this->answers.begin(); _iter42 != this->answers.end(); ++_iter42)
+    {
+      xfer += (*_iter42).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isLeaving", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isLeaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CarryReply &a, CarryReply &b) {
+  using ::std::swap;
+  swap(a.answers, b.answers);
+  swap(a.isLeaving, b.isLeaving);
+  swap(a.__isset, b.__isset);
+}
+
+CarryReply::CarryReply(const CarryReply& other43) {
+  answers = other43.answers;
+  isLeaving = other43.isLeaving;
+  __isset = other43.__isset;
+}
+CarryReply& CarryReply::operator=(const CarryReply& other44) {
+  answers = other44.answers;
+  isLeaving = other44.isLeaving;
+  __isset = other44.__isset;
+  return *this;
+}
+void CarryReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CarryReply(";
+  out << "answers=" << to_string(answers);
+  out << ", " << "isLeaving=" << to_string(isLeaving);
+  out << ")";
+}
+
 }} // namespace
--- a/gen/node_types.h
+++ b/gen/node_types.h
@@ -48,6 +48,14 @@
 
 class DemandReply;
 
+class RunnerCall;
+
+class RunnerAnswer;
+
+class CarryCall;
+
+class CarryReply;
+
 typedef struct _JobCall__isset {
   _JobCall__isset() : verb(false), pool(false), queue(false), job(false), team(false), spec(false), remainingMicroseconds(false) {}
   bool verb :1;
@@ -414,6 +422,252 @@
 
 std::ostream& operator<<(std::ostream& out, const DemandReply& obj);
 
+typedef struct _RunnerCall__isset {
+  _RunnerCall__isset() : number(false), address(false), port(false), path(false), headers(false), body(false), timeoutMicroseconds(false) {}
+  bool number :1;
+  bool address :1;
+  bool port :1;
+  bool path :1;
+  bool headers :1;
+  bool body :1;
+  bool timeoutMicroseconds :1;
+} _RunnerCall__isset;
+
+class RunnerCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunnerCall(const RunnerCall&);
+  RunnerCall& operator=(const RunnerCall&);
+  RunnerCall() noexcept
+             : number(0),
+               address(),
+               port(0),
+               path(),
+               body(),
+               timeoutMicroseconds(0) {
+  }
+
+  virtual ~RunnerCall() noexcept;
+  int64_t number;
+  std::string address;
+  int32_t port;
+  std::string path;
+  std::vector<std::string>  headers;
+  std::string body;
+  int64_t timeoutMicroseconds;
+
+  _RunnerCall__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_path(const std::string& val);
+
+  void __set_headers(const std::vector<std::string> & val);
+
+  void __set_body(const std::string& val);
+
+  void __set_timeoutMicroseconds(const int64_t val);
+
+  bool operator == (const RunnerCall & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(path == rhs.path))
+      return false;
+    if (!(headers == rhs.headers))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    if (!(timeoutMicroseconds == rhs.timeoutMicroseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const RunnerCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunnerCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunnerCall &a, RunnerCall &b);
+
+std::ostream& operator<<(std::ostream& out, const RunnerCall& obj);
+
+typedef struct _RunnerAnswer__isset {
+  _RunnerAnswer__isset() : number(false), isSent(false), status(false), body(false) {}
+  bool number :1;
+  bool isSent :1;
+  bool status :1;
+  bool body :1;
+} _RunnerAnswer__isset;
+
+class RunnerAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunnerAnswer(const RunnerAnswer&);
+  RunnerAnswer& operator=(const RunnerAnswer&);
+  RunnerAnswer() noexcept
+               : number(0),
+                 isSent(0),
+                 status(0),
+                 body() {
+  }
+
+  virtual ~RunnerAnswer() noexcept;
+  int64_t number;
+  bool isSent;
+  int32_t status;
+  std::string body;
+
+  _RunnerAnswer__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_isSent(const bool val);
+
+  void __set_status(const int32_t val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const RunnerAnswer & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(isSent == rhs.isSent))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const RunnerAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunnerAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunnerAnswer &a, RunnerAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const RunnerAnswer& obj);
+
+typedef struct _CarryCall__isset {
+  _CarryCall__isset() : session(false), calls(false) {}
+  bool session :1;
+  bool calls :1;
+} _CarryCall__isset;
+
+class CarryCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  CarryCall(const CarryCall&);
+  CarryCall& operator=(const CarryCall&);
+  CarryCall() noexcept
+            : session() {
+  }
+
+  virtual ~CarryCall() noexcept;
+  std::string session;
+  std::vector<RunnerCall>  calls;
+
+  _CarryCall__isset __isset;
+
+  void __set_session(const std::string& val);
+
+  void __set_calls(const std::vector<RunnerCall> & val);
+
+  bool operator == (const CarryCall & rhs) const
+  {
+    if (!(session == rhs.session))
+      return false;
+    if (!(calls == rhs.calls))
+      return false;
+    return true;
+  }
+  bool operator != (const CarryCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CarryCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CarryCall &a, CarryCall &b);
+
+std::ostream& operator<<(std::ostream& out, const CarryCall& obj);
+
+typedef struct _CarryReply__isset {
+  _CarryReply__isset() : answers(false), isLeaving(false) {}
+  bool answers :1;
+  bool isLeaving :1;
+} _CarryReply__isset;
+
+class CarryReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  CarryReply(const CarryReply&);
+  CarryReply& operator=(const CarryReply&);
+  CarryReply() noexcept
+             : isLeaving(0) {
+  }
+
+  virtual ~CarryReply() noexcept;
+  std::vector<RunnerAnswer>  answers;
+  bool isLeaving;
+
+  _CarryReply__isset __isset;
+
+  void __set_answers(const std::vector<RunnerAnswer> & val);
+
+  void __set_isLeaving(const bool val);
+
+  bool operator == (const CarryReply & rhs) const
+  {
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(isLeaving == rhs.isLeaving))
+      return false;
+    return true;
+  }
+  bool operator != (const CarryReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CarryReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CarryReply &a, CarryReply &b);
+
+std::ostream& operator<<(std::ostream& out, const CarryReply& obj);
+
 }} // namespace
 
 #endif
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include "gen/NodeService.h"
+#include "node/carrierchoice.h"
 #include "sequoiapier/memberrow.h"
 #include "sequoiapier/rendezvous.h"
 
@@ -65,9 +66,29 @@
     , m_log(daemon.logger(), {})
     , m_store(daemon.httpClient(), m_settings.store)
     , m_coordination(m_store)
-    , m_runners(daemon.httpClient())
-    , m_fleet(daemon.httpClient(), m_settings.fleet)
     , m_rpc(daemon.httpClient())
+    , m_carrierTimer(daemon.loop(), [this] { m_carriers.onWake(); })
+    , m_carriers({.direct =
+                      [this](HttpCall call, HttpCallback callback) {
+                          m_daemon.httpClient().call(std::move(call), std::move(callback));
+                      },
+                  .send =
+                      [this](const Endpoint &endpoint, const api::CarryCall &message,
+                             TimePoint deadline, const CarrierClient::SendCallback &callback) {
+                          sendToCarrier(endpoint, message, deadline, callback);
+                      },
+                  .now = BootClock::now,
+                  .wakeAt = [this](TimePoint due) { m_carrierTimer.startAt(due); },
+                  .onFailed =
+                      [this](const std::string &carrier, std::string_view why) {
+                          m_log.info("carrier.failed",
+                                     {{"carrier", carrier}, {"detail", std::string(why)}});
+                      }})
+    , m_runnerCarrier(daemon.loop(), daemon.httpClient())
+    , m_runners([this](HttpCall call, HttpCallback callback) {
+        m_carriers.call(std::move(call), std::move(callback));
+    })
+    , m_fleet(daemon.httpClient(), m_settings.fleet)
     , m_operators(daemon.loop(), m_store, m_log, m_settings.revocation,
                   {.onConfiguration = [this] { onConfiguration(); },
                    .onWaves =
@@ -216,9 +237,57 @@
     m_deposed.clear();
     m_daemon.setReady(isReady());
     m_ownership->tick();
+    updateCarriers();
     m_tickTimer.startAt(BootClock::now() + TickInterval);
 }
 
+// Owners of pools are no carriers, since their own pools take their processor.
+void Node::updateCarriers()
+{
+    m_poolMetrics.setCarriedCalls(m_carriers.carriedCount());
+    const std::size_t runners = m_pools.empty() ? 0 : m_runnerWatch.runners().size();
+    const std::size_t count = carrierCount(runners);
+    if (count == 0 && m_carrierNames.empty())
+        return;
+    const TimePoint now = BootClock::now();
+    std::vector<CarrierCandidate> candidates;
+    std::map<std::string, CarrierClient::Carrier> byName;
+    for (const auto &[member, entry] : m_ownership->members().entries()) {
+        const Result<Endpoint> endpoint = parseEndpoint(entry.row.address);
+        if (member == m_ownership->self() || entry.row.isLeaving || !endpoint
+            || m_ownership->ownsAny(member) || !m_ownership->members().isAlive(member, now)) {
+            continue;
+        }
+        candidates.push_back({member.name, entry.row.capacity});
+        byName[member.name] = {member.name, endpoint.value()};
+    }
+    const std::vector<std::string> names = chooseCarriers(m_settings.name, candidates, count);
+    std::vector<CarrierClient::Carrier> carriers;
+    for (const std::string &name : names)
+        carriers.push_back(byName[name]);
+    m_carriers.setCarriers(toString(m_ownership->self()), carriers);
+    if (names == m_carrierNames)
+        return;
+    m_carrierNames = names;
+    std::string text;
+    for (const std::string &name : names)
+        text += (text.empty() ? "" : ",") + name;
+    m_log.info("carriers.chosen", {{"runners", std::to_string(runners)}, {"carriers", text}});
+}
+
+void Node::sendToCarrier(const Endpoint &endpoint, const api::CarryCall &message,
+                         TimePoint deadline, const CarrierClient::SendCallback &callback)
+{
+    api::NodeService_carry_args args;
+    args.call = message;
+    m_rpc.call<api::NodeService_carry_args, api::NodeService_carry_result>(
+        endpoint, PeerPath, "carry", args, deadline,
+        [callback](const RpcAnswer<api::NodeService_carry_result> &answer) {
+            callback(answer.reply ? &answer.reply->success : nullptr,
+                     answer.outcome != HttpOutcome::NotSent);
+        });
+}
+
 // Without a confirmed configuration every caller would be refused.
 bool Node::isReady() const
 {
@@ -393,6 +462,15 @@
                 answer(result);
             });
         });
+    m_peerMethods.add<api::NodeService_carry_args, api::NodeService_carry_result>(
+        "carry", [this](const api::NodeService_carry_args &args, const auto &answer) {
+            m_runnerCarrier.carry(args.call, [answer](const api::CarryReply &reply) {
+                api::NodeService_carry_result result;
+                result.success = reply;
+                result.__isset.success = true;
+                answer(result);
+            });
+        });
     addOwnerMethod<api::NodeService_evacuate_args, api::NodeService_evacuate_result>(
         "evacuate", &PoolOwner::evacuate);
     addOwnerMethod<api::NodeService_demand_args, api::NodeService_demand_result>(
@@ -409,6 +487,7 @@
 void Node::drain(std::function<void()> done)
 {
     m_isDraining = true;
+    m_runnerCarrier.leave();
     m_onDrained = std::move(done);
     if (m_ownership)
         m_ownership->leave();
--- a/node/node.h
+++ b/node/node.h
@@ -13,12 +13,14 @@
 #include "net/rpcclient.h"
 #include "net/rpcserver.h"
 #include "net/servershutdown.h"
+#include "node/carrierclient.h"
 #include "node/fleetowner.h"
 #include "node/ingress.h"
 #include "node/jobrelay.h"
 #include "node/operatorwatch.h"
 #include "node/poolmetrics.h"
 #include "node/poolowner.h"
+#include "node/runnercarrier.h"
 #include "node/runnerwatch.h"
 #include "platform/fleetclient.h"
 #include "platform/nodesettings.h"
@@ -67,6 +69,9 @@
     template<typename Args, typename Result, typename Call, typename Reply>
     void addOwnerMethod(const char *method, Reply (PoolOwner::*answer)(const Call &));
     void addPeerMethods();
+    void updateCarriers();
+    void sendToCarrier(const Endpoint &endpoint, const api::CarryCall &message, TimePoint deadline,
+                       const CarrierClient::SendCallback &callback);
     void serveReadiness(const std::shared_ptr<HttpExchange> &exchange) const;
     void drain(std::function<void()> done);
     void closeCallers();
@@ -78,9 +83,12 @@
     DecisionLog m_log;
     StoreClient m_store;
     StoreTable m_coordination;
+    RpcClient m_rpc;
+    Timer m_carrierTimer;
+    CarrierClient m_carriers; // carriers of this node's calls to runners
+    RunnerCarrier m_runnerCarrier; // calls made for other nodes
     RunnerClient m_runners;
     FleetClient m_fleet;
-    RpcClient m_rpc;
     RpcServer m_peerMethods;
     OperatorWatch m_operators;
     RunnerWatch m_runnerWatch;
@@ -89,6 +97,7 @@
     AdviceClient m_advice;
     PoolMetrics m_poolMetrics;
     PoolContext m_poolContext;
+    std::vector<std::string> m_carrierNames; // carriers chosen last
     std::map<std::string, std::unique_ptr<PoolOwner>> m_pools; // pools owned by this node
     std::vector<std::unique_ptr<PoolOwner>> m_deposed; // former owners, destroyed in the next tick
     FleetContext m_fleetContext;
--- a/node/poolmetrics.cpp
+++ b/node/poolmetrics.cpp
@@ -26,6 +26,11 @@
                      .Help("Time taken by one plan of a pool")
                      .Register(metrics)
                      .Add({}, PlanBounds))
+    , m_carriedCalls(prometheus::BuildCounter()
+                         .Name("sequoiapier_carried_calls_total")
+                         .Help("Calls to runners that were made through other nodes")
+                         .Register(metrics)
+                         .Add({}))
 { }
 
 void PoolMetrics::observeStart(const jobs::StartOrder &order)
--- a/node/poolmetrics.h
+++ b/node/poolmetrics.h
@@ -8,10 +8,12 @@
 
 #include "jobs/engine.h"
 
+#include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <chrono>
+#include <cstdint>
 
 namespace sequoiapier {
 
@@ -22,6 +24,11 @@
 
     // Records `order`, which has just been sent.
     void observeStart(const jobs::StartOrder &order);
+    // Records the number of calls to runners that were made through carriers so far.
+    void setCarriedCalls(std::uint64_t count)
+    {
+        m_carriedCalls.Increment(double(count) - m_carriedCalls.Value());
+    }
     void observePlan(Duration duration) { m_planTime.Observe(seconds(duration)); }
 
 private:
@@ -33,6 +40,7 @@
     prometheus::Histogram &m_listAge; // seconds
     prometheus::Histogram &m_delay; // seconds
     prometheus::Histogram &m_planTime; // seconds
+    prometheus::Counter &m_carriedCalls;
 };
 
 } // namespace sequoiapier
--- a/sequoiapier/ownership.cpp
+++ b/sequoiapier/ownership.cpp
@@ -59,6 +59,12 @@
     return found != m_owners.end() ? &found->second.row : nullptr;
 }
 
+bool Ownership::ownsAny(const MemberId &member) const
+{
+    return std::any_of(m_owners.begin(), m_owners.end(),
+                       [&](const auto &item) { return item.second.row.owner == member; });
+}
+
 TimePoint Ownership::deadline() const
 {
     return m_hooks.now() + m_options.tableTimeout;
--- a/sequoiapier/ownership.h
+++ b/sequoiapier/ownership.h
@@ -84,6 +84,8 @@
     // the short interval.
     bool isWatching() const { return m_isWatching; }
     bool owns(const std::string &resource) const { return m_owned.contains(resource); }
+    // Whether the rows of the last scan assign a resource to `member`.
+    bool ownsAny(const MemberId &member) const;
     std::size_t ownedCount() const { return m_owned.size(); }
     // Time before which no other member takes over a resource of this one.
     TimePoint ownedUntil() const { return m_ownedUntil; }
