--- a/node/node.cpp
+++ b/node/node.cpp
@@ -245,8 +245,8 @@
 void Node::updateCarriers()
 {
     m_poolMetrics.setCarriedCalls(m_carriers.carriedCount());
-    const std::size_t runners = m_pools.empty() ? 0 : m_runnerWatch.runners().size();
-    const std::size_t count = carrierCount(runners);
+    m_mostRunners = m_pools.empty() ? 0 : std::max(m_mostRunners, m_runnerWatch.runners().size());
+    const std::size_t count = carrierCount(m_mostRunners);
     if (count == 0 && m_carrierNames.empty())
         return;
     const TimePoint now = BootClock::now();
@@ -272,7 +272,7 @@
     std::string text;
     for (const std::string &name : names)
         text += (text.empty() ? "" : ",") + name;
-    m_log.info("carriers.chosen", {{"runners", std::to_string(runners)}, {"carriers", text}});
+    m_log.info("carriers.chosen", {{"runners", std::to_string(m_mostRunners)}, {"carriers", text}});
 }
 
 void Node::sendToCarrier(const Endpoint &endpoint, const api::CarryCall &message,
--- a/node/node.h
+++ b/node/node.h
@@ -98,6 +98,8 @@
     PoolMetrics m_poolMetrics;
     PoolContext m_poolContext;
     std::vector<std::string> m_carrierNames; // carriers chosen last
+    // Most runners listed since this node owns pools. Hosts in the spare pool are not listed.
+    std::size_t m_mostRunners = 0;
     std::map<std::string, std::unique_ptr<PoolOwner>> m_pools; // pools owned by this node
     std::vector<std::unique_ptr<PoolOwner>> m_deposed; // former owners, destroyed in the next tick
     FleetContext m_fleetContext;
