--- a/node/carrierclient.cpp
+++ b/node/carrierclient.cpp
@@ -185,7 +185,7 @@
     Pending pending = std::move(found->second);
     m_pending.erase(found);
     --m_carriers[pending.carrier].pendingCount;
-    pending.callback(answer);
+    pending.callback(std::move(answer));
 }
 
 // The carrier's calls are lost, but for those that it can't have received.
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -263,6 +263,7 @@
     }
     const std::vector<std::string> names = chooseCarriers(m_settings.name, candidates, count);
     std::vector<CarrierClient::Carrier> carriers;
+    carriers.reserve(names.size());
     for (const std::string &name : names)
         carriers.push_back(byName[name]);
     m_carriers.setCarriers(toString(m_ownership->self()), carriers);
--- a/node/runnercarrier.cpp
+++ b/node/runnercarrier.cpp
@@ -19,8 +19,7 @@
 } // namespace
 
 RunnerCarrier::RunnerCarrier(Loop &loop, HttpClient &http)
-    : m_loop(loop)
-    , m_http(http)
+    : m_http(http)
     , m_timer(loop, [this] { onTimer(); })
 { }
 
--- a/node/runnercarrier.h
+++ b/node/runnercarrier.h
@@ -45,16 +45,14 @@
     void start(const std::string &session, const api::RunnerCall &call);
     void onAnswer(const std::string &session, std::int64_t number, const HttpAnswer &answer);
     void reply(Session &session);
+    void schedule(TimePoint due);
     void onTimer();
 
-    Loop &m_loop;
     HttpClient &m_http;
     std::map<std::string, Session> m_sessions;
     Timer m_timer;
     TimePoint m_timerDue{}; // Unset if the timer is not running.
     bool m_isLeaving = false;
-
-    void schedule(TimePoint due);
 };
 
 } // namespace sequoiapier
--- a/testing/unit/carrierclient_test.cpp
+++ b/testing/unit/carrierclient_test.cpp
@@ -69,16 +69,16 @@
     std::vector<HttpCall> directCalls;
     std::vector<HttpOutcome> outcomes;
     std::vector<int> statuses;
-    CarrierClient carriers{
-        {.direct = [this](HttpCall call, const HttpCallback &) { directCalls.push_back(call); },
-         .send =
-             [this](const Endpoint &endpoint, const api::CarryCall &message, TimePoint,
-                    CarrierClient::SendCallback answer) {
-                 messages.push_back({endpoint, message, std::move(answer)});
-             },
-         .now = [this] { return now; },
-         .wakeAt = [this](TimePoint due) { wake = due; },
-         .onFailed = [](const std::string &, std::string_view) {}}};
+    CarrierClient carriers{{.direct = [this](const HttpCall &call,
+                                             const HttpCallback &) { directCalls.push_back(call); },
+                            .send =
+                                [this](const Endpoint &endpoint, const api::CarryCall &message,
+                                       TimePoint, CarrierClient::SendCallback answer) {
+                                    messages.push_back({endpoint, message, std::move(answer)});
+                                },
+                            .now = [this] { return now; },
+                            .wakeAt = [this](TimePoint due) { wake = due; },
+                            .onFailed = [](const std::string &, std::string_view) {}}};
 };
 
 using Outcomes = std::vector<HttpOutcome>;
