--- a/node/carrierclient.cpp
+++ b/node/carrierclient.cpp
@@ -11,8 +11,9 @@
 
 // Calls in one message; a start carries up to 4,000 bytes of its job.
 constexpr std::size_t MaxCallsInMessage = 64;
-// Longer than a carrier holds a message back.
-constexpr Duration MessageTimeout = std::chrono::milliseconds(1'500);
+// Much longer than a carrier holds a message back: an owner that falls behind must not lose its
+// carriers for it. Late answers to the calls show a silent carrier much sooner.
+constexpr Duration MessageTimeout = std::chrono::milliseconds(5'000);
 constexpr Duration ExpiryInterval = std::chrono::milliseconds(50);
 
 } // namespace
