--- a/testing/unit/carrierchoice_test.cpp
+++ b/testing/unit/carrierchoice_test.cpp
@@ -15,7 +15,7 @@
 std::vector<CarrierCandidate> fleet(int large, int small)
 {
     std::vector<CarrierCandidate> hosts;
-    hosts.reserve(std::size_t(large + small));
+    hosts.reserve(std::size_t(large) + std::size_t(small));
     for (int i = 0; i < large; ++i)
         hosts.push_back({"large-" + std::to_string(i), 0.5});
     for (int i = 0; i < small; ++i)
