--- a/review/support/harness.hh
+++ b/review/support/harness.hh
@@ -1202,7 +1202,7 @@
 inline int cannotRun(const std::string &why)
 {
     record.line("the case could not run: " + why);
-    std::cout << "could not run: " << why << "\n";
+    std::cout << "could not run: " << why << std::endl;
     return NotRun;
 }
 
@@ -1214,7 +1214,7 @@
         ? "held: " + rule
         : "broken: " + rule + ", " + std::to_string(breaches.size()) + " times";
     record.line(verdict);
-    std::cout << verdict << "\n";
+    std::cout << verdict << std::endl;
     return breaches.empty() ? Held : Broken;
 }
 
