A lease outlives no restart of its runner unnoticed

Cause: the owner reckons leases on the runner's clock from its last reading. A runner that starts again under its id has a clock that begins anew, carries out calls that were meant for its life before, and shortens their lease, which ends far ahead, to the longest it grants: 10 s, where the owner counted 5.4 s.

Evidence: record of the case, "until_ms 491548 at clock 511"; the second start came 4.6 s after the cut. The live list had named the new life before that start.

Change: answers tell how long the runner holds its lease, and the owner counts that. It counts the longest lease where no answer tells: a start that was not answered, the first report of a life, a life that began under a known id, and runs that an earlier owner has ordered. Readings belong to a life and come from reports alone. A listed life gets its first start after its first report.

The same belief in other places, each with a test: lost answers, takeover, leases of the earlier owner, answers that arrive late.

Ruled out: refusing by `born` in a start, since the protocol has no such field; the longest lease for every run, which doubles the wait for each silent runner.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -46,7 +46,8 @@
 }
 
 // The runners of the earlier owner's runs have not been asked yet. Until they answer with this
-// owner's fence, the runs may go on for as long as the earlier owner renewed them.
+// owner's fence, the runs may go on for as long as the earlier owner renewed them. How the earlier
+// owner's starts were answered is not known, so that the longest lease is assumed.
 void Engine::load(std::vector<Job> jobs, TimePoint now)
 {
     for (Job &job : jobs) {
@@ -72,7 +73,7 @@
         Runner &runner = m_runners[task.runner];
         runner.entry.id = task.runner;
         addRun(runner, makeRun(job, name, task.run));
-        onLeaseSent(task.runner, now);
+        extendLease(runner, m_options.maxLease, now);
     });
 }
 
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -135,6 +135,9 @@
     struct Options
     {
         Duration lease = std::chrono::seconds(5); // Lifetime of a run's lease from each renewal.
+        // Longest lease that a runner grants. A runner that restarts under its identifier grants it
+        // when a call carries a lease on the clock of the previous incarnation.
+        Duration maxLease = std::chrono::seconds(10);
         double clockRateMargin = 0.03; // Covers runner clocks that are up to 2 % slow.
         Duration leaseSlack = std::chrono::milliseconds(250); // Allowance for calls in transit.
         // A runner that has not answered for longer gets no task.
@@ -212,6 +215,8 @@
     void onPaceAnswer(const PaceOrder &pace, bool isAnswered);
     // Called whenever a call that renews the lease is sent.
     void onLeaseSent(const std::string &runner, TimePoint now);
+    // Called when the answer to a call shows for how long the runner's lease still runs.
+    void onLeaseGranted(const std::string &runner, Duration lease, TimePoint now);
     // Empties the runner until the given time: it gets no new task, and its lasting tasks are moved
     // elsewhere as far as their availability bounds allow.
     void evacuate(const std::string &runner, TimePoint until);
@@ -308,6 +313,8 @@
     void releaseRuns(Runner &runner, std::string_view why);
     void requeueTask(const TaskName &name, std::uint64_t run);
     void adoptPlacedRuns(const Job &job, TimePoint now);
+    TimePoint leaseEnd(Duration lease, TimePoint now) const;
+    void extendLease(Runner &runner, Duration lease, TimePoint now) const;
 
     void applyEntry(Runner &runner, const RunnerEntry &entry);
     void onRunnerRestart(Runner &runner, const RunnerReport &report, TimePoint sentAt);
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -120,8 +120,15 @@
 void Engine::releaseExpiredRuns(TimePoint now)
 {
     for (auto &[id, runner] : m_runners) {
-        if (!runner.runs.empty() && now > runner.leaseEnd)
-            releaseRuns(runner, "the lease of " + id + " has expired");
+        if (now <= runner.leaseEnd)
+            continue;
+        std::vector<RunKey> expired;
+        for (const auto &[key, run] : runner.runs) {
+            if (now > run.leaseEnd)
+                expired.push_back(key);
+        }
+        for (const RunKey &key : expired)
+            releaseRun(runner, key, "the lease of " + id + " has expired");
     }
 }
 
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -203,6 +203,7 @@
     }
     for (const RunKey &key : gone)
         releaseRun(runner, key, "the runner restarted");
+    runner.hasRestarted = true;
     runner.appliedEnds = 0;
     runner.durableEnds = 0;
 }
@@ -214,12 +215,34 @@
         ++found->second.missedCalls;
 }
 
+// Returns when a lease of the given length, counted from `now`, has certainly expired.
+TimePoint Engine::leaseEnd(Duration lease, TimePoint now) const
+{
+    const auto longest
+        = std::chrono::duration_cast<Duration>(lease * (1 + m_options.clockRateMargin));
+    return now + longest + m_options.leaseSlack;
+}
+
+void Engine::extendLease(Runner &runner, Duration lease, TimePoint now) const
+{
+    runner.leaseEnd = std::max(runner.leaseEnd, leaseEnd(lease, now));
+}
+
 void Engine::onLeaseSent(const std::string &id, TimePoint now)
 {
     Runner &runner = m_runners[id];
-    const auto longest
-        = std::chrono::duration_cast<Duration>(m_options.lease * (1 + m_options.clockRateMargin));
-    runner.leaseEnd = std::max(runner.leaseEnd, now + longest + m_options.leaseSlack);
+    extendLease(runner, runner.hasRestarted ? m_options.maxLease : m_options.lease, now);
+}
+
+void Engine::onLeaseGranted(const std::string &id, Duration lease, TimePoint now)
+{
+    const auto found = m_runners.find(id);
+    if (found == m_runners.end())
+        return;
+    const Duration granted = std::min(lease, m_options.maxLease);
+    if (granted > m_options.lease + m_options.leaseSlack)
+        note("runner.long-lease", {.job = id}, formatMilliseconds(granted));
+    extendLease(found->second, granted, now);
 }
 
 void Engine::onReport(const std::string &id, const RunnerReport &report, TimePoint sentAt,
@@ -231,9 +254,14 @@
     Runner &runner = found->second;
     if (report.bornAt < runner.bornAt)
         return; // The report is from the previous incarnation.
-    if (report.bornAt > runner.bornAt && runner.bornAt != 0)
-        onRunnerRestart(runner, report, sentAt);
-    runner.bornAt = report.bornAt;
+    if (report.bornAt > runner.bornAt) {
+        // Calls of an earlier owner, or calls meant for an earlier incarnation, may have set a
+        // longer lease than this owner sends.
+        extendLease(runner, m_options.maxLease, now);
+        if (runner.bornAt != 0)
+            onRunnerRestart(runner, report, sentAt);
+        runner.bornAt = report.bornAt;
+    }
     runner.answeredAt = std::max(runner.answeredAt, now);
     runner.missedCalls = 0;
     runner.isFenced = true;
@@ -434,7 +462,15 @@
             beginJob(m_jobs.find(start.task.job)->second);
         }
         return;
-    case StartOutcome::Unanswered:
+    case StartOutcome::Unanswered: {
+        // Another incarnation may have carried out the start.
+        const auto run = runner.runs.find({start.task, start.run});
+        if (run != runner.runs.end())
+            run->second.leaseEnd = leaseEnd(m_options.maxLease, now);
+        if (isOrdered)
+            task->runPhase = RunPhase::Unconfirmed;
+        return;
+    }
     // The run exists or has existed there; the runner's reports tell which.
     case StartOutcome::OldRun:
         if (isOrdered)
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -52,6 +52,9 @@
     bool isStopSent = false; // A stop was sent and has not been answered yet.
     TimePoint nextStopAt{}; // Earliest time of the next stop order; unset before the first answer.
     TimePoint stopAnsweredAt{}; // The run can't begin any more from then on.
+    // Set if the start was not answered: the run may hold a lease until then, even if its runner's
+    // other runs have expired.
+    TimePoint leaseEnd{};
 
     // Returns whether a stop order was sent, which may be carried out seconds later even if its
     // answer was lost.
@@ -67,6 +70,9 @@
     bool isFenced = false; // True once the runner has answered a call with this owner's fence.
     std::int64_t bornAt = 0; // Start time of the incarnation that reported last.
     PaceControl pace; // Pace of the filling tasks.
+    // The runner restarted under its identifier. Late calls that were meant for the previous
+    // incarnation carry leases on that incarnation's clock.
+    bool hasRestarted = false;
     bool isReserved = false; // Reserved for a lasting task that waits for room here.
     bool isQuarantined = false; // Fails, stalls or slows down its tasks more than its peers do.
     // The runner gets no new task before then because its host is to leave.
@@ -81,15 +87,18 @@
     std::uint32_t missedCalls = 0; // Number of unanswered calls since the last answer.
     std::uint32_t startsUnderWay = 0; // Number of starts sent and not answered.
 
-    // Number of the last end that the runner may forget. It is 0 after a missed call, since another
-    // incarnation, whose ends have the same numbers, may answer next.
-    std::uint64_t seenEnds() const { return missedCalls == 0 ? durableEnds : 0; }
+    // Returns whether the live list names a later incarnation than the one that reported last. The
+    // clock and the ends that are known are those of the earlier one.
+    bool isUnreported() const { return bornAt != 0 && entry.bornAt > bornAt; }
+    // Number of the last end that the runner may forget. It is 0 if another incarnation, whose ends
+    // have the same numbers, may answer next.
+    std::uint64_t seenEnds() const { return missedCalls == 0 && !isUnreported() ? durableEnds : 0; }
     // Returns whether tasks may be placed on the runner, however full it is. The live list still
     // contains a runner for seconds after its host was moved away; such a runner misses calls.
     bool isOpen(TimePoint now) const
     {
         return isListed && !entry.isDraining && now >= evacuatedUntil && missedCalls == 0
-            && !isQuarantined;
+            && !isQuarantined && !isUnreported();
     }
     Resources room() const
     {
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -60,6 +60,7 @@
 {
     jobs::Engine::Options options;
     options.lease = leaseDuration(settings);
+    options.maxLease = settings.maxLease;
     options.maxListingAge
         = std::max(settings.drainNotice - RunnerClient::OrderTimeout, settings.drainNotice / 2);
     options.stopTime = settings.stopTime + milliseconds(100);
@@ -545,7 +546,10 @@
                             [this, guard = Guard(m_guard), order](jobs::StartOutcome outcome) {
                                 if (guard.expired())
                                     return;
-                                m_engine.onStartAnswer(order, outcome, BootClock::now());
+                                const TimePoint now = BootClock::now();
+                                if (answer.lease)
+                                    m_engine.onLeaseGranted(order.runner, *answer.lease, now);
+                                m_engine.onStartAnswer(order, answer.outcome, now);
                                 requestTick();
                             });
 }
@@ -609,7 +613,7 @@
     if (hasUncommittedEnds && now < runner.answeredAt + BusyRunnerWait)
         return;
     LeaseRenewal renewal{.fence = m_epoch, .seenEnds = runner.seenEnds()};
-    if (runner.missedCalls == 0 && runner.isFenced) {
+    if (runner.missedCalls == 0 && runner.isFenced && !runner.isUnreported()) {
         renewal.lease = leaseDuration(m_context.settings);
         m_engine.onLeaseSent(id, now);
         if (!hasUncommittedEnds)
@@ -630,6 +634,8 @@
     Renewal &renewal = m_renewals[id];
     renewal.isInFlight = false;
     renewal.dueAt = now + RenewalDelay;
+    if (answer.lease)
+        m_engine.onLeaseGranted(id, *answer.lease, now);
     switch (answer.outcome) {
     case CallOutcome::Answered:
         m_engine.onReport(id, answer.report, sentAt, now);
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -10,7 +10,6 @@
 using std::chrono::milliseconds;
 
 constexpr Duration TickInterval = milliseconds(5);
-constexpr Duration RenewInterval = milliseconds(50);
 constexpr Duration ListInterval = milliseconds(500);
 constexpr Duration MinLateDelay = milliseconds(2'000);
 constexpr Duration MaxLateDelay = milliseconds(12'000);
@@ -116,6 +115,19 @@
     m_runnerStatus[std::size_t(runner)].downUntil = m_time.now() + RestartTime;
 }
 
+void EnginePool::restart(int runner)
+{
+    m_runners[std::size_t(runner)]->crash(m_time.now());
+}
+
+void EnginePool::runUntilReport(int runner)
+{
+    const auto answeredAt = [&] { return m_engine->runners().at(runnerId(runner)).answeredAt; };
+    const TimePoint last = answeredAt();
+    while (answeredAt() == last)
+        run(milliseconds(1));
+}
+
 void EnginePool::setListed(int runner, bool isListed)
 {
     m_runnerStatus[std::size_t(runner)].isListed = isListed;
@@ -154,6 +166,13 @@
     m_engine->setRunners(entries);
 }
 
+std::int64_t EnginePool::leaseEnd(int runner) const
+{
+    const RunnerStatus &status = m_runnerStatus[std::size_t(runner)];
+    const Duration end = m_time.now() - status.clockReadAt + Lease;
+    return status.clock + std::chrono::duration_cast<milliseconds>(end).count();
+}
+
 int EnginePool::indexOf(const std::string &runner) const
 {
     return std::stoi(runner.substr(2));
@@ -238,7 +257,7 @@
         return false;
     }
     call();
-    return true;
+    return !m_areAnswersLost;
 }
 
 void EnginePool::sendOrders()
@@ -257,20 +276,21 @@
 {
     const int index = indexOf(order.runner);
     SimulatedRunner &runner = *m_runners[std::size_t(index)];
-    const std::int64_t until
-        = runner.clock(m_time.now()) + std::chrono::duration_cast<milliseconds>(Lease).count();
     const SimulatedRunner::Start start{.task = order.task,
                                        .run = order.run,
                                        .payload = order.payload,
                                        .checkpoint = order.checkpoint,
                                        .fence = m_epoch,
-                                       .until = until};
+                                       .until = leaseEnd(index)};
     m_time.after(CallTime, [=, this, &runner] {
         auto outcome = std::make_shared<jobs::StartOutcome>(jobs::StartOutcome::Unanswered);
         const bool isAnswered = deliverCall(
             index, [=, this, &runner] { *outcome = runner.start(start, m_time.now()); });
+        const milliseconds lease(start.until - runner.clock(m_time.now()));
         m_time.after(isAnswered ? CallTime : CallTimeout, [=, this, epoch = start.fence] {
             if (m_engine && epoch == m_epoch) {
+                if (isAnswered)
+                    m_engine->onLeaseGranted(order.runner, lease, m_time.now());
                 m_engine->onStartAnswer(
                     order, isAnswered ? *outcome : jobs::StartOutcome::Unanswered, m_time.now());
             }
@@ -322,9 +342,7 @@
     SimulatedRunner &runner = *m_runners[std::size_t(index)];
     const TimePoint sentAt = m_time.now();
     const bool mayRenew = state.isFenced && state.missedCalls == 0;
-    const std::int64_t until = mayRenew
-        ? runner.clock(sentAt) + std::chrono::duration_cast<milliseconds>(Lease).count()
-        : 0;
+    const std::int64_t until = mayRenew ? leaseEnd(index) : 0;
     if (mayRenew)
         m_engine->onLeaseSent(runnerId(index), sentAt);
     status.isRenewing = true;
@@ -337,12 +355,16 @@
         m_time.after(isAnswered ? CallTime : CallTimeout, [=, this] {
             if (!m_engine || epoch != m_epoch)
                 return;
-            m_runnerStatus[std::size_t(index)].isRenewing = false;
-            m_runnerStatus[std::size_t(index)].nextRenewal = m_time.now() + RenewInterval;
-            if (isAnswered && *report)
+            RunnerStatus &renewed = m_runnerStatus[std::size_t(index)];
+            renewed.isRenewing = false;
+            renewed.nextRenewal = m_time.now() + m_options.renewInterval;
+            if (isAnswered && *report) {
+                renewed.clock = (*report)->clock;
+                renewed.clockReadAt = m_time.now();
                 m_engine->onReport(runnerId(index), **report, sentAt, m_time.now());
-            else
+            } else {
                 m_engine->onMissedCall(runnerId(index));
+            }
         });
     });
 }
--- a/testing/support/enginepool.h
+++ b/testing/support/enginepool.h
@@ -44,6 +44,7 @@
         std::uint32_t seed = 1;
         std::vector<TeamConfig> teams{}; // Teams that have a share.
         std::size_t maxRowBytes = 65'536; // Maximum size of a row in the store.
+        Duration renewInterval = std::chrono::milliseconds(50);
         QueueConfig queue{.name = "queue", .service = "pool", .maxAttempts = 3, .stretch = 2};
     };
 
@@ -71,6 +72,12 @@
     void setListReadable(bool isReadable);
     // The runner loses its state and answers again after RestartTime as another incarnation.
     void crash(int runner);
+    // Like crash(), but the next incarnation answers at once.
+    void restart(int runner);
+    // Runners carry out calls, but their answers are lost while this is true.
+    void setAnswersLost(bool areLost) { m_areAnswersLost = areLost; }
+    // Runs until the owner has just got a report from the runner.
+    void runUntilReport(int runner);
     SimulatedRunner &runner(int index) { return *m_runners[std::size_t(index)]; }
     static std::string runnerId(int index) { return "i-" + std::to_string(index); }
 
@@ -106,6 +113,9 @@
         bool isDraining = false;
         bool isRenewing = false; // True while a renewal is being sent.
         TimePoint nextRenewal{};
+        // The owner's latest reading of the runner's clock, in milliseconds, and its time.
+        std::int64_t clock = 0;
+        TimePoint clockReadAt{};
     };
 
     void makeEngine(std::uint64_t epoch);
@@ -121,6 +131,8 @@
     bool deliverCall(int index, const std::function<void()> &call, bool mayBeLate = true);
     void listRunners();
     int indexOf(const std::string &runner) const;
+    // Returns the end of a lease from now on, on the runner's clock as the owner knows it.
+    std::int64_t leaseEnd(int runner) const;
     void recordPeakUse();
 
     Options m_options;
@@ -136,6 +148,7 @@
     bool m_isListReadable = true;
     double m_lostShare = 0;
     double m_lateShare = 0;
+    bool m_areAnswersLost = false;
     std::optional<Resources> m_ceiling;
     std::mt19937 m_random;
     std::string m_trace;
--- /dev/null
+++ b/testing/unit/enginelease_test.cpp
@@ -0,0 +1,121 @@
+// Tests of leases across restarts of runners. A runner that restarts under its identifier has a
+// clock that begins anew. A lease that was set by the clock of the life before ends there as late
+// as the runner allows, not after the time that the owner meant.
+#include "testing/support/enginepool.h"
+
+#include <gtest/gtest.h>
+
+namespace sequoiapier {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration Started = milliseconds(100); // Time in which a waiting task is started.
+constexpr Duration LongestOutage = seconds(16); // Covers the longest lease of a runner.
+
+// A pool whose first runner has run for a while and has just reported. The second one is not
+// listed, so that tasks are placed on the first.
+class EngineLease : public testing::Test
+{
+protected:
+    EngineLease()
+    {
+        m_pool.setListed(1, false);
+        m_pool.run(seconds(20));
+        m_pool.runUntilReport(0);
+    }
+
+    void submitLastingTask()
+    {
+        const jobs::StepSpec step{
+            .count = 1, .size = {.processors = 1, .memory = 1}, .isLasting = true};
+        m_pool.submit("a", {.payload = R"({"lasts": true})", .steps = {step}});
+        m_pool.run(Started);
+        ASSERT_EQ(m_pool.ledger().runsOf("a").size(), 1U) << m_pool.trace();
+    }
+
+    // Cuts the first runner off and makes the second one available.
+    void cutFirstRunner()
+    {
+        m_pool.setReachable(0, false);
+        m_pool.setListed(1, true);
+    }
+
+    void expectMovedWithoutOverlap()
+    {
+        m_pool.run(LongestOutage);
+        EXPECT_EQ(m_pool.ledger().runsOf("a").size(), 2U) << m_pool.trace();
+        EXPECT_EQ(m_pool.violations(), "") << m_pool.trace();
+    }
+
+    EnginePool m_pool{{.runners = 2, .renewInterval = seconds(1)}};
+};
+
+// The owner has not heard of the restart when it starts a task.
+TEST_F(EngineLease, TaskStartedAfterAnUnnoticedRestartIsNotDoubledWhenTheRunnerIsCutOff)
+{
+    m_pool.restart(0);
+    submitLastingTask();
+    m_pool.runUntilReport(0);
+    cutFirstRunner();
+    expectMovedWithoutOverlap();
+}
+
+// The runner is cut off before it reports its new life. Only the answer to the start tells of it.
+TEST_F(EngineLease, AnswerToAStartTellsOfTheRestart)
+{
+    m_pool.restart(0);
+    submitLastingTask();
+    cutFirstRunner();
+    expectMovedWithoutOverlap();
+}
+
+// The answer to the start is lost, and the owner never hears of the new life.
+TEST_F(EngineLease, TaskWithoutAnAnswerIsNotDoubledAfterAnUnnoticedRestart)
+{
+    m_pool.restart(0);
+    m_pool.setAnswersLost(true);
+    submitLastingTask();
+    cutFirstRunner();
+    m_pool.setAnswersLost(false);
+    expectMovedWithoutOverlap();
+}
+
+// The next owner finds the placement in the store and can't know how its start ended.
+TEST_F(EngineLease, NextOwnerWaitsForTheLongestLeaseOfASilentRunner)
+{
+    m_pool.restart(0);
+    submitLastingTask();
+    cutFirstRunner();
+    m_pool.replaceOwner(milliseconds(200));
+    expectMovedWithoutOverlap();
+}
+
+// The next owner reaches the runner once, while the long lease of the earlier owner goes on.
+TEST_F(EngineLease, NextOwnerCountsTheLeasesOfTheEarlierOne)
+{
+    m_pool.restart(0);
+    submitLastingTask();
+    m_pool.replaceOwner(milliseconds(200));
+    m_pool.runUntilReport(0);
+    cutFirstRunner();
+    expectMovedWithoutOverlap();
+}
+
+// The restart is listed before the owner has asked the runner, as its call is still under way.
+TEST_F(EngineLease, NothingIsStartedOnAListedLifeThatHasNotReported)
+{
+    m_pool.restart(0);
+    m_pool.setListed(0, true);
+    const jobs::StepSpec step{.count = 1, .size = {.processors = 1, .memory = 1}};
+    m_pool.submit("b", {.payload = R"({"runMs": 100})", .steps = {step}});
+    m_pool.run(Started);
+    EXPECT_TRUE(m_pool.ledger().runsOf("b").empty()) << m_pool.trace();
+    m_pool.runUntilReport(0);
+    m_pool.run(Started);
+    EXPECT_EQ(m_pool.ledger().runsOf("b").size(), 1U) << m_pool.trace();
+}
+
+} // namespace
+} // namespace sequoiapier
