A repeated request runs nothing again after its queue has moved

Cause: a pool's owner knows the jobs of its own pool, and a submission went only to the pool that the queue is sent to now. State and cancelling asked the other pools; submissions did not.

Change: each queue has a home in the store. A pool's owner claims it before it accepts a job of the queue, and a former pool is offered a submission first. One that does not know the job accepts nothing of the queue from then on, nor do its next owners, since they find the claim. A claim by an older configuration is refused. `waiting` is summed over the same pools.

Why this holds: a pool accepts a job only by a claim that is newer than every other pool's last acceptance it did not hear of. A pool that was asked has dropped its own claim and must claim, and ask, anew; the version of the row ties the answers to the claim by which they were asked for.

The same belief: jobs that run, that were cancelled, queues that come back, new owners of both pools, nodes whose configurations differ, `waiting`.

Ruled out: asking all pools for each submission (calls grow with the pools, and a pool without an owner stops all queues); a row for each job outside its pool (a second transaction before each answer).

--- a/api/node.thrift
+++ b/api/node.thrift
@@ -7,6 +7,7 @@
   STATE = 2
   CANCEL = 3
   WAITING = 4
+  REPEAT = 5 // a submission that is answered only by a pool that knows the job
 }
 
 struct JobCall {
@@ -17,6 +18,10 @@
   5: string team
   6: binary spec // set for SUBMIT, encoded by jobs/jobcodec.h
   7: i64 remainingMicroseconds
+  8: string address // the queue's host and path prefix
+  // For SUBMIT: all former pools that the reply with this version named don't know the job.
+  9: i64 homeVersion
+  10: bool areFormerPoolsEmpty // none of them has a job of the queue
 }
 
 struct JobReply {
@@ -24,6 +29,10 @@
   2: string state
   3: i64 waiting
   4: i64 retryAfterMilliseconds
+  // Pools that may know jobs of the queue; for SUBMIT with the code queue-moved, and for WAITING.
+  5: list<string> formerPools
+  6: i64 homeVersion // with formerPools
+  7: bool hasJobs // for REPEAT: the pool knows jobs of the queue
 }
 
 // Asks the owner of a pool to empty a runner because its host is to leave. The call stops new
--- a/gen/node_types.cpp
+++ b/gen/node_types.cpp
@@ -17,15 +17,17 @@
   JobVerb::SUBMIT,
   JobVerb::STATE,
   JobVerb::CANCEL,
-  JobVerb::WAITING
+  JobVerb::WAITING,
+  JobVerb::REPEAT
 };
 const char* _kJobVerbNames[] = {
   "SUBMIT",
   "STATE",
   "CANCEL",
-  "WAITING"
+  "WAITING",
+  "REPEAT"
 };
-const std::map<int, const char*> _JobVerb_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kJobVerbValues, _kJobVerbNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _JobVerb_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kJobVerbValues, _kJobVerbNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const JobVerb::type& val) {
   std::map<int, const char*>::const_iterator it = _JobVerb_VALUES_TO_NAMES.find(val);
@@ -78,6 +80,18 @@
 void JobCall::__set_remainingMicroseconds(const int64_t val) {
   this->remainingMicroseconds = val;
 }
+
+void JobCall::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void JobCall::__set_homeVersion(const int64_t val) {
+  this->homeVersion = val;
+}
+
+void JobCall::__set_areFormerPoolsEmpty(const bool val) {
+  this->areFormerPoolsEmpty = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobCall& obj)
 {
   obj.printTo(out);
@@ -164,6 +178,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->homeVersion);
+          this->__isset.homeVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->areFormerPoolsEmpty);
+          this->__isset.areFormerPoolsEmpty = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -209,6 +247,18 @@
   xfer += oprot->writeI64(this->remainingMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("homeVersion", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->homeVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("areFormerPoolsEmpty", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->areFormerPoolsEmpty);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -223,6 +273,9 @@
   swap(a.team, b.team);
   swap(a.spec, b.spec);
   swap(a.remainingMicroseconds, b.remainingMicroseconds);
+  swap(a.address, b.address);
+  swap(a.homeVersion, b.homeVersion);
+  swap(a.areFormerPoolsEmpty, b.areFormerPoolsEmpty);
   swap(a.__isset, b.__isset);
 }
 
@@ -234,6 +287,9 @@
   team = other1.team;
   spec = other1.spec;
   remainingMicroseconds = other1.remainingMicroseconds;
+  address = other1.address;
+  homeVersion = other1.homeVersion;
+  areFormerPoolsEmpty = other1.areFormerPoolsEmpty;
   __isset = other1.__isset;
 }
 JobCall& JobCall::operator=(const JobCall& other2) {
@@ -244,6 +300,9 @@
   team = other2.team;
   spec = other2.spec;
   remainingMicroseconds = other2.remainingMicroseconds;
+  address = other2.address;
+  homeVersion = other2.homeVersion;
+  areFormerPoolsEmpty = other2.areFormerPoolsEmpty;
   __isset = other2.__isset;
   return *this;
 }
@@ -257,6 +316,9 @@
   out << ", " << "team=" << to_string(team);
   out << ", " << "spec=" << to_string(spec);
   out << ", " << "remainingMicroseconds=" << to_string(remainingMicroseconds);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "homeVersion=" << to_string(homeVersion);
+  out << ", " << "areFormerPoolsEmpty=" << to_string(areFormerPoolsEmpty);
   out << ")";
 }
 
@@ -280,6 +342,18 @@
 void JobReply::__set_retryAfterMilliseconds(const int64_t val) {
   this->retryAfterMilliseconds = val;
 }
+
+void JobReply::__set_formerPools(const std::vector<std::string> & val) {
+  this->formerPools = val;
+}
+
+void JobReply::__set_homeVersion(const int64_t val) {
+  this->homeVersion = val;
+}
+
+void JobReply::__set_hasJobs(const bool val) {
+  this->hasJobs = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobReply& obj)
 {
   obj.printTo(out);
@@ -340,6 +414,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->formerPools.clear();
+            uint32_t _size3;
+            ::apache::thrift::protocol::TType _etype6;
+            xfer += iprot->readListBegin(_etype6, _size3);
+            this->formerPools.resize(_size3);
+            uint32_t _i7;
+            for (_i7 = 0; _i7 < _size3; ++_i7)
+            {
+              xfer += iprot->readString(this->formerPools[_i7]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.formerPools = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->homeVersion);
+          this->__isset.homeVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasJobs);
+          this->__isset.hasJobs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -373,6 +483,26 @@
   xfer += oprot->writeI64(this->retryAfterMilliseconds);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("formerPools", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->formerPools.size()));
+    std::vector<std::string> ::const_iterator _iter8;
+    for (_iter8 = this->formerPools.begin(); _iter8 != this->formerPools.end(); ++_iter8)
+    {
+      xfer += oprot->writeString((*_iter8));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("homeVersion", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->homeVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hasJobs", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->hasJobs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -384,22 +514,31 @@
   swap(a.state, b.state);
   swap(a.waiting, b.waiting);
   swap(a.retryAfterMilliseconds, b.retryAfterMilliseconds);
+  swap(a.formerPools, b.formerPools);
+  swap(a.homeVersion, b.homeVersion);
+  swap(a.hasJobs, b.hasJobs);
   swap(a.__isset, b.__isset);
 }
 
-JobReply::JobReply(const JobReply& other3) {
-  code = other3.code;
-  state = other3.state;
-  waiting = other3.waiting;
-  retryAfterMilliseconds = other3.retryAfterMilliseconds;
-  __isset = other3.__isset;
+JobReply::JobReply(const JobReply& other9) {
+  code = other9.code;
+  state = other9.state;
+  waiting = other9.waiting;
+  retryAfterMilliseconds = other9.retryAfterMilliseconds;
+  formerPools = other9.formerPools;
+  homeVersion = other9.homeVersion;
+  hasJobs = other9.hasJobs;
+  __isset = other9.__isset;
 }
-JobReply& JobReply::operator=(const JobReply& other4) {
-  code = other4.code;
-  state = other4.state;
-  waiting = other4.waiting;
-  retryAfterMilliseconds = other4.retryAfterMilliseconds;
-  __isset = other4.__isset;
+JobReply& JobReply::operator=(const JobReply& other10) {
+  code = other10.code;
+  state = other10.state;
+  waiting = other10.waiting;
+  retryAfterMilliseconds = other10.retryAfterMilliseconds;
+  formerPools = other10.formerPools;
+  homeVersion = other10.homeVersion;
+  hasJobs = other10.hasJobs;
+  __isset = other10.__isset;
   return *this;
 }
 void JobReply::printTo(std::ostream& out) const {
@@ -409,6 +548,9 @@
   out << ", " << "state=" << to_string(state);
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "retryAfterMilliseconds=" << to_string(retryAfterMilliseconds);
+  out << ", " << "formerPools=" << to_string(formerPools);
+  out << ", " << "homeVersion=" << to_string(homeVersion);
+  out << ", " << "hasJobs=" << to_string(hasJobs);
   out << ")";
 }
 
@@ -505,15 +647,15 @@
   swap(a.__isset, b.__isset);
 }
 
-EvacuationCall::EvacuationCall(const EvacuationCall& other5) {
-  pool = other5.pool;
-  runner = other5.runner;
-  __isset = other5.__isset;
+EvacuationCall::EvacuationCall(const EvacuationCall& other11) {
+  pool = other11.pool;
+  runner = other11.runner;
+  __isset = other11.__isset;
 }
-EvacuationCall& EvacuationCall::operator=(const EvacuationCall& other6) {
-  pool = other6.pool;
-  runner = other6.runner;
-  __isset = other6.__isset;
+EvacuationCall& EvacuationCall::operator=(const EvacuationCall& other12) {
+  pool = other12.pool;
+  runner = other12.runner;
+  __isset = other12.__isset;
   return *this;
 }
 void EvacuationCall::printTo(std::ostream& out) const {
@@ -617,15 +759,15 @@
   swap(a.__isset, b.__isset);
 }
 
-EvacuationReply::EvacuationReply(const EvacuationReply& other7) noexcept {
-  code = other7.code;
-  isEmpty = other7.isEmpty;
-  __isset = other7.__isset;
+EvacuationReply::EvacuationReply(const EvacuationReply& other13) noexcept {
+  code = other13.code;
+  isEmpty = other13.isEmpty;
+  __isset = other13.__isset;
 }
-EvacuationReply& EvacuationReply::operator=(const EvacuationReply& other8) noexcept {
-  code = other8.code;
-  isEmpty = other8.isEmpty;
-  __isset = other8.__isset;
+EvacuationReply& EvacuationReply::operator=(const EvacuationReply& other14) noexcept {
+  code = other14.code;
+  isEmpty = other14.isEmpty;
+  __isset = other14.__isset;
   return *this;
 }
 void EvacuationReply::printTo(std::ostream& out) const {
@@ -712,13 +854,13 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandCall::DemandCall(const DemandCall& other9) {
-  pool = other9.pool;
-  __isset = other9.__isset;
+DemandCall::DemandCall(const DemandCall& other15) {
+  pool = other15.pool;
+  __isset = other15.__isset;
 }
-DemandCall& DemandCall::operator=(const DemandCall& other10) {
-  pool = other10.pool;
-  __isset = other10.__isset;
+DemandCall& DemandCall::operator=(const DemandCall& other16) {
+  pool = other16.pool;
+  __isset = other16.__isset;
   return *this;
 }
 void DemandCall::printTo(std::ostream& out) const {
@@ -816,14 +958,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->idle.clear();
-            uint32_t _size11;
-            ::apache::thrift::protocol::TType _etype14;
-            xfer += iprot->readListBegin(_etype14, _size11);
-            this->idle.resize(_size11);
-            uint32_t _i15;
-            for (_i15 = 0; _i15 < _size11; ++_i15)
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->idle.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
             {
-              xfer += iprot->readString(this->idle[_i15]);
+              xfer += iprot->readString(this->idle[_i21]);
             }
             xfer += iprot->readListEnd();
           }
@@ -868,10 +1010,10 @@
   xfer += oprot->writeFieldBegin("idle", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->idle.size()));
-    std::vector<std::string> ::const_iterator _iter16;
-    for (_iter16 = this->idle.begin(); _iter16 != this->idle.end(); ++_iter16)
+    std::vector<std::string> ::const_iterator _iter22;
+    for (_iter22 = this->idle.begin(); _iter22 != this->idle.end(); ++_iter22)
     {
-      xfer += oprot->writeString((*_iter16));
+      xfer += oprot->writeString((*_iter22));
     }
     xfer += oprot->writeListEnd();
   }
@@ -892,21 +1034,21 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandReply::DemandReply(const DemandReply& other17) {
-  code = other17.code;
-  runners = other17.runners;
-  needed = other17.needed;
-  lastingSpread = other17.lastingSpread;
-  idle = other17.idle;
-  __isset = other17.__isset;
-}
-DemandReply& DemandReply::operator=(const DemandReply& other18) {
-  code = other18.code;
-  runners = other18.runners;
-  needed = other18.needed;
-  lastingSpread = other18.lastingSpread;
-  idle = other18.idle;
-  __isset = other18.__isset;
+DemandReply::DemandReply(const DemandReply& other23) {
+  code = other23.code;
+  runners = other23.runners;
+  needed = other23.needed;
+  lastingSpread = other23.lastingSpread;
+  idle = other23.idle;
+  __isset = other23.__isset;
+}
+DemandReply& DemandReply::operator=(const DemandReply& other24) {
+  code = other24.code;
+  runners = other24.runners;
+  needed = other24.needed;
+  lastingSpread = other24.lastingSpread;
+  idle = other24.idle;
+  __isset = other24.__isset;
   return *this;
 }
 void DemandReply::printTo(std::ostream& out) const {
@@ -1016,14 +1158,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->headers.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->headers.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += iprot->readString(this->headers[_i23]);
+              xfer += iprot->readString(this->headers[_i29]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1084,10 +1226,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->headers.size()));
-    std::vector<std::string> ::const_iterator _iter24;
-    for (_iter24 = this->headers.begin(); _iter24 != this->headers.end(); ++_iter24)
+    std::vector<std::string> ::const_iterator _iter30;
+    for (_iter30 = this->headers.begin(); _iter30 != this->headers.end(); ++_iter30)
     {
-      xfer += oprot->writeString((*_iter24));
+      xfer += oprot->writeString((*_iter30));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1118,25 +1260,25 @@
   swap(a.__isset, b.__isset);
 }
 
-RunnerCall::RunnerCall(const RunnerCall& other25) {
-  number = other25.number;
-  address = other25.address;
-  port = other25.port;
-  path = other25.path;
-  headers = other25.headers;
-  body = other25.body;
-  timeoutMicroseconds = other25.timeoutMicroseconds;
-  __isset = other25.__isset;
-}
-RunnerCall& RunnerCall::operator=(const RunnerCall& other26) {
-  number = other26.number;
-  address = other26.address;
-  port = other26.port;
-  path = other26.path;
-  headers = other26.headers;
-  body = other26.body;
-  timeoutMicroseconds = other26.timeoutMicroseconds;
-  __isset = other26.__isset;
+RunnerCall::RunnerCall(const RunnerCall& other31) {
+  number = other31.number;
+  address = other31.address;
+  port = other31.port;
+  path = other31.path;
+  headers = other31.headers;
+  body = other31.body;
+  timeoutMicroseconds = other31.timeoutMicroseconds;
+  __isset = other31.__isset;
+}
+RunnerCall& RunnerCall::operator=(const RunnerCall& other32) {
+  number = other32.number;
+  address = other32.address;
+  port = other32.port;
+  path = other32.path;
+  headers = other32.headers;
+  body = other32.body;
+  timeoutMicroseconds = other32.timeoutMicroseconds;
+  __isset = other32.__isset;
   return *this;
 }
 void RunnerCall::printTo(std::ostream& out) const {
@@ -1279,19 +1421,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RunnerAnswer::RunnerAnswer(const RunnerAnswer& other27) {
-  number = other27.number;
-  isSent = other27.isSent;
-  status = other27.status;
-  body = other27.body;
-  __isset = other27.__isset;
+RunnerAnswer::RunnerAnswer(const RunnerAnswer& other33) {
+  number = other33.number;
+  isSent = other33.isSent;
+  status = other33.status;
+  body = other33.body;
+  __isset = other33.__isset;
 }
-RunnerAnswer& RunnerAnswer::operator=(const RunnerAnswer& other28) {
-  number = other28.number;
-  isSent = other28.isSent;
-  status = other28.status;
-  body = other28.body;
-  __isset = other28.__isset;
+RunnerAnswer& RunnerAnswer::operator=(const RunnerAnswer& other34) {
+  number = other34.number;
+  isSent = other34.isSent;
+  status = other34.status;
+  body = other34.body;
+  __isset = other34.__isset;
   return *this;
 }
 void RunnerAnswer::printTo(std::ostream& out) const {
@@ -1356,14 +1498,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->calls.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->calls.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->calls.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              xfer += this->calls[_i33].read(iprot);
+              xfer += this->calls[_i39].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1396,10 +1538,10 @@
   xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
-    std::vector<RunnerCall> ::const_iterator _iter34;
-    for (_iter34 = this->calls.begin(); _iter34 != this->calls.end(); ++_iter34)
+    std::vector<RunnerCall> ::const_iterator _iter40;
+    for (_iter40 = this->calls.begin(); _iter40 != this->calls.end(); ++_iter40)
     {
-      xfer += (*_iter34).write(oprot);
+      xfer += (*_iter40).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1417,15 +1559,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CarryCall::CarryCall(const CarryCall& other35) {
-  session = other35.session;
-  calls = other35.calls;
-  __isset = other35.__isset;
+CarryCall::CarryCall(const CarryCall& other41) {
+  session = other41.session;
+  calls = other41.calls;
+  __isset = other41.__isset;
 }
-CarryCall& CarryCall::operator=(const CarryCall& other36) {
-  session = other36.session;
-  calls = other36.calls;
-  __isset = other36.__isset;
+CarryCall& CarryCall::operator=(const CarryCall& other42) {
+  session = other42.session;
+  calls = other42.calls;
+  __isset = other42.__isset;
   return *this;
 }
 void CarryCall::printTo(std::ostream& out) const {
@@ -1480,14 +1622,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->answers.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->answers.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->answers[_i41].read(iprot);
+              xfer += this->answers[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1524,10 +1666,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<RunnerAnswer> ::const_iterator _iter42;
-    for (_iter42 = this->answers.begin(); _iter42 != this->answers.end(); ++_iter42)
+    std::vector<RunnerAnswer> ::const_iterator _iter48;
+    for (_iter48 = this->answers.begin(); _iter48 != this->answers.end(); ++_iter48)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1549,15 +1691,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CarryReply::CarryReply(const CarryReply& other43) {
-  answers = other43.answers;
-  isLeaving = other43.isLeaving;
-  __isset = other43.__isset;
+CarryReply::CarryReply(const CarryReply& other49) {
+  answers = other49.answers;
+  isLeaving = other49.isLeaving;
+  __isset = other49.__isset;
 }
-CarryReply& CarryReply::operator=(const CarryReply& other44) {
-  answers = other44.answers;
-  isLeaving = other44.isLeaving;
-  __isset = other44.__isset;
+CarryReply& CarryReply::operator=(const CarryReply& other50) {
+  answers = other50.answers;
+  isLeaving = other50.isLeaving;
+  __isset = other50.__isset;
   return *this;
 }
 void CarryReply::printTo(std::ostream& out) const {
--- a/gen/node_types.h
+++ b/gen/node_types.h
@@ -26,7 +26,8 @@
     SUBMIT = 1,
     STATE = 2,
     CANCEL = 3,
-    WAITING = 4
+    WAITING = 4,
+    REPEAT = 5
   };
 };
 
@@ -57,7 +58,7 @@
 class CarryReply;
 
 typedef struct _JobCall__isset {
-  _JobCall__isset() : verb(false), pool(false), queue(false), job(false), team(false), spec(false), remainingMicroseconds(false) {}
+  _JobCall__isset() : verb(false), pool(false), queue(false), job(false), team(false), spec(false), remainingMicroseconds(false), address(false), homeVersion(false), areFormerPoolsEmpty(false) {}
   bool verb :1;
   bool pool :1;
   bool queue :1;
@@ -65,6 +66,9 @@
   bool team :1;
   bool spec :1;
   bool remainingMicroseconds :1;
+  bool address :1;
+  bool homeVersion :1;
+  bool areFormerPoolsEmpty :1;
 } _JobCall__isset;
 
 class JobCall : public virtual ::apache::thrift::TBase {
@@ -79,7 +83,10 @@
             job(),
             team(),
             spec(),
-            remainingMicroseconds(0) {
+            remainingMicroseconds(0),
+            address(),
+            homeVersion(0),
+            areFormerPoolsEmpty(0) {
   }
 
   virtual ~JobCall() noexcept;
@@ -94,6 +101,9 @@
   std::string team;
   std::string spec;
   int64_t remainingMicroseconds;
+  std::string address;
+  int64_t homeVersion;
+  bool areFormerPoolsEmpty;
 
   _JobCall__isset __isset;
 
@@ -111,6 +121,12 @@
 
   void __set_remainingMicroseconds(const int64_t val);
 
+  void __set_address(const std::string& val);
+
+  void __set_homeVersion(const int64_t val);
+
+  void __set_areFormerPoolsEmpty(const bool val);
+
   bool operator == (const JobCall & rhs) const
   {
     if (!(verb == rhs.verb))
@@ -127,6 +143,12 @@
       return false;
     if (!(remainingMicroseconds == rhs.remainingMicroseconds))
       return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(homeVersion == rhs.homeVersion))
+      return false;
+    if (!(areFormerPoolsEmpty == rhs.areFormerPoolsEmpty))
+      return false;
     return true;
   }
   bool operator != (const JobCall &rhs) const {
@@ -146,11 +168,14 @@
 std::ostream& operator<<(std::ostream& out, const JobCall& obj);
 
 typedef struct _JobReply__isset {
-  _JobReply__isset() : code(false), state(false), waiting(false), retryAfterMilliseconds(false) {}
+  _JobReply__isset() : code(false), state(false), waiting(false), retryAfterMilliseconds(false), formerPools(false), homeVersion(false), hasJobs(false) {}
   bool code :1;
   bool state :1;
   bool waiting :1;
   bool retryAfterMilliseconds :1;
+  bool formerPools :1;
+  bool homeVersion :1;
+  bool hasJobs :1;
 } _JobReply__isset;
 
 class JobReply : public virtual ::apache::thrift::TBase {
@@ -162,7 +187,9 @@
            : code(0),
              state(),
              waiting(0),
-             retryAfterMilliseconds(0) {
+             retryAfterMilliseconds(0),
+             homeVersion(0),
+             hasJobs(0) {
   }
 
   virtual ~JobReply() noexcept;
@@ -170,6 +197,9 @@
   std::string state;
   int64_t waiting;
   int64_t retryAfterMilliseconds;
+  std::vector<std::string>  formerPools;
+  int64_t homeVersion;
+  bool hasJobs;
 
   _JobReply__isset __isset;
 
@@ -181,6 +211,12 @@
 
   void __set_retryAfterMilliseconds(const int64_t val);
 
+  void __set_formerPools(const std::vector<std::string> & val);
+
+  void __set_homeVersion(const int64_t val);
+
+  void __set_hasJobs(const bool val);
+
   bool operator == (const JobReply & rhs) const
   {
     if (!(code == rhs.code))
@@ -191,6 +227,12 @@
       return false;
     if (!(retryAfterMilliseconds == rhs.retryAfterMilliseconds))
       return false;
+    if (!(formerPools == rhs.formerPools))
+      return false;
+    if (!(homeVersion == rhs.homeVersion))
+      return false;
+    if (!(hasJobs == rhs.hasJobs))
+      return false;
     return true;
   }
   bool operator != (const JobReply &rhs) const {
--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -129,6 +129,14 @@
     }));
 }
 
+bool Engine::hasJobs(std::string_view queue) const
+{
+    return std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto &item) {
+        const Job &job = item.second.job;
+        return job.queue == queue || queueOf(job) == nullptr;
+    });
+}
+
 bool Engine::isDurable(std::string_view job) const
 {
     const auto found = m_jobs.find(job);
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -197,6 +197,9 @@
     std::optional<JobPhase> phaseOf(std::string_view job) const;
     // Number of the queue's jobs of which no task has begun, excluding jobs at set times.
     std::uint32_t waitingCount(std::string_view queue) const;
+    // Returns whether any job of the queue is known, ended ones included. A job whose queue the
+    // configuration doesn't name may be one. O(n) in jobs.
+    bool hasJobs(std::string_view queue) const;
     // Returns whether the job's latest change is in the store.
     bool isDurable(std::string_view job) const;
 
--- a/node/ingress.cpp
+++ b/node/ingress.cpp
@@ -1,5 +1,7 @@
 #include "node/ingress.h"
 
+#include "jobs/queuehome.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -106,6 +108,7 @@
     call.queue = queue.name;
     call.job = request->job;
     call.team = request->team;
+    call.address = jobs::queueAddress(queue);
     const bool isQueue = request->job.empty() && request->call.verb == CallerVerb::State;
     if (isQueue) {
         call.verb = api::JobVerb::WAITING;
@@ -121,16 +124,82 @@
         }
         call.spec = jobs::encodeJobSpec(spec.value());
     }
+    relay(request, call);
+}
+
+void Ingress::relay(const RequestPtr &request, const api::JobCall &call)
+{
     m_relay.call(call, request->call.deadline, [this, request, call](const api::JobReply &reply) {
-        const bool isAboutJob
-            = call.verb == api::JobVerb::STATE || call.verb == api::JobVerb::CANCEL;
-        if (isNotFound(reply) && isAboutJob)
-            askOtherPools(request, call, 0);
-        else
-            answer(request, toAnswer(reply, call));
+        onOwnerReply(request, call, reply);
     });
 }
 
+void Ingress::onOwnerReply(const RequestPtr &request, const api::JobCall &call,
+                           const api::JobReply &reply)
+{
+    const bool isAboutJob = call.verb == api::JobVerb::STATE || call.verb == api::JobVerb::CANCEL;
+    if (isNotFound(reply) && isAboutJob)
+        askOtherPools(request, call, 0);
+    else if (!reply.formerPools.empty())
+        askFormerPools(request, call, reply);
+    else
+        answer(request, toAnswer(reply, call));
+}
+
+// Asks the former pools of the queue, the last one first, whether they know the job, or how many of
+// the queue's jobs wait there. `home` is the answer of the queue's pool; it collects the answers.
+void Ingress::askFormerPools(const RequestPtr &request, const api::JobCall &call,
+                             api::JobReply home)
+{
+    while (!home.formerPools.empty() && !isActive(home.formerPools.back())) {
+        home.hasJobs = true; // Not known, so that the pool is asked again once it is active.
+        home.formerPools.pop_back();
+    }
+    if (home.formerPools.empty()) {
+        onFormerPoolsAsked(request, call, home);
+        return;
+    }
+    api::JobCall asked = call;
+    asked.pool = home.formerPools.back();
+    home.formerPools.pop_back();
+    if (call.verb == api::JobVerb::SUBMIT) {
+        asked.verb = api::JobVerb::REPEAT;
+        asked.spec.clear();
+    }
+    m_relay.call(asked, request->call.deadline,
+                 [this, request, call, asked, home](const api::JobReply &reply) {
+                     const bool isCounted = asked.verb == api::JobVerb::WAITING
+                         && reply.code == std::int32_t(ResultCode::Ok);
+                     if (!isCounted && !isNotFound(reply)) {
+                         answer(request, toAnswer(reply, asked));
+                         return;
+                     }
+                     api::JobReply sum = home;
+                     sum.waiting += reply.waiting;
+                     sum.hasJobs = sum.hasJobs || reply.hasJobs;
+                     askFormerPools(request, call, sum);
+                 });
+}
+
+void Ingress::onFormerPoolsAsked(const RequestPtr &request, api::JobCall call,
+                                 const api::JobReply &home)
+{
+    if (call.verb == api::JobVerb::WAITING) {
+        answer(request, toAnswer(home, call));
+        return;
+    }
+    call.homeVersion = home.homeVersion;
+    call.areFormerPoolsEmpty = !home.hasJobs;
+    relay(request, call);
+}
+
+// Returns whether a node owns the pool, or will as soon as it has noticed that none does.
+bool Ingress::isActive(const std::string &pool) const
+{
+    const ServiceConfig *service = m_configuration.findService(pool);
+    return service != nullptr && !service->isStandby;
+}
+
 // Asks the owners of the other pools in order, since the queue may have been assigned to another
 // pool after the job was accepted.
 void Ingress::askOtherPools(const RequestPtr &request, api::JobCall call, std::size_t next)
--- a/node/ingress.h
+++ b/node/ingress.h
@@ -52,7 +52,14 @@
     // Returns Ok and sets the request's team, or returns the reason of the refusal.
     ResultCode checkKey(Request &request, const QueueConfig &queue) const;
     void callOwner(const RequestPtr &request, const QueueConfig &queue);
+    void relay(const RequestPtr &request, const api::JobCall &call);
+    void onOwnerReply(const RequestPtr &request, const api::JobCall &call,
+                      const api::JobReply &reply);
     void askOtherPools(const RequestPtr &request, api::JobCall call, std::size_t next);
+    void askFormerPools(const RequestPtr &request, const api::JobCall &call, api::JobReply home);
+    void onFormerPoolsAsked(const RequestPtr &request, api::JobCall call,
+                            const api::JobReply &home);
+    bool isActive(const std::string &pool) const;
     void answer(const RequestPtr &request, const CallerAnswer &answer);
     static CallerAnswer toAnswer(const api::JobReply &reply, const api::JobCall &call);
 
--- a/node/jobrelay.cpp
+++ b/node/jobrelay.cpp
@@ -16,10 +16,17 @@
 constexpr Duration AttemptTimeout = milliseconds(900); // a slow store takes a third of a second
 constexpr Duration AnswerMargin = milliseconds(150); // time left before the caller's deadline
 
+// Returns whether the queue is sent to another pool by a configuration that the owner or this node
+// does not have yet.
+bool isSentElsewhere(const api::JobReply &reply)
+{
+    return reply.code == std::int32_t(ResultCode::QueueMoved) && reply.formerPools.empty();
+}
+
 bool isFinal(const api::JobReply &reply)
 {
     return reply.code != std::int32_t(ResultCode::NotOwner)
-        && reply.code != std::int32_t(ResultCode::OutcomeUnknown);
+        && reply.code != std::int32_t(ResultCode::OutcomeUnknown) && !isSentElsewhere(reply);
 }
 
 } // namespace
@@ -99,6 +106,12 @@
     const bool isUnknown
         = reply != nullptr ? reply->code == std::int32_t(ResultCode::OutcomeUnknown) : isSent;
     call->mayBeAccepted = call->mayBeAccepted || isUnknown;
+    if (reply != nullptr && isSentElsewhere(*reply)) {
+        call->mayBeAccepted = true; // The other pool may know the job.
+        const std::string pool = m_hooks.findPool(call->call.queue);
+        if (!pool.empty())
+            call->call.pool = pool;
+    }
     if (reply != nullptr && isFinal(*reply)) {
         finish(call, *reply);
         return;
--- a/node/jobrelay.h
+++ b/node/jobrelay.h
@@ -33,6 +33,8 @@
         // Returns the endpoint of the pool's owner; nullopt if none is known. Port 0 stands for
         // this node itself.
         std::function<std::optional<Endpoint>(const std::string &pool)> findOwner;
+        // Returns the pool to which the queue is sent now; empty if there is no such queue.
+        std::function<std::string(const std::string &queue)> findPool;
         std::function<void(const api::JobCall &, ReplyCallback)> handleLocally;
         std::function<void(const Endpoint &, const api::JobCall &, TimePoint deadline,
                            SendCallback)>
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -116,6 +116,11 @@
                        m_ownership->refresh();
                    return owner;
                },
+           .findPool =
+               [this](const std::string &queue) {
+                   const QueueConfig *config = m_operators.configuration().findQueue(queue);
+                   return config != nullptr ? config->service : std::string();
+               },
            .handleLocally
            = [this](const api::JobCall &call,
                     const JobRelay::ReplyCallback &answer) { handleLocally(call, answer); },
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace sequoiapier {
@@ -76,6 +77,7 @@
     , m_pool(std::move(pool))
     , m_epoch(epoch)
     , m_ceilings(context.store, context.log, m_pool, epoch, [this] { requestTick(); })
+    , m_homes(context.store, context.log, m_pool, [this] { resumeParkedCalls(); })
     , m_engine(engineOptions(context.settings), engineHooks())
     , m_claimTimer(context.loop, [this] { claim(); })
     , m_tickTimer(context.loop, [this] { tick(); })
@@ -111,6 +113,8 @@
     for (const Waiter &waiter : m_waiters) {
         waiter.answer(reply(waiter.isInBatch ? ResultCode::OutcomeUnknown : ResultCode::NotOwner));
     }
+    for (const ParkedCall &parked : m_parked)
+        parked.answer(reply(ResultCode::NotOwner));
     if (m_isReady)
         m_context.log.info("pool.left", {{"pool", m_pool}, {"epoch", std::to_string(m_epoch)}});
 }
@@ -241,6 +245,12 @@
 void PoolOwner::setConfiguration(const Configuration &configuration)
 {
     m_engine.setConfiguration(configuration);
+    std::set<std::string> addresses;
+    for (const QueueConfig &queue : configuration.queues) {
+        if (queue.service == m_pool)
+            addresses.insert(jobs::queueAddress(queue));
+    }
+    m_homes.keepOnly(addresses);
     requestTick();
 }
 
@@ -280,12 +290,12 @@
     case api::JobVerb::CANCEL:
         cancel(call, std::move(answer));
         break;
-    case api::JobVerb::WAITING: {
-        api::JobReply counted = reply(m_context.isOwner() ? ResultCode::Ok : ResultCode::NotOwner);
-        counted.waiting = m_engine.waitingCount(call.queue);
-        answer(counted);
+    case api::JobVerb::REPEAT:
+        answerRepeat(call, std::move(answer));
+        break;
+    case api::JobVerb::WAITING:
+        answerWaiting(call, std::move(answer));
         break;
-    }
     case api::JobVerb::STATE:
     default:
         answerState(call, answer);
@@ -293,7 +303,36 @@
     }
 }
 
+// A job that is not known here may be known to a pool to which its queue was sent before.
 void PoolOwner::submit(const api::JobCall &call, ReplyCallback answer)
+{
+    if (m_engine.phaseOf(call.job)) {
+        answerWhenDurable(call.job, std::move(answer));
+        return;
+    }
+    api::JobReply moved = reply(ResultCode::QueueMoved);
+    switch (standing(call)) {
+    case QueueStanding::Unsettled:
+        m_parked.push_back({call, std::move(answer)});
+        return;
+    case QueueStanding::Elsewhere:
+        answer(moved);
+        return;
+    case QueueStanding::Home:
+        break;
+    }
+    const auto version = std::int64_t(m_homes.version(call.address));
+    if (call.homeVersion == version && call.areFormerPoolsEmpty)
+        m_homes.forgetFormerPools(call.address);
+    moved.formerPools = m_homes.home(call.address).formerPools;
+    moved.homeVersion = version;
+    if (moved.formerPools.empty() || call.homeVersion == version)
+        accept(call, std::move(answer));
+    else
+        answer(moved);
+}
+
+void PoolOwner::accept(const api::JobCall &call, ReplyCallback answer)
 {
     Result<jobs::JobSpec> spec = jobs::parseJobSpec(call.spec);
     if (!spec) {
@@ -301,15 +340,65 @@
         return;
     }
     const std::size_t stateBytes = jobs::JobFrameBytes + jobs::occurrenceBytes(spec.value());
-    if (std::max(call.spec.size(), stateBytes) > m_context.settings.maxRowBytes
-        && !m_engine.phaseOf(call.job)) {
+    if (std::max(call.spec.size(), stateBytes) > m_context.settings.maxRowBytes) {
         answer(reply(ResultCode::RequestTooLarge));
         return;
     }
     m_engine.submit(
         {.id = call.job, .queue = call.queue, .team = call.team, .spec = std::move(spec.value())},
         BootClock::now());
-    m_waiters.push_back({.job = call.job, .answer = std::move(answer)});
+    answerWhenDurable(call.job, std::move(answer));
+}
+
+// From the first such call on, the new home of the queue may accept the job, so that this pool must
+// not accept it any more.
+void PoolOwner::answerRepeat(const api::JobCall &call, ReplyCallback answer)
+{
+    m_homes.invalidate(call.address);
+    if (m_engine.phaseOf(call.job)) {
+        answerWhenDurable(call.job, std::move(answer));
+        return;
+    }
+    api::JobReply unknown
+        = reply(m_context.isOwner() ? ResultCode::NotFound : ResultCode::NotOwner);
+    unknown.hasJobs = m_engine.hasJobs(call.queue);
+    answer(unknown);
+}
+
+void PoolOwner::answerWaiting(const api::JobCall &call, ReplyCallback answer)
+{
+    const QueueStanding known = standing(call);
+    if (known == QueueStanding::Unsettled) {
+        m_parked.push_back({call, std::move(answer)});
+        return;
+    }
+    api::JobReply counted = reply(m_context.isOwner() ? ResultCode::Ok : ResultCode::NotOwner);
+    counted.waiting = m_engine.waitingCount(call.queue);
+    if (known == QueueStanding::Home)
+        counted.formerPools = m_homes.home(call.address).formerPools;
+    answer(counted);
+}
+
+// Returns the pool's standing towards the call's queue. A pool claims only queues that its owner's
+// configuration sends to it.
+QueueStanding PoolOwner::standing(const api::JobCall &call)
+{
+    const Configuration &configuration = m_context.configuration();
+    const QueueConfig *queue = configuration.findQueue(call.queue);
+    if (queue == nullptr || queue->service != m_pool)
+        return QueueStanding::Elsewhere;
+    return m_homes.standing(call.address, configuration.version);
+}
+
+void PoolOwner::resumeParkedCalls()
+{
+    for (ParkedCall &parked : std::exchange(m_parked, {}))
+        handle(parked.call, std::move(parked.answer));
+}
+
+void PoolOwner::answerWhenDurable(const std::string &job, ReplyCallback answer)
+{
+    m_waiters.push_back({.job = job, .answer = std::move(answer)});
     answerWaiters();
     requestTick();
 }
@@ -321,9 +410,7 @@
         answer(reply(m_context.isOwner() ? ResultCode::NotFound : ResultCode::NotOwner));
         return;
     }
-    m_waiters.push_back({.job = call.job, .answer = std::move(answer)});
-    answerWaiters();
-    requestTick();
+    answerWhenDurable(call.job, std::move(answer));
 }
 
 // Only a node that is certain to be the owner may answer that a job does not exist: a later owner
@@ -405,6 +492,7 @@
         plan(now);
     else
         scheduleTick(planDue);
+    m_homes.retry();
     writeBatch();
     askAdvice();
     sendOrders();
@@ -543,7 +631,7 @@
     const RunnerTarget target{order.runner, m_engine.runners().at(order.runner).entry.endpoint};
     const Duration lease = leaseDuration(m_context.settings);
     m_context.runners.start(target, {.order = order, .fence = m_epoch, .lease = lease},
-                            [this, guard = Guard(m_guard), order](jobs::StartOutcome outcome) {
+                            [this, guard = Guard(m_guard), order](const StartAnswer &answer) {
                                 if (guard.expired())
                                     return;
                                 const TimePoint now = BootClock::now();
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -17,6 +17,7 @@
 #include "node/ceilingallocator.h"
 #include "node/decisionlog.h"
 #include "node/poolmetrics.h"
+#include "node/queuehomes.h"
 #include "platform/adviceclient.h"
 #include "platform/nodesettings.h"
 #include "platform/runnerclient.h"
@@ -80,6 +81,12 @@
         bool isInBatch = false; // A batch that may contain the job was sent.
         ReplyCallback answer;
     };
+    // A call that waits until the pool's standing towards its queue is settled.
+    struct ParkedCall
+    {
+        api::JobCall call;
+        ReplyCallback answer;
+    };
     struct Renewal
     {
         bool isInFlight = false;
@@ -100,6 +107,12 @@
     void depose(std::string_view reason);
 
     void submit(const api::JobCall &call, ReplyCallback answer);
+    void accept(const api::JobCall &call, ReplyCallback answer);
+    void answerRepeat(const api::JobCall &call, ReplyCallback answer);
+    void answerWaiting(const api::JobCall &call, ReplyCallback answer);
+    QueueStanding standing(const api::JobCall &call);
+    void resumeParkedCalls();
+    void answerWhenDurable(const std::string &job, ReplyCallback answer);
     void cancel(const api::JobCall &call, ReplyCallback answer);
     void answerState(const api::JobCall &call, const ReplyCallback &answer);
     void answerWaiters();
@@ -128,6 +141,7 @@
     std::string m_pool;
     std::uint64_t m_epoch;
     CeilingAllocator m_ceilings;
+    QueueHomes m_homes;
     jobs::Engine m_engine;
     std::vector<jobs::RunnerEntry> m_listed; // listed runners of the pool
     bool m_isReady = false;
@@ -138,6 +152,7 @@
     std::optional<jobs::Batch> m_batch; // batch in flight
     StoreTransaction m_transaction; // transaction of m_batch
     std::vector<Waiter> m_waiters;
+    std::vector<ParkedCall> m_parked;
     std::map<std::string, Renewal> m_renewals; // renewals by runner name
     TimePoint m_writeDue{};
     TimePoint m_earliestPlan{}; // earliest plan whose placements can be written at once
--- a/sequoiapier/resultcode.cpp
+++ b/sequoiapier/resultcode.cpp
@@ -79,6 +79,8 @@
      "A memory or count bound is reached."},
     {BudgetExhausted, "budget-exhausted", 0, RunState::NotApplicable,
      "No unit of the budget is free."},
+    {QueueMoved, "queue-moved", 0, RunState::NotApplicable,
+     "Another pool accepts the queue's jobs, or may know the job."},
     {TaskServiceUnavailable, "task-service-unavailable", 0, RunState::NotApplicable,
      "The platform's task service did not answer."},
     {HostBusy, "host-busy", 409, RunState::NotApplicable, "Another operation holds the host."},
--- a/sequoiapier/resultcode.h
+++ b/sequoiapier/resultcode.h
@@ -63,6 +63,7 @@
     LeaseExpired = 305,
     CapacityExceeded = 306,
     BudgetExhausted = 307,
+    QueueMoved = 308,
     TaskServiceUnavailable = 320,
 
     // 400-499: outcomes of operations on hosts, waves and jobs.
--- a/testing/process/platformtest.h
+++ b/testing/process/platformtest.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -38,29 +39,40 @@
 
     void configure(int version, const std::vector<std::string> &keys,
                    const std::vector<std::string> &prefixes = {"/quotes/"})
+    {
+        std::map<std::string, std::string> services;
+        for (const std::string &prefix : prefixes)
+            services[prefix] = "vanload";
+        configureQueues(version, services, {"vanload"}, 16'000, keys);
+    }
+
+    // Sends each queue, named by its prefix, to a service. `ceiling` is the team's, in thousandths
+    // of a core.
+    void configureQueues(int version, const std::map<std::string, std::string> &queues,
+                         const std::vector<std::string> &services, int ceiling,
+                         const std::vector<std::string> &keys = {"good-key"})
     {
         nlohmann::json routes = nlohmann::json::array();
-        for (const std::string &prefix : prefixes) {
+        for (const auto &[prefix, service] : queues) {
             routes.push_back({{"name", "r" + prefix},
                               {"host", "127.0.0.1"},
                               {"prefix", prefix},
                               {"timeout_ms", 8'000},
                               {"slo_ms", 600},
                               {"priority", 0},
-                              {"service", "vanload"},
+                              {"service", service},
                               {"max_attempts", 3},
                               {"stretch", 1.6},
                               {"public", false}});
         }
-        const nlohmann::json services{{{"name", "vanload"}, {"rejects_overload", true}},
-                                      {{"name", "sundries"}, {"standby", true}}};
+        nlohmann::json pools{{{"name", "sundries"}, {"standby", true}}};
+        for (const std::string &service : services)
+            pools.push_back({{"name", service}, {"rejects_overload", true}});
         const nlohmann::json tenants{
-            {{"name", "drivers"}, {"api_keys", keys}, {"weight", 1}, {"cap", {{"cpu", 16'000}}}}};
-        writeOperatorRow("config",
-                         {{"version", version},
-                          {"routes", routes},
-                          {"services", services},
-                          {"tenants", tenants}});
+            {{"name", "drivers"}, {"api_keys", keys}, {"weight", 1}, {"cap", {{"cpu", ceiling}}}}};
+        writeOperatorRow(
+            "config",
+            {{"version", version}, {"routes", routes}, {"services", pools}, {"tenants", tenants}});
     }
 
     void writeOperatorRow(const std::string &key, const nlohmann::json &value)
