A ceiling that pools share keeps no task waiting for good

Cause: the parts of a ceiling are max-min shares of the pools' wants. Three pools got 8 cores each, into which no task fits, and none gave up a part that was of no use to it.

Change: a pool tells the least part with which a task would start, since when it waits for that, and what it needs for work that has room on its hosts. The longest waiting pools get their least part, the needs share the rest, and what is wanted beyond shares what is left. A pool above its share starts nothing, so that its part follows as its tasks end; a pool that holds a part reads the row each second; one without work holds none. Lasting tasks never give their part back, so that a task that does not fit beside them holds up no other pool.

Evidence: SharedCeiling failed in 4 of 4 tests on the program before: even parts, gangs, work in full pools that held the ceiling, a stream of small tasks that held it.

Ruled out: loans with leases (what a deposed owner has started goes on past its lease); one owner of a team's ceiling (a second hop before each start).

--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -118,7 +118,12 @@
 struct TeamDemand
 {
     Resources inUse; // Resources used by runs that may exist.
+    Resources lasting; // Included in inUse: runs of lasting tasks.
     Resources waiting; // Resources needed by waiting tasks that could start now.
+    // Resources needed by the tasks for which a host has room and that wait only for the part of
+    // the team's ceiling.
+    Resources limited;
+    Resources leastLimited; // Size of the smallest of them; a gang counts as one.
 };
 
 struct PoolDemand
@@ -346,7 +351,10 @@
     void releaseExpiredRuns(TimePoint now);
     void removeEndedJobs();
     std::vector<Candidate> candidates(TimePoint now);
-    void countTeams(std::span<const Candidate> candidates);
+    void countTeams(std::span<const Candidate> candidates, TimePoint now);
+    void countLimited(const Candidate &candidate, TeamDemand &demand, TimePoint now);
+    bool exceedsCeiling(const std::string &team, const Resources &size) const;
+    Resources openRoom(TimePoint now) const;
     bool isKnownNotToFit(const Candidate &candidate) const;
     void recordNoRoom(const Candidate &candidate);
     void place(const Candidate &candidate, TimePoint now);
@@ -382,6 +390,8 @@
     std::map<std::string, Runner> m_runners;
     // Resources used by runs that may exist, by team.
     std::map<std::string, Resources, std::less<>> m_teamUse;
+    // The share of m_teamUse that lasting tasks have.
+    std::map<std::string, Resources, std::less<>> m_teamLasting;
     std::map<std::string, TeamDemand> m_teamDemands;
     std::vector<StartOrder> m_planned; // Starts whose job's batch is not written yet.
     std::map<std::string, std::deque<StartOrder>> m_starts; // Stored but unsent starts, by runner.
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -26,6 +26,15 @@
         && size.accelerators <= room.accelerators + RoomTolerance;
 }
 
+// Returns whether the use is within the ceiling, in which 0 means no bound.
+bool isWithin(const Resources &use, const Resources &ceiling)
+{
+    const auto isOver
+        = [](double amount, double bound) { return bound > 0 && amount > bound + RoomTolerance; };
+    return !isOver(use.processors, ceiling.processors) && !isOver(use.memory, ceiling.memory)
+        && !isOver(use.accelerators, ceiling.accelerators);
+}
+
 // Returns whether the placement would put a filling task and a serving task on one runner.
 bool mixesFillingAndServing(const StepSpec &step, const Runner &runner)
 {
@@ -80,22 +89,64 @@
         isGang ? placeGang(candidate, now) : place(candidate, now);
     }
     requestAdviceAhead(now);
-    countTeams(waiting);
+    countTeams(waiting, now);
 }
 
-void Engine::countTeams(std::span<const Candidate> candidates)
+void Engine::countTeams(std::span<const Candidate> candidates, TimePoint now)
 {
     m_teamDemands.clear();
     for (const auto &[team, use] : m_teamUse)
         m_teamDemands[team].inUse = use;
-    for (const Candidate &candidate : candidates) {
-        const Job &job = candidate.entry->job;
-        const Step &step = job.occurrences.at(candidate.occurrence).steps[candidate.step];
-        m_teamDemands[job.team].waiting
-            += job.spec.steps[candidate.step].size * double(step.waitingCount());
+    for (const auto &[team, use] : m_teamLasting)
+        m_teamDemands[team].lasting = use;
+    for (const Candidate &candidate : candidates)
+        countLimited(candidate, m_teamDemands[candidate.entry->job.team], now);
+    const Resources room = openRoom(now);
+    for (auto &[team, demand] : m_teamDemands) {
+        demand.limited = {.processors = std::min(demand.limited.processors, room.processors),
+                          .memory = std::min(demand.limited.memory, room.memory),
+                          .accelerators = std::min(demand.limited.accelerators, room.accelerators)};
     }
 }
 
+// Adds the candidate's waiting tasks to its team's demand. Tasks that exceed the whole ceiling can
+// never start and need no part of it. A runner is searched only for sizes below the smallest found
+// so far.
+void Engine::countLimited(const Candidate &candidate, TeamDemand &demand, TimePoint now)
+{
+    const Job &job = candidate.entry->job;
+    const StepSpec &spec = job.spec.steps[candidate.step];
+    const Step &step = job.occurrences.at(candidate.occurrence).steps[candidate.step];
+    const std::size_t waiting = step.waitingCount();
+    const Resources unit = spec.isGang ? spec.size * double(spec.count) : spec.size;
+    if (waiting == 0 || exceedsCeiling(job.team, unit))
+        return;
+    demand.waiting += spec.size * double(waiting);
+    if (isWithinCeiling(job.team, unit) || (spec.isGang && waiting < step.tasks.size()))
+        return;
+    const Resources &least = demand.leastLimited;
+    const bool isSmaller = least == Resources{} || (unit.fitsInto(least) && unit != least);
+    if (isSmaller) {
+        const bool hasRoom = pickRunner(candidate, step.tasks.front(), now) != nullptr
+            && (!spec.isGang || fits(spec.room() * double(spec.count), openRoom(now)));
+        if (hasRoom)
+            demand.leastLimited = unit;
+    }
+    if (demand.leastLimited != Resources{})
+        demand.limited += spec.size * double(waiting);
+}
+
+// Returns the room of all runners that may take tasks.
+Resources Engine::openRoom(TimePoint now) const
+{
+    Resources room;
+    for (const auto &[id, runner] : m_runners) {
+        if (runner.isOpen(now))
+            room += runner.room();
+    }
+    return room;
+}
+
 // Begins the occurrences of a job at set times when they are due, never before, and keeps at most
 // MaxOpenOccurrences of them open at once.
 void Engine::beginOccurrences(Entry &entry, TimePoint now)
@@ -208,10 +259,14 @@
     const auto found = m_teamUse.find(team);
     Resources use = found != m_teamUse.end() ? found->second : Resources{};
     use += size;
-    const auto isOver
-        = [](double amount, double bound) { return bound > 0 && amount > bound + RoomTolerance; };
-    return !isOver(use.processors, ceiling->processors) && !isOver(use.memory, ceiling->memory)
-        && !isOver(use.accelerators, ceiling->accelerators);
+    return isWithin(use, *ceiling);
+}
+
+// Returns whether the size is more than the team may ever use in all pools together.
+bool Engine::exceedsCeiling(const std::string &team, const Resources &size) const
+{
+    const TeamConfig *config = m_configuration.findTeam(team);
+    return config != nullptr && !isWithin(size, config->resourceCeiling);
 }
 
 // Room only shrinks within a plan, so that a task at least as large as one that found no room finds
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -74,6 +74,8 @@
         return;
     runner.used += run.room;
     m_teamUse[run.team] += run.charge;
+    if (run.isLasting)
+        m_teamLasting[run.team] += run.charge;
     m_fillingRuns += run.isFilling ? 1 : 0;
     runner.runs.emplace(key, std::move(run));
 }
@@ -85,6 +87,8 @@
         return;
     runner.used -= found->second.room;
     m_teamUse[found->second.team] -= found->second.charge;
+    if (found->second.isLasting)
+        m_teamLasting[found->second.team] -= found->second.charge;
     m_fillingRuns -= found->second.isFilling ? 1 : 0;
     runner.runs.erase(found);
 }
--- a/node/ceilingallocator.h
+++ b/node/ceilingallocator.h
@@ -6,8 +6,11 @@
 //   std::optional<Resources> limit = ceilings.limit(configuration, team);   // engine hook
 //
 // A team's part is requested when the pool first has work of the team and when the team wants more.
-// It is reduced once the team has wanted much less for a while. While the store is unavailable the
-// parts stay in force.
+// It is reduced once the team has wanted much less for a while, and as soon as another pool is seen
+// to need it. While the store is unavailable the parts stay in force.
+//
+// A pool that holds a part reads the row each second, since only the pools that hold the ceiling can
+// leave some of it to others. A pool without work of the team holds none.
 #pragma once
 
 #include "jobs/ceilingparts.h"
@@ -43,14 +46,21 @@
         bool isBusy = false;
         std::uint64_t version = 0;
         jobs::CeilingParts parts;
-        std::int64_t wanted = 0; // thousandths of the ceiling that running and waiting work needs
-        std::int64_t inUse = 0;
+        jobs::CeilingNeed need; // what running and waiting work needs now
+        std::int64_t inUse = 0; // thousandths of the ceiling
+        std::int64_t limit = 0; // thousandths up to which tasks may start
         TimePoint nextChangeAt{}; // earliest time of the next change
+        TimePoint nextCheckAt{}; // earliest time of a read in case another pool needs the part
         TimePoint surplusSince{}; // when the part began to be much larger than wanted
     };
 
     void startChange(const std::string &team, Entry &entry, TimePoint now);
     bool isChangeDue(Entry &entry, TimePoint now) const;
+    bool isSurplusDue(Entry &entry, TimePoint now) const;
+    bool isCheckDue(const Entry &entry, TimePoint now) const;
+    void updateNeed(Entry &entry, const jobs::TeamDemand &demand, const Resources &ceiling) const;
+    void updateWaiting(Entry &entry) const;
+    jobs::CeilingNeed requestedNeed(const Entry &entry) const;
     void read(const std::string &team);
     void onRead(const std::string &team, const Result<std::optional<StoreRow>> &row);
     void write(const std::string &team);
