A report without all ends ends no run

Cause: a runner lists 500 ends at a time. The runs behind these stand in neither list, and the next owner took an inherited run that a report leaves out for gone. The same holds without a takeover: a run that two reports leave out counts as lost, is stopped, and counts as gone once that is answered.

Change: a report says whether it lists all ends. While it does not, no run that it leaves out is gone or lost. The ends that it lists are acknowledged, so that the others follow.

The simulated runner now lists 500 ends, and the ledger also judges a start between an end and its acknowledgement.

Ruled out: asking the runner again at once, since it lists the same 500 until they are acknowledged.

--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -195,7 +195,7 @@
         const bool isAnswered = task == nullptr || task->runPhase == RunPhase::Running
             || task->runPhase == RunPhase::Inherited;
         const bool isLater = task != nullptr && task->startedAt >= sentAt;
-        if (reported.contains(key) || (isAnswered && isLater))
+        if (reported.contains(key) || (isAnswered && isLater) || !report.areEndsComplete)
             continue;
         if (isAnswered) {
             gone.push_back(key);
@@ -318,9 +318,12 @@
     markDirty(entry);
 }
 
-// Handles runs that may exist but are missing in the report.
+// Handles runs that may exist but are missing in the report. While the runner has more ends than it
+// lists, a missing run may have ended: its end is listed once earlier ones are acknowledged.
 void Engine::applyMissing(Runner &runner, const RunnerReport &report, TimePoint sentAt)
 {
+    if (!report.areEndsComplete)
+        return;
     std::set<RunKey> reported;
     for (const RunReport &entry : report.running)
         reported.insert({entry.task, entry.run});
@@ -345,9 +348,9 @@
         releaseRun(runner, key, "missing in the report of " + runner.entry.id);
 }
 
-// Returns whether a report without the run shows that the run does not exist and never will: either
-// its stop was answered long enough before the report, or an earlier owner ordered it, whose fence
-// the runner refuses now.
+// Returns whether a complete report without the run shows that it does not exist and never will:
+// either its stop was answered long enough before the report, or an earlier owner ordered it, whose
+// fence the runner refuses now.
 bool Engine::isKnownGone(const Run &run, const Task *task, TimePoint sentAt) const
 {
     const bool isStopped
--- a/testing/standin/runledger.cpp
+++ b/testing/standin/runledger.cpp
@@ -29,10 +29,21 @@
     }
 }
 
-void RunLedger::acknowledge(const jobs::TaskName &task, jobs::EndKind kind)
+void RunLedger::acknowledge(const jobs::RunEnd &end, bool hasLapsed)
 {
-    if (kind == jobs::EndKind::Done)
-        m_done.insert(task);
+    if (end.kind != jobs::EndKind::Done || !m_done.insert(end.task).second || hasLapsed)
+        return;
+    const auto isDoneRun = [&](const RecordedRun &run) {
+        return run.task == end.task && run.run == end.run && run.end;
+    };
+    const auto done = std::find_if(m_runs.begin(), m_runs.end(), isDoneRun);
+    const bool hasBegunAgain
+        = done != m_runs.end() && std::any_of(done, m_runs.end(), [&](const RecordedRun &run) {
+              return run.task == end.task && run.begin > *done->end;
+          });
+    if (hasBegunAgain)
+        m_violations.push_back(toString(end.task)
+                               + " began between its end as done and the acknowledgement");
 }
 
 std::vector<RecordedRun> RunLedger::runsOf(std::string_view job) const
--- a/testing/standin/runledger.h
+++ b/testing/standin/runledger.h
@@ -1,5 +1,5 @@
 // RunLedger records which task ran on which runner. It reports a violation when a task runs twice
-// at once, or runs again after its end as done was acknowledged.
+// at once, or runs again after its end as done, if that end was acknowledged then or later.
 #pragma once
 
 #include "jobs/runner.h"
@@ -29,8 +29,9 @@
 public:
     void begin(RecordedRun run);
     void end(const jobs::TaskName &task, std::uint64_t run, std::string_view how, TimePoint now);
-    // Records that the end was acknowledged. A task acknowledged as done must not run again.
-    void acknowledge(const jobs::TaskName &task, jobs::EndKind kind);
+    // Records that the end was acknowledged. A task acknowledged as done must not run again, nor
+    // have begun again since that end, unless the runner's lease lapsed between the two.
+    void acknowledge(const jobs::RunEnd &end, bool hasLapsed);
 
     const std::vector<RecordedRun> &runs() const { return m_runs; }
     std::vector<RecordedRun> runsOf(std::string_view job) const;
--- a/testing/standin/simulatedrunner.cpp
+++ b/testing/standin/simulatedrunner.cpp
@@ -130,7 +130,7 @@
     if (until > m_until)
         m_until = std::min(until, clock(now) + MaxLease.count() / 1'000);
     while (!m_ends.empty() && m_ends.front().number <= seenEnds) {
-        m_ledger.acknowledge(m_ends.front().task, m_ends.front().kind);
+        m_ledger.acknowledge(m_ends.front(), m_ends.front().number <= m_endsBeforeLapse);
         m_ends.pop_front();
     }
     jobs::RunnerReport report{.clock = clock(now), .bornAt = m_bornAt};
@@ -140,7 +140,9 @@
                                   .percent = percentOf(run, now),
                                   .measurement = tailLatencyOf(run)});
     }
-    report.ends.assign(m_ends.begin(), m_ends.end());
+    const std::size_t reported = std::min(m_ends.size(), MaxReportedEnds);
+    report.ends.assign(m_ends.begin(), m_ends.begin() + std::ptrdiff_t(reported));
+    report.areEndsComplete = reported < MaxReportedEnds;
     return report;
 }
 
@@ -171,6 +173,8 @@
 void SimulatedRunner::advance(TimePoint now)
 {
     const bool hasLapsed = clock(now) > m_until;
+    if (hasLapsed)
+        m_endsBeforeLapse = m_endCount;
     std::vector<Running> remaining;
     for (Running &run : m_runs) {
         if (run.stopsAt && now >= *run.stopsAt)
@@ -193,6 +197,7 @@
     m_ends.clear();
     m_highestRun.clear();
     m_endCount = 0;
+    m_endsBeforeLapse = 0;
     m_fence = 0;
     m_until = 0;
     m_startedAt = now;
--- a/testing/standin/simulatedrunner.h
+++ b/testing/standin/simulatedrunner.h
@@ -26,6 +26,7 @@
     static constexpr Duration StopTime = std::chrono::milliseconds(100);
     static constexpr Duration SettleTime = std::chrono::milliseconds(300);
     static constexpr Duration MaxLease = std::chrono::seconds(10);
+    static constexpr std::size_t MaxReportedEnds = 500; // A report holds the first ones.
 
     struct Start
     {
@@ -102,6 +103,7 @@
     std::vector<Running> m_runs;
     std::deque<jobs::RunEnd> m_ends;
     std::uint64_t m_endCount = 0;
+    std::uint64_t m_endsBeforeLapse = 0; // Number of ends before the lease lapsed last.
     // Highest run that was stopped or has ended here.
     std::map<jobs::TaskName, std::uint64_t> m_highestRun;
     bool m_isFailing = false;
--- a/testing/unit/runnerclient_test.cpp
+++ b/testing/unit/runnerclient_test.cpp
@@ -111,6 +111,21 @@
     }
 }
 
+// A row that can't be read is one of the 500 that a runner lists at a time.
+TEST_F(RunnerClientTest, FullListOfEndsIsNotComplete)
+{
+    for (const int count : {0, 499, 500}) {
+        json ends = json::array();
+        for (int i = 1; i <= count; ++i)
+            ends.push_back({i, "5c0e7a21d94b36f8.0.0." + std::to_string(i), 1, "done", ""});
+        if (count > 0)
+            ends[0] = "unreadable";
+        renew();
+        answer(200, {{"clock_ms", OldClock}, {"born", FirstLife}, {"ended", ends}});
+        EXPECT_EQ(renewed.report.areEndsComplete, count < 500) << count;
+    }
+}
+
 // Answers on different connections may overtake each other.
 TEST_F(RunnerClientTest, LateAnswerOfAnEarlierLifeSetsNoClock)
 {
