A host that one read of the list leaves out is not gone

Found by reading, not seen: the list of hosts comes in pages that are not read at one moment, and a host that it left out once counted as gone.

Change: a host is gone once two reads in a row have left it out, and a wave completes after two reads.

--- a/node/fleetowner.cpp
+++ b/node/fleetowner.cpp
@@ -160,7 +160,8 @@
                 load(number);
             continue;
         }
-        const bool hasAll = !m_hosts.empty() && remainingHosts(wave.state, m_hosts).empty();
+        const bool hasAll = m_listing.isSettled() && !m_listing.hosts().empty()
+            && remainingHosts(wave.state, m_listing.hosts()).empty();
         if (hasAll && !wave.isCompleted) {
             wave.isCompleted = true;
             wave.isDirty = true;
@@ -241,12 +242,12 @@
 
 void FleetOwner::onHosts(const std::vector<FleetHost> &hosts, TimePoint askedAt)
 {
-    m_hosts = hosts;
+    m_listing.replace(hosts);
     m_hostsAt = askedAt;
     finishOperations(askedAt);
 }
 
-// An operation is over when its host is up with another runner, or is no longer listed.
+// An operation is over when its host is up with another runner, or is gone.
 void FleetOwner::finishOperations(TimePoint askedAt)
 {
     for (auto next = m_operations.begin(); next != m_operations.end();) {
@@ -264,9 +265,10 @@
 
 const FleetHost *FleetOwner::findHost(const std::string &name) const
 {
-    const auto found = std::find_if(m_hosts.begin(), m_hosts.end(),
+    const std::vector<FleetHost> &hosts = m_listing.hosts();
+    const auto found = std::find_if(hosts.begin(), hosts.end(),
                                     [&](const FleetHost &host) { return host.name == name; });
-    return found != m_hosts.end() ? &*found : nullptr;
+    return found != hosts.end() ? &*found : nullptr;
 }
 
 void FleetOwner::askDemands()
@@ -306,10 +308,10 @@
 void FleetOwner::plan()
 {
     const TimePoint now = BootClock::now();
-    if (m_hosts.empty() || m_hostsAt + MaxObservationAge < now)
+    if (m_listing.hosts().empty() || m_hostsAt + MaxObservationAge < now)
         return;
     std::map<std::string, HostOperation> operations = operationsInProgress();
-    const FleetView view{.hosts = m_hosts, .pools = m_pools, .operations = operations};
+    const FleetView view{.hosts = m_listing.hosts(), .pools = m_pools, .operations = operations};
     std::map<std::uint64_t, WaveState> waves;
     for (const auto &[number, wave] : m_waves) {
         if (wave.isLoaded && !wave.isCompleted)
@@ -322,7 +324,7 @@
     operations = operationsInProgress();
     FleetView movesView = view;
     for (const auto &[number, wave] : waves) {
-        const std::vector<std::string> remaining = remainingHosts(wave, m_hosts);
+        const std::vector<std::string> remaining = remainingHosts(wave, m_listing.hosts());
         movesView.due.insert(remaining.begin(), remaining.end());
     }
     const std::vector<HostOperation> moves = planMoves(movesView, m_context.weights, {});
@@ -337,7 +339,7 @@
 {
     std::map<std::string, std::uint32_t> present;
     std::map<std::string, std::uint32_t> incoming;
-    for (const FleetHost &host : m_hosts) {
+    for (const FleetHost &host : m_listing.hosts()) {
         const auto active = m_operations.find(host.name);
         if (active == m_operations.end())
             ++present[host.pool];
--- a/node/fleetowner.h
+++ b/node/fleetowner.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "fleet/fleetplanner.h"
+#include "fleet/hostlisting.h"
 #include "gen/node_types.h"
 #include "net/timer.h"
 #include "node/decisionlog.h"
@@ -115,7 +116,7 @@
     FleetContext &m_context;
     std::uint64_t m_epoch;
     std::map<std::uint64_t, Wave> m_waves;
-    std::vector<FleetHost> m_hosts;
+    HostListing m_listing;
     TimePoint m_hostsAt{};
     std::map<std::string, FleetPool> m_pools;
     std::map<std::string, TimePoint> m_demandAt; // time of the last demand answer by pool
