Small changes of a pool's need for a ceiling are not written

Needs change with each task, and each read of the row would write it. The row is written when the part, the owner, the least part or a need by more than 100 thousandths changes, or when the pool has become short or is so no more.

--- a/jobs/ceilingparts.cpp
+++ b/jobs/ceilingparts.cpp
@@ -147,6 +147,16 @@
     return parts.pools.contains(pool) ? std::min(parts.of(pool), shareOf(parts, pool)) : 0;
 }
 
+bool isWorthWriting(const CeilingPart &old, const CeilingPart &next)
+{
+    constexpr std::int64_t Step = 100; // Thousandths; smaller changes of a need are not told.
+    const auto isFar = [](std::int64_t a, std::int64_t b) { return a > b + Step || b > a + Step; };
+    return old.part != next.part || old.epoch != next.epoch || old.isShort() != next.isShort()
+        || old.need.least != next.need.least || old.need.waitingSince != next.need.waitingSince
+        || old.need.lasting != next.need.lasting || isFar(old.need.needed, next.need.needed)
+        || isFar(old.need.wanted, next.need.wanted);
+}
+
 std::string encodeCeilingParts(const CeilingParts &parts)
 {
     json document = json::object();
--- a/jobs/ceilingparts.h
+++ b/jobs/ceilingparts.h
@@ -81,6 +81,10 @@
 // needs is now if that is less. The part follows once tasks have ended.
 std::int64_t limitOf(const CeilingParts &parts, const std::string &pool);
 
+// Returns whether the pool's new entry tells the other pools enough more than the old one to be
+// written: another part, an owner that has claimed it, or a need that changes their shares.
+bool isWorthWriting(const CeilingPart &old, const CeilingPart &next);
+
 std::string encodeCeilingParts(const CeilingParts &parts);
 // Returns RowMalformed if `bytes` were not written by encodeCeilingParts().
 Result<CeilingParts> parseCeilingParts(std::string_view bytes);
--- a/node/ceilingallocator.cpp
+++ b/node/ceilingallocator.cpp
@@ -213,10 +213,13 @@
     const std::optional<jobs::CeilingParts> next = isUnused
         ? entry.parts
         : jobs::adjusted(entry.parts, m_pool, m_epoch, requestedNeed(entry), entry.inUse);
-    if (!next || (*next == entry.parts && !entry.isInDoubt)) {
+    const bool isWritten = next
+        && (entry.isInDoubt
+            || (!isUnused && isWorthWriting(entry.parts.pools[m_pool], next->pools.at(m_pool))));
+    if (!isWritten) {
         entry.isBusy = false;
         entry.isClaimed = next.has_value();
-        entry.limit = jobs::limitOf(entry.parts, m_pool);
+        entry.limit = next ? jobs::limitOf(*next, m_pool) : 0;
         return;
     }
     const StoreKey key = rowKey(team);
--- a/testing/unit/ceilingparts_test.cpp
+++ b/testing/unit/ceilingparts_test.cpp
@@ -158,6 +158,23 @@
     EXPECT_EQ(limitOf(parts, "depotline"), 0);
 }
 
+// Needs change with each task. The row is written only when others would divide it otherwise.
+TEST(CeilingParts, SmallChangesOfANeedAreNotWritten)
+{
+    const CeilingPart old{.epoch = 1, .part = 500, .need = {.wanted = 900, .needed = 450}};
+    const auto isWritten = [&](const CeilingNeed &need, std::int64_t part = 500) {
+        return isWorthWriting(old, {.epoch = 1, .part = part, .need = need});
+    };
+    EXPECT_FALSE(isWritten({.wanted = 850, .needed = 480}));
+    EXPECT_TRUE(isWritten({.wanted = 850, .needed = 520})); // The pool is short now.
+    EXPECT_TRUE(isWritten({.wanted = 850, .needed = 300}));
+    EXPECT_TRUE(isWritten({.wanted = 500, .needed = 450}));
+    EXPECT_TRUE(isWritten({.wanted = 900, .needed = 450, .lasting = 10}));
+    EXPECT_TRUE(isWritten({.wanted = 900, .needed = 450, .least = 80, .waitingSince = 5}));
+    EXPECT_TRUE(isWritten(old.need, 400));
+    EXPECT_TRUE(isWorthWriting(old, {.epoch = 2, .part = 500, .need = old.need}));
+}
+
 TEST(CeilingParts, RowOfAnEarlierVersionIsRead)
 {
     const CeilingParts parts = parseCeilingParts(R"({"vanload":[3,250,400]})").value();
