A submission to a queue that was removed meanwhile is refused at once

Since queues have homes, an owner whose configuration has dropped the queue answers that it is sent elsewhere, and the relay went on until the deadline. It now asks where this node's configuration sends the queue, and answers queue-unknown if nowhere. Whether a former pool may know jobs of a queue is told in O(queues + jobs) instead of O(queues x jobs).

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -6,6 +6,7 @@
 #include "jobs/engine.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace sequoiapier::jobs {
@@ -131,10 +132,12 @@
 
 bool Engine::hasJobs(std::string_view queue) const
 {
-    return std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto &item) {
-        const Job &job = item.second.job;
-        return job.queue == queue || queueOf(job) == nullptr;
-    });
+    std::unordered_set<std::string_view> others;
+    for (const QueueConfig &config : m_configuration.queues)
+        others.insert(config.name);
+    others.erase(queue);
+    return std::any_of(m_jobs.begin(), m_jobs.end(),
+                       [&](const auto &item) { return !others.contains(item.second.job.queue); });
 }
 
 bool Engine::isDurable(std::string_view job) const
--- a/node/jobrelay.cpp
+++ b/node/jobrelay.cpp
@@ -16,6 +16,13 @@
 constexpr Duration AttemptTimeout = milliseconds(900); // a slow store takes a third of a second
 constexpr Duration AnswerMargin = milliseconds(150); // time left before the caller's deadline
 
+api::JobReply replyOf(ResultCode code)
+{
+    api::JobReply reply;
+    reply.code = std::int32_t(code);
+    return reply;
+}
+
 // Returns whether the queue is sent to another pool by a configuration that the owner or this node
 // does not have yet.
 bool isSentElsewhere(const api::JobReply &reply)
@@ -72,10 +79,9 @@
         return;
     if (now >= call->deadline) {
         call->mayBeAccepted = call->mayBeAccepted || call->isHandledLocally;
-        api::JobReply reply;
-        reply.code = std::int32_t(call->mayBeAccepted ? ResultCode::OutcomeUnknown
-                                                      : ResultCode::NoUpstream);
-        finish(call, reply);
+        finish(call,
+               call->mayBeAccepted ? replyOf(ResultCode::OutcomeUnknown)
+                                   : replyOf(ResultCode::NoUpstream));
         return;
     }
     const std::optional<Endpoint> owner = m_hooks.findOwner(call->call.pool);
@@ -107,10 +113,14 @@
         = reply != nullptr ? reply->code == std::int32_t(ResultCode::OutcomeUnknown) : isSent;
     call->mayBeAccepted = call->mayBeAccepted || isUnknown;
     if (reply != nullptr && isSentElsewhere(*reply)) {
+        call->call.pool = m_hooks.findPool(call->call.queue);
+        if (call->call.pool.empty()) {
+            finish(call,
+                   call->mayBeAccepted ? replyOf(ResultCode::OutcomeUnknown)
+                                       : replyOf(ResultCode::QueueUnknown));
+            return;
+        }
         call->mayBeAccepted = true; // The other pool may know the job.
-        const std::string pool = m_hooks.findPool(call->call.queue);
-        if (!pool.empty())
-            call->call.pool = pool;
     }
     if (reply != nullptr && isFinal(*reply)) {
         finish(call, *reply);
--- a/node/jobrelay.h
+++ b/node/jobrelay.h
@@ -6,7 +6,8 @@
 //   relay.call(jobCall, deadline, [](const api::JobReply &reply) { ... });
 //
 // If no owner has answered by the deadline, the reply is NoUpstream if none can have accepted the
-// call and OutcomeUnknown if one may have.
+// call and OutcomeUnknown if one may have. A call about a queue that has been sent to another pool
+// meanwhile goes on there; the reply is QueueUnknown if the queue has been removed.
 #pragma once
 
 #include "gen/node_types.h"
