--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -147,8 +147,8 @@
     std::int64_t bornAt = 0;
     std::vector<RunReport> running;
     std::vector<RunEnd> ends;
-    // False if the runner may have counted more ends than it lists. A run that the report leaves out
-    // may then have ended in any way.
+    // False if the runner may have counted more ends than it lists. A run that the report leaves
+    // out may then have ended in any way.
     bool areEndsComplete = true;
 };
 
--- a/node/ceilingallocator.h
+++ b/node/ceilingallocator.h
@@ -9,8 +9,8 @@
 // It is reduced once the team has wanted much less for a while, and as soon as another pool is seen
 // to need it. While the store is unavailable the parts stay in force.
 //
-// A pool that holds a part reads the row each second, since only the pools that hold the ceiling can
-// leave some of it to others. A pool without work of the team holds none.
+// A pool that holds a part reads the row each second, since only the pools that hold the ceiling
+// can leave some of it to others. A pool without work of the team holds none.
 #pragma once
 
 #include "jobs/ceilingparts.h"
