--- a/jobs/ceilingparts.cpp
+++ b/jobs/ceilingparts.cpp
@@ -104,6 +104,11 @@
         ->share;
 }
 
+std::int64_t numberAt(const json &row, std::size_t index, std::int64_t fallback)
+{
+    return index < row.size() ? row.at(index).get<std::int64_t>() : fallback;
+}
+
 CeilingNeed bounded(const CeilingNeed &need)
 {
     const auto clamp
@@ -177,17 +182,14 @@
     CeilingParts parts;
     try {
         for (const auto &[pool, row] : document.items()) {
-            const auto field = [&row](std::size_t index, std::int64_t fallback) {
-                return index < row.size() ? row.at(index).get<std::int64_t>() : fallback;
-            };
             const auto wanted = row.at(2).get<std::int64_t>();
             parts.pools[pool] = {.epoch = row.at(0).get<std::uint64_t>(),
                                  .part = row.at(1).get<std::int64_t>(),
                                  .need = {.wanted = wanted,
-                                          .needed = field(3, wanted),
-                                          .least = field(4, 0),
-                                          .lasting = field(5, 0),
-                                          .waitingSince = field(6, 0)}};
+                                          .needed = numberAt(row, 3, wanted),
+                                          .least = numberAt(row, 4, 0),
+                                          .lasting = numberAt(row, 5, 0),
+                                          .waitingSince = numberAt(row, 6, 0)}};
         }
     } catch (const json::exception &exception) {
         return Error{ResultCode::RowMalformed, exception.what()};
--- a/testing/process/sharedceiling_test.cpp
+++ b/testing/process/sharedceiling_test.cpp
@@ -2,6 +2,8 @@
 // tasks that wait, some pool must get a part of use, or nothing of the team starts at all.
 #include "testing/process/platformtest.h"
 
+#include <algorithm>
+
 namespace sequoiapier {
 namespace {
 
@@ -69,18 +71,18 @@
 // A third of the ceiling is 8 cores, and each task takes 10.
 TEST_F(SharedCeiling, JobsOfAllPoolsEndThoughNoTaskFitsIntoAnEvenPart)
 {
-    std::vector<std::string> paths;
-    for (const std::string &service : Services)
-        paths.push_back(submit(service, 2, 10, 300));
+    std::vector<std::string> paths(Services.size());
+    std::transform(Services.begin(), Services.end(), paths.begin(),
+                   [&](const std::string &service) { return submit(service, 2, 10, 300); });
     expectCompleted(paths);
 }
 
 // The members of a gang start together or not at all, so that a part for one of them is of no use.
 TEST_F(SharedCeiling, GangsOfAllPoolsEndThoughEachTakesMostOfTheCeiling)
 {
-    std::vector<std::string> paths;
-    for (const std::string &service : Services)
-        paths.push_back(submit(service, 2, 8, 300, true));
+    std::vector<std::string> paths(Services.size());
+    std::transform(Services.begin(), Services.end(), paths.begin(),
+                   [&](const std::string &service) { return submit(service, 2, 8, 300, true); });
     expectCompleted(paths);
 }
 
