--- a/jobs/ceilingparts.cpp
+++ b/jobs/ceilingparts.cpp
@@ -54,14 +54,13 @@
 // Divides the ceiling by max-min shares, but gives no pool less than its claim's least.
 void shareNeeds(std::vector<Claim> &claims)
 {
-    std::vector<Claim *> open;
-    for (Claim &claim : claims)
-        open.push_back(&claim);
+    std::vector<Claim *> open(claims.size());
+    std::transform(claims.begin(), claims.end(), open.begin(), [](Claim &claim) { return &claim; });
     std::int64_t left = WholeCeiling;
     for (bool isSettled = false; !isSettled;) {
-        std::vector<ShareDemand> demands;
-        for (const Claim *claim : open)
-            demands.push_back({.wanted = claim->most});
+        std::vector<ShareDemand> demands(open.size());
+        std::transform(open.begin(), open.end(), demands.begin(),
+                       [](const Claim *claim) { return ShareDemand{.wanted = claim->most}; });
         const std::vector<std::int64_t> shares = maxMinShare(left, demands);
         for (std::size_t i = 0; i < open.size(); ++i)
             open[i]->share = shares[i];
--- a/testing/unit/engine_test.cpp
+++ b/testing/unit/engine_test.cpp
@@ -570,9 +570,9 @@
     EXPECT_EQ(pool.ledger().runsOf("a").size(), 1U);
 }
 
-// Under any mix of lost and late calls, crashes, unreachable runners, store outages and new owners,
-// no task runs twice at once or again after its end was acknowledged, and all jobs end once the
-// faults stop.
+// Under any mix of lost and late calls, crashes, restarts between two calls, unreachable runners,
+// store outages and new owners, no task runs twice at once or again after its end was acknowledged,
+// and all jobs end once the faults stop.
 RC_GTEST_PROP(EngineProperty, NoFaultMakesATaskRunTwice, ())
 {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
@@ -592,7 +592,7 @@
                 accepted.insert(id);
         }
         const int runner = *rc::gen::inRange(0, 4);
-        switch (*rc::gen::inRange(0, 6)) {
+        switch (*rc::gen::inRange(0, 7)) {
         case 0:
             pool.crash(runner);
             break;
@@ -608,6 +608,9 @@
         case 4:
             pool.setStoreDown(*rc::gen::arbitrary<bool>());
             break;
+        case 5:
+            pool.restart(runner);
+            break;
         default:
             break;
         }
