The wait for the longest lease ends when its runner has left the live list

Change: where it is only possible that a run holds the longest lease (a start without an answer, a run of an earlier owner), the owner waits for it while the live list has the runner. A runner that is listed no more is gone, and the lease that was meant is waited for, as before.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -48,7 +48,7 @@
 
 // The runners of the earlier owner's runs have not been asked yet. Until they answer with this
 // owner's fence, the runs may go on for as long as the earlier owner renewed them. How the earlier
-// owner's starts were answered is not known, so that the longest lease is assumed.
+// owner's starts were answered is not known, so that the longest lease is possible.
 void Engine::load(std::vector<Job> jobs, TimePoint now)
 {
     for (Job &job : jobs) {
@@ -74,7 +74,8 @@
         Runner &runner = m_runners[task.runner];
         runner.entry.id = task.runner;
         addRun(runner, makeRun(job, name, task.run));
-        extendLease(runner, m_options.maxLease, now);
+        extendLease(runner, m_options.lease, now);
+        runner.runs.at({name, task.run}).leaseEnd = leaseEnd(m_options.maxLease, now);
     });
 }
 
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -168,6 +168,10 @@
     }
 }
 
+// A run may hold a longer lease than was meant if its start reached another incarnation of the
+// runner, which the live list then shows. A runner that is not listed any more is gone, so that
+// only the leases that were meant are waited for: the tasks of a crashed runner would else wait for
+// as long as owners change.
 void Engine::releaseExpiredRuns(TimePoint now)
 {
     for (auto &[id, runner] : m_runners) {
@@ -175,7 +179,7 @@
             continue;
         std::vector<RunKey> expired;
         for (const auto &[key, run] : runner.runs) {
-            if (now > run.leaseEnd)
+            if (now > run.leaseEnd || !runner.isListed)
                 expired.push_back(key);
         }
         for (const RunKey &key : expired)
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -261,9 +261,12 @@
     if (report.bornAt > runner.bornAt) {
         // Calls of an earlier owner, or calls meant for an earlier incarnation, may have set a
         // longer lease than this owner sends.
-        extendLease(runner, m_options.maxLease, now);
-        if (runner.bornAt != 0)
+        for (auto &[key, run] : runner.runs)
+            run.leaseEnd = leaseEnd(m_options.maxLease, now);
+        if (runner.bornAt != 0) {
+            extendLease(runner, m_options.maxLease, now);
             onRunnerRestart(runner, report, sentAt);
+        }
         runner.bornAt = report.bornAt;
     }
     runner.answeredAt = std::max(runner.answeredAt, now);
--- a/testing/unit/enginelease_test.cpp
+++ b/testing/unit/enginelease_test.cpp
@@ -103,6 +103,19 @@
     expectMovedWithoutOverlap();
 }
 
+// A runner that is not listed any more is gone. The next owner waits for the lease that was meant,
+// since each owner begins the wait anew.
+TEST_F(EngineLease, NextOwnerWaitsNoLongerThanMeantForARunnerThatIsGone)
+{
+    submitLastingTask();
+    cutFirstRunner();
+    m_pool.setListed(0, false);
+    m_pool.replaceOwner(milliseconds(200));
+    m_pool.run(seconds(6));
+    EXPECT_EQ(m_pool.ledger().runsOf("a").size(), 2U) << m_pool.trace();
+    EXPECT_EQ(m_pool.violations(), "") << m_pool.trace();
+}
+
 // The restart is listed before the owner has asked the runner, as its call is still under way.
 TEST_F(EngineLease, NothingIsStartedOnAListedLifeThatHasNotReported)
 {
