An accepted job keeps its attempts, priority and objective

Cause: the engine looked the queue of a running job up in the newest configuration, and gave one attempt to jobs of a queue that was not there. Such jobs also overtook all others, asked for all their hosts at once and were started without their policy's advice; what exceeded its team's share was forgotten by the next owner.

Change: JobTerms are taken from the queue at acceptance, stored with the job's specification, and all that the engine reads. Advice follows newer configurations that have the queue, since runners refuse what the policy in force does not allow. Rows of the release before are read; they have no terms.

Why this holds: the row with the terms is written before the 200 to the submission, and is read by every owner of the pool; no other code decides about a running job by its queue's configuration.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -5,6 +5,8 @@
 // (advice of policies).
 #include "jobs/engine.h"
 
+#include "jobs/specrow.h"
+
 #include <algorithm>
 #include <unordered_set>
 #include <utility>
@@ -24,20 +26,18 @@
 void Engine::setConfiguration(const Configuration &configuration)
 {
     m_configuration = configuration;
-    m_hasAdvisedQueues = std::any_of(configuration.queues.begin(), configuration.queues.end(),
-                                     [](const QueueConfig &queue) { return queue.needsAdvice; });
+    m_hasAdvisedJobs = false;
+    for (const auto &[id, live] : m_live)
+        followAdvicePolicy(live->job);
 }
 
-const QueueConfig *Engine::queueOf(const Job &job) const
+// Jobs of a queue that the configuration doesn't have keep the policy that they know.
+void Engine::followAdvicePolicy(Job &job)
 {
-    return m_configuration.findQueue(job.queue);
-}
-
-// Jobs of a queue that a newer configuration has removed get one attempt for each task.
-std::uint32_t Engine::maxAttempts(const Job &job) const
-{
-    const QueueConfig *queue = queueOf(job);
-    return queue != nullptr ? std::max(queue->maxAttempts, 1U) : 1U;
+    const QueueConfig *queue = m_configuration.findQueue(job.queue);
+    if (queue != nullptr)
+        job.terms.advice = termsOf(*queue).advice;
+    m_hasAdvisedJobs = m_hasAdvisedJobs || job.terms.advice.isNeeded;
 }
 
 void Engine::note(std::string_view event, const TaskName &task, std::string_view detail) const
@@ -62,8 +62,10 @@
         entry.job = std::move(job);
         const std::string id = entry.job.id;
         Entry &stored = m_jobs.insert_or_assign(id, std::move(entry)).first->second;
-        if (!stored.job.hasEnded())
+        if (!stored.job.hasEnded()) {
             m_live[id] = &stored;
+            followAdvicePolicy(stored.job);
+        }
         adoptPlacedRuns(stored.job, now);
     }
 }
@@ -90,8 +92,12 @@
     entry.job.spec = std::move(request.spec);
     entry.job.acceptedAt = m_hooks.wallMilliseconds();
     entry.arrivedAt = now;
+    const QueueConfig *queue = m_configuration.findQueue(entry.job.queue);
+    if (queue != nullptr)
+        entry.job.terms = termsOf(*queue);
     const TeamConfig *team = m_configuration.findTeam(entry.job.team);
-    entry.isBeyondShare = team != nullptr && !m_shares.take(team->name, team->share, now);
+    entry.job.terms.isBeyondShare = team != nullptr && !m_shares.take(team->name, team->share, now);
+    m_hasAdvisedJobs = m_hasAdvisedJobs || entry.job.terms.advice.isNeeded;
     entry.isSpecDirty = true;
     Entry &stored = m_jobs.emplace(request.id, std::move(entry)).first->second;
     m_live[request.id] = &stored;
@@ -99,7 +105,8 @@
     markDirty(stored);
     note("job.taken", {.job = request.id},
          stored.job.queue + ": " + summary(stored.job.spec)
-             + (stored.isBeyondShare ? ", exceeds the share of team " + stored.job.team : ""));
+             + (stored.job.terms.isBeyondShare ? ", exceeds the share of team " + stored.job.team
+                                               : ""));
     return SubmitVerdict::Accepted;
 }
 
@@ -194,7 +201,7 @@
         if (!entry.isRemoved) {
             const bool isSpecNeeded = !entry.job.hasEnded();
             if (std::exchange(entry.isSpecDirty, false) && isSpecNeeded) {
-                change.spec = encodeJobSpec(entry.job.spec);
+                change.spec = encodeSpecRow(entry.job.spec, entry.job.terms);
                 bytes += change.spec->size();
                 entry.hasSpecRow = true;
             }
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -192,6 +192,7 @@
 
     Engine(Options options, Hooks hooks);
 
+    // Sets the newest configuration. Accepted jobs keep their terms.
     void setConfiguration(const Configuration &configuration);
     void load(std::vector<Job> jobs, TimePoint now);
 
@@ -267,7 +268,6 @@
         bool isStateDirty = false;
         bool isWriting = false; // True while a batch with this job is being written.
         bool isRemoved = false;
-        bool isBeyondShare = false; // True if the job exceeded its team's share when it arrived.
         // True once a stalled task of the job has been counted against a runner.
         bool hasCountedStall = false;
         TimePoint arrivedAt{};
@@ -306,8 +306,7 @@
     }
     void markDirty(Entry &entry);
     void note(std::string_view event, const TaskName &task, std::string_view detail = {}) const;
-    const QueueConfig *queueOf(const Job &job) const;
-    std::uint32_t maxAttempts(const Job &job) const;
+    void followAdvicePolicy(Job &job);
 
     bool isStartValid(const StartOrder &start, TimePoint now);
     bool isHeld(const Runner &runner, TimePoint now) const;
@@ -383,7 +382,7 @@
     AdviceBoard m_advice;
     WorkerQuarantine m_quarantine; // Runners by identifier.
     TimePoint m_nextQuarantineUpdate{};
-    bool m_hasAdvisedQueues = false; // True if some queue's policy must be asked.
+    bool m_hasAdvisedJobs = false; // True if the policy of some job's queue must be asked.
     std::map<std::string, Entry, std::less<>> m_jobs;
     std::map<std::string, Entry *, std::less<>> m_live; // Jobs that have not ended.
     std::deque<std::string> m_dirty; // Jobs to be written, the longest waiting first.
--- a/jobs/engineadvice.cpp
+++ b/jobs/engineadvice.cpp
@@ -6,11 +6,8 @@
 
 bool Engine::hasAdvice(const Runner &runner, const Candidate &candidate, TimePoint now) const
 {
-    if (!m_hasAdvisedQueues)
-        return true;
     const Job &job = candidate.entry->job;
-    const QueueConfig *queue = queueOf(job);
-    if (queue == nullptr || !queue->needsAdvice)
+    if (!job.terms.advice.isNeeded)
         return true;
     const std::string step = stepName({job.id, candidate.occurrence, candidate.step, 0});
     return !m_advice.ticket(step, runner.entry.id, now).empty();
@@ -20,11 +17,9 @@
 // decided yet or has issued a ticket that has expired.
 void Engine::requestAdvice(const Candidate &candidate, TimePoint now)
 {
-    if (!m_hasAdvisedQueues || m_advice.hasRequest())
-        return;
     const Job &job = candidate.entry->job;
-    const QueueConfig *queue = queueOf(job);
-    if (queue == nullptr || !queue->needsAdvice)
+    const AdvicePolicy &policy = job.terms.advice;
+    if (!policy.isNeeded || m_advice.hasRequest())
         return;
     const std::string step = stepName({job.id, candidate.occurrence, candidate.step, 0});
     std::vector<std::string> open;
@@ -34,8 +29,8 @@
             open.push_back(id);
         }
     }
-    const std::int64_t timeout = queue->adviceBaseMilliseconds
-        + queue->advicePerRunnerMilliseconds * std::int64_t(open.size());
+    const std::int64_t timeout
+        = policy.baseMilliseconds + policy.perRunnerMilliseconds * std::int64_t(open.size());
     m_advice.request(step, open, std::chrono::milliseconds(timeout));
 }
 
@@ -43,12 +38,11 @@
 // advice.
 void Engine::requestAdviceAhead(TimePoint now)
 {
-    if (!m_hasAdvisedQueues)
+    if (!m_hasAdvisedJobs)
         return;
     for (const auto &[id, live] : m_live) {
         Entry &entry = *live;
-        const QueueConfig *queue = queueOf(entry.job);
-        if (queue == nullptr || !queue->needsAdvice)
+        if (!entry.job.terms.advice.isNeeded)
             continue;
         for (const auto &[number, occurrence] : entry.job.occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/jobs/enginedemand.cpp
+++ b/jobs/enginedemand.cpp
@@ -21,13 +21,11 @@
 // not ask for more hosts than a job in time, since it has lost most of its value already.
 double Engine::urgency(const Entry &entry, const StepSpec &step, TimePoint now) const
 {
-    const QueueConfig *queue = queueOf(entry.job);
-    if (queue == nullptr || step.isLasting)
+    if (step.isLasting)
         return 1;
     const double runTime = m_order.runTime(entry.job.queue, step);
     return runTime
-        / (runTime
-           + m_order.spareTime(entry.job, *queue, now + m_options.hostDelay - entry.arrivedAt));
+        / (runTime + m_order.spareTime(entry.job, now + m_options.hostDelay - entry.arrivedAt));
 }
 
 // Returns the capacity of one runner of the pool; empty if no runner is known.
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -201,10 +201,8 @@
                     continue;
                 }
                 JobOrder::Rank rank; // The default rank is for lasting tasks.
-                if (!job.spec.steps[s].isLasting) {
-                    rank = m_order.rank(job, queueOf(job), now - entry.arrivedAt,
-                                        entry.isBeyondShare);
-                }
+                if (!job.spec.steps[s].isLasting)
+                    rank = m_order.rank(job, now - entry.arrivedAt);
                 waiting.push_back({&entry, number, s, rank});
             }
         }
@@ -289,8 +287,7 @@
 {
     constexpr std::size_t MaxSizes = 8; // Bounds the search in isKnownNotToFit().
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
-    const QueueConfig *queue = queueOf(candidate.entry->job);
-    const bool isAdvised = queue != nullptr && queue->needsAdvice;
+    const bool isAdvised = candidate.entry->job.terms.advice.isNeeded;
     if (isAdvised || !step.requiredLabel.empty() || step.maxPerRunner > 0)
         return;
     std::erase_if(m_unplaced, [&](const UnplacedSize &unplaced) {
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -441,7 +441,8 @@
         task.failedRuns.push_back(run);
         markDirty(*location.entry);
     }
-    if (!location.spec->isLasting && task.failedRuns.size() >= maxAttempts(location.entry->job)) {
+    if (!location.spec->isLasting
+        && task.failedRuns.size() >= location.entry->job.terms.maxAttempts) {
         note("job.failed", name, std::to_string(task.failedRuns.size()) + " runs failed");
         endJob(*location.entry, JobPhase::Failed);
         return;
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "jobs/jobspec.h"
+#include "jobs/jobterms.h"
 #include "sequoiapier/bootclock.h"
 
 #include <cstdint>
@@ -103,6 +104,7 @@
     std::string queue;
     std::string team;
     JobSpec spec;
+    JobTerms terms;
     JobPhase phase = JobPhase::Queued;
     std::int64_t acceptedAt = 0; // Unix milliseconds.
     std::int64_t endedAt = 0; // Unix milliseconds; 0 if the job has not ended.
--- a/jobs/joborder.cpp
+++ b/jobs/joborder.cpp
@@ -65,33 +65,29 @@
 }
 
 // Returns the objective in milliseconds from the job's acceptance.
-double JobOrder::objective(const Job &job, const QueueConfig &queue) const
+double JobOrder::objective(const Job &job) const
 {
-    return queue.stretch * totalCriticalPath(job) + double(queue.objectiveMilliseconds);
+    return job.terms.stretch * totalCriticalPath(job) + double(job.terms.objectiveMilliseconds);
 }
 
-double JobOrder::slack(const Job &job, const QueueConfig &queue, Duration age) const
+double JobOrder::slack(const Job &job, Duration age) const
 {
-    return objective(job, queue) - double(age.count()) / 1000 - remainingCriticalPath(job);
+    return objective(job) - double(age.count()) / 1000 - remainingCriticalPath(job);
 }
 
-double JobOrder::spareTime(const Job &job, const QueueConfig &queue, Duration age) const
+double JobOrder::spareTime(const Job &job, Duration age) const
 {
-    const double objectiveTime = objective(job, queue);
-    const double inTime = slack(job, queue, age);
+    const double objectiveTime = objective(job);
+    const double inTime = slack(job, age);
     const double worthAnything = inTime + (m_options.lateFactor - 1) * objectiveTime;
     return inTime >= 0 ? inTime : worthAnything >= 0 ? worthAnything : objectiveTime;
 }
 
-JobOrder::Rank JobOrder::rank(const Job &job, const QueueConfig *queue, Duration age,
-                              bool isBeyondShare) const
+JobOrder::Rank JobOrder::rank(const Job &job, Duration age) const
 {
-    Rank rank{.isBeyondShare = isBeyondShare};
-    if (queue == nullptr)
-        return rank;
-    rank.priority = queue->priority;
-    const double objectiveTime = objective(job, *queue);
-    const double spare = slack(job, *queue, age);
+    Rank rank{.priority = job.terms.priority, .isBeyondShare = job.terms.isBeyondShare};
+    const double objectiveTime = objective(job);
+    const double spare = slack(job, age);
     rank.hasNoValue = spare < -(m_options.lateFactor - 1) * objectiveTime;
     rank.isLate = spare < 0;
     rank.work = rank.isLate ? -spare : remainingWork(job);
--- a/jobs/joborder.h
+++ b/jobs/joborder.h
@@ -1,7 +1,7 @@
 // JobOrder: ranks the waiting steps and estimates the run times of tasks.
 //
 //   order.recordRunTime(queue, milliseconds);        // a task has ended successfully
-//   JobOrder::Rank rank = order.rank(job, queue, age, isBeyondShare);
+//   JobOrder::Rank rank = order.rank(job, age);
 //   std::sort(steps by rank);                        // the smallest rank goes first
 //
 // A queue may ask for five times its mean for some seconds, which is more than its pool can hold.
@@ -12,7 +12,7 @@
 #pragma once
 
 #include "jobs/job.h"
-#include "sequoiapier/configuration.h"
+#include "sequoiapier/bootclock.h"
 
 #include <compare>
 #include <map>
@@ -58,17 +58,17 @@
     double remainingWork(const Job &job) const;
     // Returns how many milliseconds the job may still wait and be in time; negative if it will be
     // late. `age` is the time since the job was accepted.
-    double slack(const Job &job, const QueueConfig &queue, Duration age) const;
+    double slack(const Job &job, Duration age) const;
     // Returns how many milliseconds the job may wait before it loses value: until it would miss its
     // objective, or, if it is late, until it would have no value left. For a job without value it
     // is the job's objective.
-    double spareTime(const Job &job, const QueueConfig &queue, Duration age) const;
-    Rank rank(const Job &job, const QueueConfig *queue, Duration age, bool isBeyondShare) const;
+    double spareTime(const Job &job, Duration age) const;
+    Rank rank(const Job &job, Duration age) const;
 
 private:
     static const Occurrence *onlyOccurrence(const Job &job);
     double criticalPath(const Job &job, const Occurrence *occurrence) const;
-    double objective(const Job &job, const QueueConfig &queue) const;
+    double objective(const Job &job) const;
 
     Options m_options;
     std::map<std::string, double, std::less<>> m_runTimes; // Moving average by queue.
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -7,6 +7,7 @@
 // PlanShare of the time, so that the loop stays responsive on a host with little processor.
 #include "node/poolowner.h"
 
+#include "jobs/specrow.h"
 #include "node/evacuation.h"
 #include "platform/jsonfields.h"
 #include "sequoiapier/resultcode.h"
@@ -203,9 +204,9 @@
 
 void PoolOwner::loadJobs(const std::vector<StoreRow> &states, const std::vector<StoreRow> &specs)
 {
-    std::map<std::string, jobs::JobSpec> specsById;
+    std::map<std::string, jobs::SpecRow> specsById;
     for (const StoreRow &row : specs) {
-        Result<jobs::JobSpec> spec = jobs::parseJobSpec(row.value);
+        Result<jobs::SpecRow> spec = jobs::parseSpecRow(row.value);
         if (spec)
             specsById[row.key.key] = std::move(spec.value());
         else
@@ -213,8 +214,10 @@
     }
     std::vector<jobs::Job> loaded;
     for (const StoreRow &row : states) {
-        jobs::Job job{.id = row.key.key, .spec = specsById[row.key.key]};
+        jobs::SpecRow &spec = specsById[row.key.key];
+        jobs::Job job{.id = row.key.key, .spec = std::move(spec.spec)};
         const Result<void> parsed = jobs::parseJobState(row.value, job);
+        job.terms = spec.terms ? *spec.terms : termsInForce(job.queue);
         if (parsed && (job.hasEnded() || !job.spec.steps.empty()))
             loaded.push_back(std::move(job));
         else
@@ -231,6 +234,13 @@
     tick();
 }
 
+// Terms of a job that an earlier release has stored without them.
+jobs::JobTerms PoolOwner::termsInForce(const std::string &queue) const
+{
+    const QueueConfig *config = m_context.configuration().findQueue(queue);
+    return config != nullptr ? jobs::termsOf(*config) : jobs::JobTerms();
+}
+
 void PoolOwner::depose(std::string_view reason)
 {
     if (std::exchange(m_isDeposed, true))
@@ -339,8 +349,9 @@
         answer(reply(ResultCode::RequestMalformed));
         return;
     }
+    const std::size_t specBytes = jobs::SpecRowFrameBytes + call.spec.size();
     const std::size_t stateBytes = jobs::JobFrameBytes + jobs::occurrenceBytes(spec.value());
-    if (std::max(call.spec.size(), stateBytes) > m_context.settings.maxRowBytes) {
+    if (std::max(specBytes, stateBytes) > m_context.settings.maxRowBytes) {
         answer(reply(ResultCode::RequestTooLarge));
         return;
     }
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -104,6 +104,7 @@
     void loadStates();
     void loadSpecs(std::vector<StoreRow> states);
     void loadJobs(const std::vector<StoreRow> &states, const std::vector<StoreRow> &specs);
+    jobs::JobTerms termsInForce(const std::string &queue) const;
     void depose(std::string_view reason);
 
     void submit(const api::JobCall &call, ReplyCallback answer);
--- a/testing/standin/simulatedrunner.cpp
+++ b/testing/standin/simulatedrunner.cpp
@@ -31,7 +31,7 @@
     Running run{.start = start, .begin = now, .endsAt = now + DefaultRunTime};
     if (payload.is_object()) {
         run.endsAt = now + std::chrono::milliseconds(payload.value("runMs", 100));
-        run.willFail = payload.value("fail", false);
+        run.willFail = payload.value("fail", false) || start.run <= payload.value("failures", 0U);
         run.lasts = payload.value("lasts", false);
         run.tailLatency = payload.value("tailMs", 0U);
         run.disturbance = payload.value("disturbMs", 0U);
--- a/testing/standin/simulatedrunner.h
+++ b/testing/standin/simulatedrunner.h
@@ -2,8 +2,9 @@
 // reports the end of a run until it is acknowledged. The caller passes the time as `now`, so that
 // it works under virtual time in tests and in real time in the stand-in.
 //
-// A task's payload is JSON, all fields optional: {"runMs": 100, "fail": true, "lasts": true,
-// "tailMs": 50, "disturbMs": 80}. A task with "lasts" never ends by itself and works at its full
+// A task's payload is JSON, all fields optional: {"runMs": 100, "fail": true, "failures": 1,
+// "lasts": true, "tailMs": 50, "disturbMs": 80}. With "failures", that many first runs of each task
+// fail. A task with "lasts" never ends by itself and works at its full
 // pace after SettleTime. A serving task has a tail latency of tailMs, plus disturbMs of every
 // disturbing task, scaled by that task's pace.
 #pragma once
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -1,5 +1,7 @@
 #include "testing/support/enginepool.h"
 
+#include "jobs/specrow.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,7 @@
 
 EnginePool::EnginePool(Options options)
     : m_options(std::move(options))
+    , m_queues({m_options.queue})
     , m_random(m_options.seed)
 {
     for (int i = 0; i < m_options.runners; ++i) {
@@ -53,15 +56,15 @@
                                 },
                             .ceiling = [this](std::string_view) { return m_ceiling; },
                             .wallMilliseconds = [this] { return wallClockMilliseconds(m_time); }});
-    Configuration configuration{.version = 1};
-    configuration.queues = {m_options.queue};
-    configuration.teams = m_options.teams;
-    m_engine->setConfiguration(configuration);
+    configure();
     std::vector<jobs::Job> loaded;
     for (const auto &[id, stored] : m_storedJobs) {
         jobs::Job job{.id = id};
-        if (!stored.spec.empty())
-            job.spec = jobs::parseJobSpec(stored.spec).value();
+        if (!stored.spec.empty()) {
+            jobs::SpecRow row = jobs::parseSpecRow(stored.spec).value();
+            job.spec = std::move(row.spec);
+            job.terms = row.terms.value();
+        }
         if (jobs::parseJobState(stored.state, job))
             loaded.push_back(std::move(job));
     }
@@ -69,12 +72,28 @@
     listRunners();
 }
 
+void EnginePool::configure()
+{
+    Configuration configuration{.version = 1};
+    configuration.queues = m_queues;
+    configuration.teams = m_options.teams;
+    m_engine->setConfiguration(configuration);
+}
+
+void EnginePool::setQueues(std::vector<QueueConfig> queues)
+{
+    m_queues = std::move(queues);
+    configure();
+}
+
 jobs::SubmitVerdict EnginePool::submit(const std::string &id, jobs::JobSpec spec,
-                                       const std::string &team)
+                                       const std::string &team, const std::string &queue)
 {
-    return m_engine->submit(
-        {.id = id, .queue = m_options.queue.name, .team = team, .spec = std::move(spec)},
-        m_time.now());
+    return m_engine->submit({.id = id,
+                             .queue = queue.empty() ? m_options.queue.name : queue,
+                             .team = team,
+                             .spec = std::move(spec)},
+                            m_time.now());
 }
 
 void EnginePool::run(Duration duration)
--- a/testing/support/enginepool.h
+++ b/testing/support/enginepool.h
@@ -26,6 +26,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sequoiapier {
 
@@ -50,8 +51,11 @@
 
     explicit EnginePool(Options options);
 
+    // Submits to Options::queue if `queue` is empty.
     jobs::SubmitVerdict submit(const std::string &id, jobs::JobSpec spec,
-                               const std::string &team = "team");
+                               const std::string &team = "team", const std::string &queue = {});
+    // Changes the queues of the configuration, for this owner and the next ones.
+    void setQueues(std::vector<QueueConfig> queues);
     bool cancel(const std::string &id) { return m_engine->cancel(id); }
     std::optional<jobs::JobPhase> phaseOf(const std::string &id) const
     {
@@ -119,6 +123,7 @@
     };
 
     void makeEngine(std::uint64_t epoch);
+    void configure();
     void tick();
     void writeBatch();
     void apply(const jobs::Batch &batch);
@@ -136,6 +141,7 @@
     void recordPeakUse();
 
     Options m_options;
+    std::vector<QueueConfig> m_queues; // Queues of the newest configuration.
     VirtualTime m_time;
     RunLedger m_ledger;
     std::vector<std::unique_ptr<SimulatedRunner>> m_runners;
--- a/testing/unit/joborder_test.cpp
+++ b/testing/unit/joborder_test.cpp
@@ -11,11 +11,11 @@
 
 using std::chrono::milliseconds;
 
-const QueueConfig Queue{.name = "quotes", .stretch = 1.6, .objectiveMilliseconds = 600};
+const JobTerms Terms{.stretch = 1.6, .objectiveMilliseconds = 600};
 
 Job job(std::uint32_t width)
 {
-    Job job{.id = "a", .queue = "quotes"};
+    Job job{.id = "a", .queue = "quotes", .terms = Terms};
     job.spec.steps = {{.count = width, .size = {.processors = 3.5}}};
     job.occurrences[0] = makeOccurrence(job.spec);
     return job;
@@ -27,9 +27,7 @@
     order.recordRunTime("quotes", 1'000);
     const Job small = job(2);
     const Job large = job(20);
-    const auto rank = [&](const Job &job, int age) {
-        return order.rank(job, &Queue, milliseconds(age), false);
-    };
+    const auto rank = [&](const Job &job, int age) { return order.rank(job, milliseconds(age)); };
     EXPECT_LT(rank(small, 0), rank(large, 0));
     EXPECT_LT(rank(large, 0), rank(small, 1'500)); // The objective is 2,200 ms.
     EXPECT_LT(rank(small, 1'500), rank(small, 1'900));
@@ -42,7 +40,9 @@
     JobOrder order({});
     order.recordRunTime("quotes", 1'000);
     const auto rank = [&](int age, bool isBeyondShare) {
-        return order.rank(job(2), &Queue, milliseconds(age), isBeyondShare);
+        Job ranked = job(2);
+        ranked.terms.isBeyondShare = isBeyondShare;
+        return order.rank(ranked, milliseconds(age));
     };
     EXPECT_LT(rank(1'900, false), rank(0, true));
     EXPECT_LT(rank(0, true), rank(1'900, true));
@@ -103,8 +103,7 @@
         if (isRanked) {
             std::stable_sort(queue.begin(), queue.end(), [&](std::size_t a, std::size_t b) {
                 const auto rank = [&](std::size_t i) {
-                    return order.rank(jobs[i].job, &Queue, milliseconds(now - jobs[i].arrivedAt),
-                                      false);
+                    return order.rank(jobs[i].job, milliseconds(now - jobs[i].arrivedAt));
                 };
                 return rank(a) < rank(b);
             });
