--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -51,6 +51,7 @@
 // owner's starts were answered is not known, so that the longest lease is possible.
 void Engine::load(std::vector<Job> jobs, TimePoint now)
 {
+    m_loadedAt = now;
     for (Job &job : jobs) {
         Entry entry;
         entry.durable = job.phase;
@@ -70,6 +71,13 @@
     }
 }
 
+void Engine::setAddress(const std::string &id, const Endpoint &endpoint)
+{
+    const auto runner = m_runners.find(id);
+    if (runner != m_runners.end() && !runner->second.isListed)
+        runner->second.entry.endpoint = endpoint;
+}
+
 void Engine::adoptPlacedRuns(const Job &job, TimePoint now)
 {
     forEachPlaced(job, [&](const TaskName &name, const Task &task) {
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -195,6 +195,10 @@
     // Sets the newest configuration. Accepted jobs keep their terms.
     void setConfiguration(const Configuration &configuration);
     void load(std::vector<Job> jobs, TimePoint now);
+    // Earlier owners may renew the leases of runners that have not answered this one until then.
+    void setEarlierOwnersUntil(TimePoint until) { m_earlierOwnersUntil = until; }
+    // Sets where a runner with loaded runs is reached while the live list doesn't have it.
+    void setAddress(const std::string &runner, const Endpoint &endpoint);
 
     SubmitVerdict submit(SubmitRequest request, TimePoint now);
     // Returns false if there is no such job.
@@ -396,6 +400,8 @@
     std::map<std::string, std::deque<StartOrder>> m_starts; // Stored but unsent starts, by runner.
     bool m_hasStopRequests = false; // True if some run is to be stopped.
     std::size_t m_fillingRuns = 0; // Number of runs of filling tasks that may exist.
+    TimePoint m_loadedAt{}; // When load() was called.
+    TimePoint m_earlierOwnersUntil{};
     TimePoint m_nextRemoval{}; // When to look for expired ended jobs next.
     // Sizes for which the current plan found no runner with room.
     std::vector<UnplacedSize> m_unplaced;
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -172,14 +172,18 @@
 // runner, which the live list then shows. A runner that is not listed any more is gone, so that
 // only the leases that were meant are waited for: the tasks of a crashed runner would else wait for
 // as long as owners change.
+//
+// A runner that has not answered this owner may have answered an earlier one after the takeover.
 void Engine::releaseExpiredRuns(TimePoint now)
 {
+    const Duration grace = std::max(m_earlierOwnersUntil - m_loadedAt, Duration{});
     for (auto &[id, runner] : m_runners) {
-        if (now <= runner.leaseEnd)
+        const TimePoint unextended = runner.isFenced ? now : now - grace;
+        if (unextended <= runner.leaseEnd)
             continue;
         std::vector<RunKey> expired;
         for (const auto &[key, run] : runner.runs) {
-            if (now > run.leaseEnd || !runner.isListed)
+            if (unextended > run.leaseEnd || !runner.isListed)
                 expired.push_back(key);
         }
         for (const RunKey &key : expired)
--- a/node/fleetowner.cpp
+++ b/node/fleetowner.cpp
@@ -399,7 +399,8 @@
         return;
     if (!active.isOrderSent && now >= active.retryAt && now < active.emptyUntil && canOrder())
         order(host, active);
-    else if (!active.isEvacuationPending && now >= active.nextEvacuationCallAt)
+    else if (!active.isEvacuationPending && now >= active.nextEvacuationCallAt
+             && m_context.isOwner())
         requestEvacuation(host, active);
 }
 
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -130,17 +130,20 @@
     , m_ingress(m_relay, m_operators, m_log, daemon.metrics())
     , m_advice(daemon.httpClient(), m_settings.advice)
     , m_poolMetrics(daemon.metrics())
-    , m_poolContext{.loop = daemon.loop(),
-                    .store = m_store,
-                    .runners = m_runners,
-                    .advice = m_advice,
-                    .log = m_log,
-                    .poolMetrics = m_poolMetrics,
-                    .settings = m_settings,
-                    .isOwner = [this] { return isOwner(); },
-                    .onDeposed = [this](const std::string &pool) { release(poolResource(pool)); },
-                    .configuration
-                    = [this]() -> const Configuration & { return m_operators.configuration(); }}
+    , m_poolContext{
+          .loop = daemon.loop(),
+          .store = m_store,
+          .runners = m_runners,
+          .advice = m_advice,
+          .log = m_log,
+          .poolMetrics = m_poolMetrics,
+          .settings = m_settings,
+          .ownedUntil = [this] { return m_ownership ? m_ownership->ownedUntil() : TimePoint(); },
+          .hasEnded
+          = [this](const MemberId &member) { return m_ownership && m_ownership->hasEnded(member); },
+          .onDeposed = [this](const std::string &pool) { release(poolResource(pool)); },
+          .configuration
+          = [this]() -> const Configuration & { return m_operators.configuration(); }}
     , m_fleetContext{.loop = daemon.loop(),
                      .store = m_store,
                      .fleet = m_fleet,
@@ -327,7 +330,7 @@
     m_log.info("resource.acquired",
                {{"resource", resource.name}, {"epoch", std::to_string(resource.epoch)}});
     if (resource.name != FleetResource) {
-        acquirePool(resource.name.substr(PoolResourcePrefix.size()), resource.epoch);
+        acquirePool(resource.name.substr(PoolResourcePrefix.size()), resource);
         return;
     }
     m_fleetOwner = std::make_unique<FleetOwner>(m_fleetContext, resource.epoch);
@@ -335,9 +338,10 @@
     m_fleetOwner->start();
 }
 
-void Node::acquirePool(const std::string &pool, std::uint64_t epoch)
+void Node::acquirePool(const std::string &pool, const OwnedResource &resource)
 {
-    auto owner = std::make_unique<PoolOwner>(m_poolContext, pool, epoch);
+    auto owner
+        = std::make_unique<PoolOwner>(m_poolContext, pool, resource.epoch, resource.takenFrom);
     owner->setConfiguration(m_operators.configuration());
     owner->setRunners(m_runnerWatch.runners());
     PoolOwner &started = *owner;
--- a/node/node.h
+++ b/node/node.h
@@ -58,7 +58,7 @@
     void handleLocally(const api::JobCall &call, const JobRelay::ReplyCallback &answer);
     void send(const Endpoint &endpoint, const api::JobCall &call, TimePoint deadline,
               const JobRelay::SendCallback &sent);
-    void acquirePool(const std::string &pool, std::uint64_t epoch);
+    void acquirePool(const std::string &pool, const OwnedResource &resource);
     void evacuate(const api::EvacuationCall &call,
                   const std::function<void(const api::EvacuationReply *)> &callback);
     void demand(const api::DemandCall &call,
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -30,6 +30,8 @@
 constexpr const char *FenceKey = "owner";
 constexpr const char *SpecTable = "jobspecs";
 constexpr const char *StateTable = "jobstates";
+constexpr const char *AddressTable = "runneraddresses";
+constexpr std::size_t MaxTransactionEntries = 100;
 
 constexpr Duration StoreTimeout = milliseconds(1'000); // a slow store takes a third of a second
 constexpr Duration StoreRetry = milliseconds(100);
@@ -39,6 +41,12 @@
 constexpr Duration TickDelay = milliseconds(3); // collects events that arrive together
 constexpr int PlanShare = 5; // a plan of 1 ms is followed by 5 ms without plans
 constexpr Duration LeaseDuration = milliseconds(5'000); // outlives a takeover of about 3 s
+// Time after the node's term for which leases are still renewed. Together with a lease it is what
+// an outage of the store may last before runs end, and what the tasks of a runner that neither is
+// listed nor answers wait for after a takeover.
+constexpr Duration RenewalGrace = milliseconds(1'500);
+// Longest wait of a renewal after the node's term, so that the last one leaves a whole lease.
+constexpr Duration GraceRenewalWait = milliseconds(200);
 // Longest wait of a renewal for the end of a run.
 constexpr Duration BusyRunnerWait = milliseconds(1'000);
 constexpr Duration IdleRunnerWait = milliseconds(2'000); // longest wait that a runner accepts
@@ -73,13 +81,15 @@
 
 } // namespace
 
-PoolOwner::PoolOwner(PoolContext &context, std::string pool, std::uint64_t epoch)
+PoolOwner::PoolOwner(PoolContext &context, std::string pool, std::uint64_t epoch,
+                     std::optional<MemberId> takenFrom)
     : m_context(context)
     , m_pool(std::move(pool))
     , m_epoch(epoch)
     , m_ceilings(context.store, context.log, m_pool, epoch, [this] { requestTick(); })
     , m_homes(context.store, context.log, m_pool, [this] { resumeParkedCalls(); })
     , m_engine(engineOptions(context.settings), engineHooks())
+    , m_takenFrom(std::move(takenFrom))
     , m_claimTimer(context.loop, [this] { claim(); })
     , m_tickTimer(context.loop, [this] { tick(); })
     , m_batchTimer(context.loop, [this] { sendBatch(); })
@@ -142,6 +152,7 @@
         return;
     }
     if (!row.value()) {
+        m_wasSettled = true;
         writeClaim(0);
         return;
     }
@@ -151,8 +162,9 @@
         depose("a later owner has claimed it");
     } else if (epoch == m_epoch) { // The answer to this owner's claim was lost.
         m_fenceVersion = row.value()->version;
-        loadStates();
+        load();
     } else {
+        m_wasSettled = epoch + 1 == m_epoch && flagField(fence, "settled");
         writeClaim(row.value()->version);
     }
 }
@@ -167,7 +179,7 @@
                                    return;
                                if (commit.outcome == CommitOutcome::Committed) {
                                    m_fenceVersion = commit.version;
-                                   loadStates();
+                                   load();
                                } else {
                                    retryClaim(commit.detail);
                                }
@@ -180,28 +192,45 @@
     m_claimTimer.startAt(BootClock::now() + StoreRetry);
 }
 
-void PoolOwner::loadStates()
+// The tables may be read in any order, since no other owner writes to them after the claim.
+void PoolOwner::load()
 {
-    m_context.store.readAll(
-        {.table = StateTable, .part = m_pool}, BootClock::now() + 2 * StoreTimeout,
-        [this, guard = Guard(m_guard)](const Result<StorePage> &page) {
-            if (guard.expired())
-                return;
-            page ? loadSpecs(page.value().rows) : retryClaim(page.error().detail);
-        });
+    const auto rows = std::make_shared<PoolRows>();
+    readTable(StateTable, rows, rows->states);
+    readTable(SpecTable, rows, rows->specs);
+    readTable(AddressTable, rows, rows->addresses);
 }
 
-void PoolOwner::loadSpecs(std::vector<StoreRow> states)
+void PoolOwner::readTable(const char *table, const std::shared_ptr<PoolRows> &rows,
+                          std::vector<StoreRow> &target)
 {
+    ++rows->pendingReads;
     m_context.store.readAll(
-        {.table = SpecTable, .part = m_pool}, BootClock::now() + 2 * StoreTimeout,
-        [this, guard = Guard(m_guard), states = std::move(states)](const Result<StorePage> &page) {
+        {.table = table, .part = m_pool}, BootClock::now() + 2 * StoreTimeout,
+        [this, guard = Guard(m_guard), rows, &target](const Result<StorePage> &page) {
             if (guard.expired())
                 return;
-            page ? loadJobs(states, page.value().rows) : retryClaim(page.error().detail);
+            if (!page) {
+                if (!std::exchange(rows->hasFailed, true))
+                    retryClaim(page.error().detail);
+                return;
+            }
+            target = page.value().rows;
+            if (--rows->pendingReads == 0)
+                onLoaded(*rows);
         });
 }
 
+void PoolOwner::onLoaded(const PoolRows &rows)
+{
+    loadJobs(rows.states, rows.specs);
+    loadAddresses(rows.addresses);
+    m_isReady = true;
+    m_engine.setRunners(m_listed);
+    forgetRunners();
+    tick();
+}
+
 void PoolOwner::loadJobs(const std::vector<StoreRow> &states, const std::vector<StoreRow> &specs)
 {
     std::map<std::string, jobs::SpecRow> specsById;
@@ -229,9 +258,32 @@
                         {"epoch", std::to_string(m_epoch)},
                         {"jobs", std::to_string(loaded.size())}});
     m_engine.load(std::move(loaded), now);
-    m_isReady = true;
-    m_engine.setRunners(m_listed);
-    tick();
+    m_earlierOwnersUntil = now + RenewalGrace;
+    updateEarlierOwners(now);
+}
+
+void PoolOwner::loadAddresses(const std::vector<StoreRow> &addresses)
+{
+    for (const StoreRow &row : addresses) {
+        const Result<Endpoint> endpoint = parseEndpoint(row.value);
+        m_addresses[row.key.key] = endpoint ? endpoint.value() : Endpoint();
+        if (endpoint)
+            m_engine.setAddress(row.key.key, endpoint.value());
+    }
+}
+
+// Returns whether no earlier owner renews leases any more. The owner before this one says in the
+// fence row whether that was so of those before itself.
+bool PoolOwner::haveEarlierOwnersEnded() const
+{
+    return m_wasSettled && (!m_takenFrom || m_context.hasEnded(*m_takenFrom));
+}
+
+void PoolOwner::updateEarlierOwners(TimePoint now)
+{
+    if (now < m_earlierOwnersUntil && haveEarlierOwnersEnded())
+        m_earlierOwnersUntil = now;
+    m_engine.setEarlierOwnersUntil(m_earlierOwnersUntil);
 }
 
 // Terms of a job that an earlier release has stored without them.
@@ -370,8 +422,7 @@
         answerWhenDurable(call.job, std::move(answer));
         return;
     }
-    api::JobReply unknown
-        = reply(m_context.isOwner() ? ResultCode::NotFound : ResultCode::NotOwner);
+    api::JobReply unknown = reply(isOwner() ? ResultCode::NotFound : ResultCode::NotOwner);
     unknown.hasJobs = m_engine.hasJobs(call.queue);
     answer(unknown);
 }
@@ -383,7 +434,7 @@
         m_parked.push_back({call, std::move(answer)});
         return;
     }
-    api::JobReply counted = reply(m_context.isOwner() ? ResultCode::Ok : ResultCode::NotOwner);
+    api::JobReply counted = reply(isOwner() ? ResultCode::Ok : ResultCode::NotOwner);
     counted.waiting = m_engine.waitingCount(call.queue);
     if (known == QueueStanding::Home)
         counted.formerPools = m_homes.home(call.address).formerPools;
@@ -418,7 +469,7 @@
 {
     const bool isKnown = m_engine.cancel(call.job);
     if (!isKnown) {
-        answer(reply(m_context.isOwner() ? ResultCode::NotFound : ResultCode::NotOwner));
+        answer(reply(isOwner() ? ResultCode::NotFound : ResultCode::NotOwner));
         return;
     }
     answerWhenDurable(call.job, std::move(answer));
@@ -430,7 +481,7 @@
 {
     const std::optional<jobs::JobPhase> phase = m_engine.phaseOf(call.job);
     if (!phase) {
-        answer(reply(m_context.isOwner() ? ResultCode::NotFound : ResultCode::NotOwner));
+        answer(reply(isOwner() ? ResultCode::NotFound : ResultCode::NotOwner));
         return;
     }
     api::JobReply state = reply(ResultCode::Ok);
@@ -497,6 +548,7 @@
     if (!m_isReady)
         return;
     const TimePoint now = BootClock::now();
+    updateEarlierOwners(now);
     const bool canWrite = !m_batch && now >= m_writeDue;
     const TimePoint planDue = canWrite ? m_earliestPlan : m_latestPlan;
     if (now >= planDue)
@@ -531,42 +583,99 @@
         return;
     }
     jobs::Batch batch = m_engine.takeBatch();
-    if (batch.isEmpty())
-        return;
-    if (batch.rows.empty()) {
-        m_engine.onCommitted(batch);
+    const bool isSettling = !m_isSettled && now >= m_earlierOwnersUntil;
+    if (batch.rows.empty() && !isSettling) {
+        if (!batch.isEmpty())
+            m_engine.onCommitted(batch);
         return;
     }
-    ++m_sequence;
-    m_transaction = transactionOf(batch);
     for (Waiter &waiter : m_waiters)
         waiter.isInBatch = waiter.isInBatch || batch.phases.contains(waiter.job);
+    m_newAddresses = unstoredAddresses(batch);
     m_batch = std::move(batch);
     m_writeDue = now + BatchInterval;
-    sendBatch();
+    sendNextTransaction();
 }
 
 std::string PoolOwner::fenceValue() const
 {
-    return json{{"epoch", m_epoch}, {"sequence", m_sequence}, {"owner", m_context.settings.name}}
-        .dump();
+    json fence{{"epoch", m_epoch}, {"sequence", m_sequence}, {"owner", m_context.settings.name}};
+    if (m_isSettled)
+        fence["settled"] = true;
+    return fence.dump();
 }
 
-StoreTransaction PoolOwner::transactionOf(const jobs::Batch &batch) const
+// The addresses of the batch's runners are written with the batch, or before it if they do not fit
+// into its transaction.
+void PoolOwner::sendNextTransaction()
 {
-    StoreTransaction transaction{.expected = {{key(FenceTable, FenceKey), m_fenceVersion}},
-                                 .writes = {{key(FenceTable, FenceKey), fenceValue()}}};
-    for (const jobs::RowChange &row : batch.rows) {
+    ++m_sequence;
+    m_isSettled = m_isSettled || BootClock::now() >= m_earlierOwnersUntil;
+    m_transaction = {.expected = {{key(FenceTable, FenceKey), m_fenceVersion}},
+                     .writes = {{key(FenceTable, FenceKey), fenceValue()}}};
+    const std::size_t room
+        = MaxTransactionEntries - m_transaction.expected.size() - m_transaction.writes.size();
+    std::vector<StoreWrite> rows = jobWrites();
+    m_hasBatchRows = rows.size() + m_newAddresses.size() <= room;
+    if (m_hasBatchRows)
+        std::move(rows.begin(), rows.end(), std::back_inserter(m_transaction.writes));
+    addAddressWrites(m_hasBatchRows ? room - rows.size() : room);
+    sendBatch();
+}
+
+std::vector<StoreWrite> PoolOwner::jobWrites() const
+{
+    std::vector<StoreWrite> writes;
+    for (const jobs::RowChange &row : m_batch->rows) {
         if (row.spec)
-            transaction.writes.push_back({key(SpecTable, row.job), row.spec});
+            writes.push_back({key(SpecTable, row.job), row.spec});
         if (row.state)
-            transaction.writes.push_back({key(StateTable, row.job), row.state});
+            writes.push_back({key(StateTable, row.job), row.state});
         if (row.isSpecRemoved)
-            transaction.writes.push_back({key(SpecTable, row.job), std::nullopt});
+            writes.push_back({key(SpecTable, row.job), std::nullopt});
         if (row.isRemoved)
-            transaction.writes.push_back({key(StateTable, row.job), std::nullopt});
+            writes.push_back({key(StateTable, row.job), std::nullopt});
+    }
+    return writes;
+}
+
+// Returns the runners of the batch's starts whose addresses the store does not have.
+std::vector<std::string> PoolOwner::unstoredAddresses(const jobs::Batch &batch) const
+{
+    std::set<std::string> runners;
+    for (const jobs::StartOrder &start : batch.starts) {
+        const auto stored = m_addresses.find(start.runner);
+        const Endpoint &endpoint = m_engine.runners().at(start.runner).entry.endpoint;
+        if (stored == m_addresses.end() || stored->second != endpoint)
+            runners.insert(start.runner);
+    }
+    return {runners.begin(), runners.end()};
+}
+
+// Adds new addresses to the transaction, then the removal of those of forgotten runners, as far as
+// there is room.
+void PoolOwner::addAddressWrites(std::size_t room)
+{
+    while (!m_newAddresses.empty() && room > 0) {
+        const std::string &runner = m_newAddresses.back();
+        const auto known = m_engine.runners().find(runner);
+        if (known != m_engine.runners().end()) {
+            m_addresses[runner] = known->second.entry.endpoint;
+            m_transaction.writes.push_back(
+                {key(AddressTable, runner), toString(known->second.entry.endpoint)});
+            --room;
+        }
+        m_newAddresses.pop_back();
+    }
+    for (auto next = m_addresses.begin(); next != m_addresses.end() && room > 0;) {
+        if (m_engine.runners().contains(next->first)) {
+            ++next;
+            continue;
+        }
+        m_transaction.writes.push_back({key(AddressTable, next->first), std::nullopt});
+        next = m_addresses.erase(next);
+        --room;
     }
-    return transaction;
 }
 
 void PoolOwner::sendBatch()
@@ -603,6 +712,10 @@
 void PoolOwner::onBatchWritten(std::uint64_t version)
 {
     m_fenceVersion = version;
+    if (!m_hasBatchRows) {
+        sendNextTransaction();
+        return;
+    }
     const jobs::Batch batch = std::move(*m_batch);
     m_batch.reset();
     m_engine.onCommitted(batch);
@@ -611,8 +724,12 @@
     requestTick();
 }
 
+// Another node may own the pool after this node's term, so that orders wait until the term is
+// renewed.
 void PoolOwner::sendOrders()
 {
+    if (!isOwner())
+        return;
     for (const jobs::StartOrder &order : m_engine.takeStarts(BootClock::now()))
         sendStart(order);
     for (const jobs::StopOrder &order : m_engine.takeStops(BootClock::now()))
@@ -645,6 +762,10 @@
                             [this, guard = Guard(m_guard), order](const StartAnswer &answer) {
                                 if (guard.expired())
                                     return;
+                                if (answer.outcome == jobs::StartOutcome::Fenced) {
+                                    onFenced(order.runner);
+                                    return;
+                                }
                                 const TimePoint now = BootClock::now();
                                 if (answer.lease)
                                     m_engine.onLeaseGranted(order.runner, *answer.lease, now);
@@ -663,6 +784,10 @@
         target, order, m_epoch, [this, guard = Guard(m_guard), order](CallOutcome outcome) {
             if (guard.expired())
                 return;
+            if (outcome == CallOutcome::Fenced) {
+                onFenced(order.runner);
+                return;
+            }
             m_engine.onStopAnswer(order, outcome == CallOutcome::Answered, BootClock::now());
             if (outcome == CallOutcome::OtherIncarnation)
                 m_engine.onIncarnationOver(order.runner);
@@ -678,14 +803,30 @@
     const RunnerTarget target{order.runner, runner->second.entry.endpoint};
     m_context.runners.pace(target, order, m_epoch,
                            [this, guard = Guard(m_guard), order](CallOutcome outcome) {
-                               if (!guard.expired())
+                               if (guard.expired())
+                                   return;
+                               if (outcome == CallOutcome::Fenced)
+                                   onFenced(order.runner);
+                               else
                                    m_engine.onPaceAnswer(order, outcome == CallOutcome::Answered);
                            });
 }
 
+// Only an owner of the pool can have sent a higher fence to its runner. The store may be out of
+// this node's reach, so that it would learn of that owner late.
+void PoolOwner::onFenced(const std::string &runner)
+{
+    if (m_isDeposed)
+        return;
+    m_context.log.warn("pool.fenced", {{"pool", m_pool}, {"runner", runner}});
+    depose("a later owner has given orders to a runner");
+}
+
 void PoolOwner::renewLeases()
 {
     const TimePoint now = BootClock::now();
+    if (now >= m_context.ownedUntil() + RenewalGrace)
+        return;
     for (const auto &[id, runner] : m_engine.runners()) {
         Renewal &renewal = m_renewals[id];
         if (!runner.isListed && runner.runs.empty())
@@ -716,7 +857,8 @@
         renewal.lease = leaseDuration(m_context.settings);
         m_engine.onLeaseSent(id, now);
         if (!hasUncommittedEnds)
-            renewal.wait = renewalWait(id, runner);
+            renewal.wait = isOwner() ? renewalWait(id, runner)
+                                     : std::min(GraceRenewalWait, renewalWait(id, runner));
     }
     m_renewals[id].isInFlight = true;
     const RunnerTarget target{id, runner.entry.endpoint};
@@ -729,6 +871,10 @@
 
 void PoolOwner::onRenewed(const std::string &id, const RenewAnswer &answer, TimePoint sentAt)
 {
+    if (answer.outcome == CallOutcome::Fenced) {
+        onFenced(id);
+        return;
+    }
     const TimePoint now = BootClock::now();
     Renewal &renewal = m_renewals[id];
     renewal.isInFlight = false;
@@ -743,10 +889,6 @@
         m_engine.onIncarnationOver(id);
         renewal.dueAt = now + NoAnswerRetry;
         break;
-    case CallOutcome::Fenced:
-        m_context.log.warn("pool.fenced", {{"pool", m_pool}, {"runner", id}});
-        renewal.dueAt = now + NoAnswerRetry;
-        break;
     default:
         m_engine.onMissedCall(id);
         renewal.dueAt = now + NoAnswerRetry;
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -9,6 +9,11 @@
 // number of its last batch; each batch requires the fence row as the previous one left it. So a
 // deposed owner can write nothing, and a batch whose answer was lost can be sent again: it is in
 // force if the fence row says so. Orders to runners also carry the epoch as their fence.
+//
+// No order goes out after the node's term. Leases of runs are renewed for RenewalGrace longer, so
+// that a short outage of the store ends no run, and each owner counts that time for the runners
+// that it has not fenced. It fences runners that the live list doesn't have at their addresses,
+// which the store keeps from before the first start on a runner until the runner is forgotten.
 #pragma once
 
 #include "gen/node_types.h"
@@ -22,6 +27,7 @@
 #include "platform/nodesettings.h"
 #include "platform/runnerclient.h"
 #include "platform/storeclient.h"
+#include "sequoiapier/memberid.h"
 
 #include <functional>
 #include <map>
@@ -42,8 +48,10 @@
     DecisionLog &log;
     PoolMetrics &poolMetrics;
     const NodeSettings &settings;
-    // Returns whether no other node can own the pool now.
-    std::function<bool()> isOwner;
+    // Returns the time before which no other node can own the pool.
+    std::function<TimePoint()> ownedUntil;
+    // Returns whether the member owns nothing any more and knows it.
+    std::function<bool(const MemberId &)> hasEnded;
     // Called when another node has claimed the pool.
     std::function<void(const std::string &pool)> onDeposed;
     std::function<const Configuration &()> configuration;
@@ -54,7 +62,9 @@
 public:
     using ReplyCallback = std::function<void(const api::JobReply &)>;
 
-    PoolOwner(PoolContext &context, std::string pool, std::uint64_t epoch);
+    // `takenFrom` is the owner from which the pool was taken over without its consent.
+    PoolOwner(PoolContext &context, std::string pool, std::uint64_t epoch,
+              std::optional<MemberId> takenFrom);
     // Answers all pending calls, with NotOwner or with OutcomeUnknown if a batch may contain the
     // job.
     ~PoolOwner();
@@ -92,6 +102,15 @@
         bool isInFlight = false;
         TimePoint dueAt{};
     };
+    // The pool's rows as of its claim.
+    struct PoolRows
+    {
+        std::vector<StoreRow> states;
+        std::vector<StoreRow> specs;
+        std::vector<StoreRow> addresses;
+        int pendingReads = 0;
+        bool hasFailed = false; // A read has failed, and the claim is tried again.
+    };
     using Guard = std::weak_ptr<bool>; // expires with this object
 
     jobs::Engine::Hooks engineHooks();
@@ -101,9 +120,17 @@
     void onFenceRead(const Result<std::optional<StoreRow>> &row);
     void writeClaim(std::uint64_t version);
     void retryClaim(std::string_view reason);
-    void loadStates();
-    void loadSpecs(std::vector<StoreRow> states);
+    void load();
+    // Reads the pool's rows of a table; claims the pool again if they can't be read.
+    void readTable(const char *table, const std::shared_ptr<PoolRows> &rows,
+                   std::vector<StoreRow> &target);
+    void onLoaded(const PoolRows &rows);
     void loadJobs(const std::vector<StoreRow> &states, const std::vector<StoreRow> &specs);
+    void loadAddresses(const std::vector<StoreRow> &addresses);
+    bool isOwner() const { return BootClock::now() < m_context.ownedUntil(); }
+    bool haveEarlierOwnersEnded() const;
+    void updateEarlierOwners(TimePoint now);
+    void onFenced(const std::string &runner);
     jobs::JobTerms termsInForce(const std::string &queue) const;
     void depose(std::string_view reason);
 
@@ -122,7 +149,10 @@
     void plan(TimePoint now);
     void scheduleTick(TimePoint due);
     void writeBatch();
-    StoreTransaction transactionOf(const jobs::Batch &batch) const;
+    void sendNextTransaction();
+    std::vector<StoreWrite> jobWrites() const;
+    std::vector<std::string> unstoredAddresses(const jobs::Batch &batch) const;
+    void addAddressWrites(std::size_t room);
     std::string fenceValue() const;
     void sendBatch();
     void onBatchAnswer(const StoreCommit &commit);
@@ -151,7 +181,15 @@
     std::uint64_t m_fenceVersion = 0; // version of the fence row
     std::uint64_t m_sequence = 0; // number of the last batch
     std::optional<jobs::Batch> m_batch; // batch in flight
-    StoreTransaction m_transaction; // transaction of m_batch
+    StoreTransaction m_transaction; // transaction in flight, of m_batch or before it
+    bool m_hasBatchRows = false; // m_transaction contains the rows of m_batch
+    std::map<std::string, Endpoint> m_addresses; // addresses in the store by runner name
+    std::vector<std::string> m_newAddresses; // runners whose addresses are to be written
+    std::optional<MemberId> m_takenFrom;
+    // The fence row of the owner before said that no earlier one renewed leases any more.
+    bool m_wasSettled = false;
+    bool m_isSettled = false; // the fence row says so of this owner
+    TimePoint m_earlierOwnersUntil{}; // earlier owners may renew leases until then
     std::vector<Waiter> m_waiters;
     std::vector<ParkedCall> m_parked;
     std::map<std::string, Renewal> m_renewals; // renewals by runner name
--- a/sequoiapier/ownership.cpp
+++ b/sequoiapier/ownership.cpp
@@ -59,6 +59,11 @@
     return found != m_owners.end() ? &found->second.row : nullptr;
 }
 
+bool Ownership::hasEnded(const MemberId &member) const
+{
+    return latestIncarnation(member.name).incarnation > member.incarnation;
+}
+
 bool Ownership::ownsAny(const MemberId &member) const
 {
     return std::any_of(m_owners.begin(), m_owners.end(),
@@ -291,7 +296,13 @@
             continue;
         const std::uint64_t epoch = m_owners[resource].row.epoch;
         m_owned[resource] = epoch;
-        m_hooks.onAcquired({resource, epoch, borrowers});
+        const auto takeover = m_takeovers.find(resource);
+        const bool isTakenOver = takeover != m_takeovers.end() && takeover->second.epoch == epoch;
+        m_hooks.onAcquired(
+            {.name = resource,
+             .epoch = epoch,
+             .borrowers = borrowers,
+             .takenFrom = isTakenOver ? std::optional(takeover->second.from) : std::nullopt});
     }
 }
 
@@ -456,6 +467,8 @@
         return;
     release([&](const std::string &owned, std::uint64_t) { return owned == resource; });
     const OwnerRow changed{next, row.epoch + 1};
+    if (isTakenOver)
+        m_takeovers[resource] = {row.owner, changed.epoch};
     commit.writes.push_back({ownerKey(resource), toJson(changed), found->second.version});
 }
 
--- a/sequoiapier/ownership.h
+++ b/sequoiapier/ownership.h
@@ -19,6 +19,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -31,6 +32,9 @@
     std::string name;
     std::uint64_t epoch = 0; // 1 if no member has lent the resource before
     std::vector<MemberId> borrowers; // every member that may hold a loan of an earlier epoch
+    // The member whose row stood still, if this one took the resource over without its consent. It
+    // may not know yet that it owns nothing any more.
+    std::optional<MemberId> takenFrom;
 };
 
 class Ownership
@@ -89,6 +93,8 @@
     std::size_t ownedCount() const { return m_owned.size(); }
     // Time before which no other member takes over a resource of this one.
     TimePoint ownedUntil() const { return m_ownedUntil; }
+    // Whether a later incarnation of `member` has joined, so that this one owns nothing any more.
+    bool hasEnded(const MemberId &member) const;
     // The owner row as of the last scan; nullptr if there is none.
     const OwnerRow *ownerOf(const std::string &resource) const;
     const MemberView &members() const { return m_members; }
@@ -108,6 +114,12 @@
         std::uint64_t version = 0; // version of the table row
     };
 
+    struct Takeover
+    {
+        MemberId from;
+        std::uint64_t epoch = 0; // epoch of the resource after the takeover
+    };
+
     using IsLost = std::function<bool(const std::string &resource, std::uint64_t epoch)>;
 
     bool isConfigured(const std::string &resource) const;
@@ -152,6 +164,7 @@
     std::map<std::string, Owner> m_owners;
     std::map<std::string, std::uint64_t> m_owned; // epoch by resource
     std::map<std::string, std::uint64_t> m_releasedEpochs; // last epoch lent here by resource
+    std::map<std::string, Takeover> m_takeovers; // latest takeover by resource
     std::vector<std::string> m_acquiring; // resources that wait for the scan of borrowers
     TimePoint m_ownedUntil{};
     TimePoint m_nextRenewal{};
--- /dev/null
+++ b/testing/process/cutlinks_test.cpp
@@ -0,0 +1,266 @@
+// Tests of pools whose nodes and runners are cut off from the store one by one, while owners and
+// runners still reach one another. A run that a cut-off owner keeps alive must not be started again
+// by the next owner, which neither sees the run's runner in the live list nor may reach it.
+#include "testing/process/platformtest.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace sequoiapier {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr const char *JobA = "5c0e7a21d94b36f8";
+
+class CutLinks : public PlatformTest
+{
+protected:
+    explicit CutLinks(const std::string &name = testName())
+        : PlatformTest(name)
+    { }
+
+    void setFaults(const json &faults)
+    {
+        EXPECT_TRUE(system().setFaults("platform", faults.dump()));
+    }
+
+    // Starts a job of one task, and returns the runner of its run.
+    std::string startTask(milliseconds runTime)
+    {
+        const json step{{"count", 1}, {"cpu", 1'000}, {"mem_mb", 256}};
+        const json body{{"spec", json{{"runMs", runTime.count()}}.dump()}, {"steps", {step}}};
+        EXPECT_EQ(
+            call("node-1", "POST", std::string("/quotes/") + JobA, body.dump()).response.status,
+            200);
+        EXPECT_TRUE(LocalSystem::waitUntil([&] { return runsOf(JobA).size() == 1; }));
+        return runsOf(JobA).at(0)["runner"];
+    }
+
+    std::uint64_t highestEpoch()
+    {
+        std::uint64_t highest = 0;
+        for (const std::string &node : nodes()) {
+            for (const json &line : logOf(node)) {
+                if (line.value("event", "") == "pool.owned")
+                    highest
+                        = std::max<std::uint64_t>(highest, std::stoull(line.value("epoch", "0")));
+            }
+        }
+        return highest;
+    }
+
+    bool waitNextOwner(const std::string &former)
+    {
+        return LocalSystem::waitUntil([&] { return owner() != former; }, milliseconds(15'000));
+    }
+
+    std::size_t countEvents(const std::string &node, const std::string &event)
+    {
+        const std::vector<json> lines = logOf(node);
+        return std::size_t(std::count_if(lines.begin(), lines.end(), [&](const json &line) {
+            return line.value("event", "") == event;
+        }));
+    }
+
+    void expectOneRun(milliseconds timeout)
+    {
+        EXPECT_TRUE(
+            LocalSystem::waitUntil([&] { return stateOf(owner(), JobA) == "completed"; }, timeout));
+        EXPECT_EQ(runsOf(JobA).size(), 1U) << runsOf(JobA);
+        EXPECT_EQ(violations(), "[]");
+    }
+};
+
+// The next owner fences the runner at its address, and the run goes on.
+TEST_F(CutLinks, RunGoesOnAfterItsRunnerAndThenItsOwnerLostTheStore)
+{
+    const std::string runner = startTask(milliseconds(14'000));
+    const std::string former = owner();
+    setFaults({{"hiddenRunners", {runner}}});
+    std::this_thread::sleep_for(milliseconds(700));
+    setFaults({{"hiddenRunners", {runner}}, {"cutNodes", {former}}});
+    ASSERT_TRUE(waitNextOwner(former));
+    expectOneRun(milliseconds(25'000));
+}
+
+TEST_F(CutLinks, RunGoesOnAfterItsOwnerAndThenItsRunnerLostTheStore)
+{
+    const std::string runner = startTask(milliseconds(14'000));
+    const std::string former = owner();
+    setFaults({{"rejectedNodes", {former}}});
+    std::this_thread::sleep_for(milliseconds(700));
+    setFaults({{"hiddenRunners", {runner}}, {"rejectedNodes", {former}}});
+    ASSERT_TRUE(waitNextOwner(former));
+    expectOneRun(milliseconds(25'000));
+}
+
+// The owner after the next one finds the address as well.
+TEST_F(CutLinks, RunGoesOnUnderTwoMoreOwnersThatDoNotSeeItsRunnerListed)
+{
+    const std::string runner = startTask(milliseconds(18'000));
+    const std::string first = owner();
+    setFaults({{"hiddenRunners", {runner}}, {"cutNodes", {first}}});
+    ASSERT_TRUE(waitNextOwner(first));
+    const std::string second = owner();
+    setFaults({{"hiddenRunners", {runner}}, {"cutNodes", {first, second}}});
+    ASSERT_TRUE(waitNextOwner(second));
+    expectOneRun(milliseconds(30'000));
+}
+
+// Nothing tells the next owner of the runner, so that it waits until the former one renews no more.
+TEST_F(CutLinks, TaskWaitsForARunnerThatOnlyTheFormerOwnerReaches)
+{
+    const std::string runner = startTask(milliseconds(60'000));
+    const std::string former = owner();
+    const json deaf{{runner, highestEpoch() + 1}};
+    setFaults({{"hiddenRunners", {runner}}, {"deafRunners", deaf}});
+    std::this_thread::sleep_for(milliseconds(700));
+    setFaults({{"hiddenRunners", {runner}}, {"deafRunners", deaf}, {"cutNodes", {former}}});
+    ASSERT_TRUE(waitNextOwner(former));
+    EXPECT_TRUE(
+        LocalSystem::waitUntil([&] { return runsOf(JobA).size() == 2; }, milliseconds(25'000)));
+    EXPECT_EQ(violations(), "[]");
+}
+
+// A runner tells the former owner of the next one before the store does.
+TEST_F(CutLinks, FencedOwnerGivesThePoolUpAtOnce)
+{
+    startTask(milliseconds(60'000));
+    const std::string former = owner();
+    const std::size_t before = countEvents(former, "pool.deposed");
+    setFaults({{"cutNodes", {former}}});
+    ASSERT_TRUE(waitNextOwner(former));
+    EXPECT_TRUE(
+        LocalSystem::waitUntil([&] { return countEvents(former, "pool.deposed") == before + 1; }));
+    std::this_thread::sleep_for(milliseconds(2'000));
+    EXPECT_EQ(countEvents(former, "pool.fenced"), 1U);
+    EXPECT_EQ(runsOf(JobA).size(), 1U);
+}
+
+class StoreOutage : public CutLinks, public testing::WithParamInterface<const char *>
+{
+};
+
+// A lease and the time for which it is renewed without the store cover the outage.
+TEST_P(StoreOutage, OfFiveSecondsEndsNoRun)
+{
+    startTask(milliseconds(9'000));
+    setFaults({{GetParam(), true}});
+    std::this_thread::sleep_for(milliseconds(5'000));
+    setFaults(json::object());
+    expectOneRun(milliseconds(20'000));
+}
+
+INSTANTIATE_TEST_SUITE_P(CutLinks, StoreOutage, testing::Values("storeDown", "storeSilent"));
+
+unsigned numberFromEnvironment(const char *name, unsigned standard)
+{
+    const char *text = std::getenv(name);
+    return text != nullptr ? unsigned(std::stoul(text)) : standard;
+}
+
+// Cuts and restores links at random, in any order and overlap, while jobs are submitted.
+// LINK_SOAK_SEED and LINK_SOAK_SECONDS choose another run by hand.
+class LinkSoak : public CutLinks
+{
+protected:
+    LinkSoak()
+        : CutLinks(testName() + "-" + std::to_string(seed()))
+    { }
+
+    void change(std::mt19937 &random)
+    {
+        const auto pick
+            = [&](const std::vector<std::string> &names) { return names[random() % names.size()]; };
+        const auto toggle = [](std::set<std::string> &names, const std::string &name) {
+            if (names.erase(name) == 0)
+                names.insert(name);
+        };
+        switch (random() % 8) {
+        case 0:
+        case 1:
+            toggle(m_cutNodes, pick(nodes()));
+            break;
+        case 2:
+            toggle(m_rejectedNodes, pick(nodes()));
+            break;
+        case 3:
+        case 4:
+            toggle(m_hiddenRunners, pick(Runners));
+            break;
+        case 5:
+            if (m_deafRunners.empty())
+                m_deafRunners[pick(Runners)] = highestEpoch() + 1;
+            else
+                m_deafRunners.clear();
+            break;
+        case 6:
+            system().replace(pick(nodes()));
+            break;
+        default:
+            m_isStoreDown = !m_isStoreDown;
+            break;
+        }
+        setFaults({{"cutNodes", m_cutNodes},
+                   {"rejectedNodes", m_rejectedNodes},
+                   {"hiddenRunners", m_hiddenRunners},
+                   {"deafRunners", m_deafRunners},
+                   {"storeDown", m_isStoreDown}});
+    }
+
+    void run(milliseconds duration)
+    {
+        std::mt19937 random(seed());
+        const auto end = std::chrono::steady_clock::now() + duration;
+        std::set<std::string> accepted;
+        for (unsigned i = 0; std::chrono::steady_clock::now() < end; ++i) {
+            const std::string id = std::to_string(1'000'000'000'000'000 + seed() * 10'000 + i);
+            const json payload{{"runMs", 200 + random() % 6'000}, {"failures", random() % 2}};
+            const json step{{"count", 1 + random() % 3}, {"cpu", 1'000}, {"mem_mb", 256}};
+            const json body{{"spec", payload.dump()}, {"steps", {step}}};
+            const std::string node = nodes()[random() % nodes().size()];
+            if (call(node, "POST", "/quotes/" + id, body.dump(), "good-key", 900).response.status
+                == 200) {
+                accepted.insert(id);
+            }
+            if (random() % 2 == 0)
+                change(random);
+            std::this_thread::sleep_for(milliseconds(random() % 900));
+        }
+        setFaults(json::object());
+        for (const std::string &id : accepted) {
+            EXPECT_TRUE(LocalSystem::waitUntil([&] { return stateOf("node-1", id) == "completed"; },
+                                               milliseconds(60'000)))
+                << id << " " << stateOf("node-1", id);
+        }
+        std::cout << "seed " << seed() << ": " << accepted.size() << " jobs accepted, "
+                  << record()["runs"].size() << " runs\n";
+        EXPECT_FALSE(accepted.empty());
+        EXPECT_EQ(violations(), "[]");
+    }
+
+    static unsigned seed() { return numberFromEnvironment("LINK_SOAK_SEED", 1); }
+
+private:
+    static inline const std::vector<std::string> Runners{"i-0", "i-1", "i-2"};
+
+    std::set<std::string> m_cutNodes;
+    std::set<std::string> m_rejectedNodes;
+    std::set<std::string> m_hiddenRunners;
+    std::map<std::string, std::uint64_t> m_deafRunners;
+    bool m_isStoreDown = false;
+};
+
+TEST_F(LinkSoak, AcceptedJobsRunOnceWhileLinksAreCutInAnyOrder)
+{
+    run(milliseconds(1'000 * numberFromEnvironment("LINK_SOAK_SECONDS", 40)));
+}
+
+} // namespace
+} // namespace sequoiapier
--- a/testing/process/platformtest.h
+++ b/testing/process/platformtest.h
@@ -19,13 +19,13 @@
 class PlatformTest : public testing::Test
 {
 protected:
-    PlatformTest()
-        : m_system(testName())
+    explicit PlatformTest(const std::string &name = testName())
+        : m_system(name)
     { }
 
     void SetUp() override
     {
-        ASSERT_TRUE(m_system.startPlatform("vanload:3,sundries:1", 4));
+        ASSERT_TRUE(m_system.startPlatform("vanload:3,sundries:1", 4, 8, nodes()));
         configure(1, {"good-key"});
         for (const std::string &node : nodes())
             ASSERT_TRUE(m_system.startNode(node));
--- a/testing/standin/main.cpp
+++ b/testing/standin/main.cpp
@@ -70,6 +70,8 @@
     parser.addText("pools", settings.pools, {.help = "Platform: hosts of pools, POOL:COUNT,..."});
     parser.addText("runner-ports", settings.runnerPorts,
                    {.help = "Platform: TCP ports of the runners, PORT,..."});
+    parser.addText("links", settings.links,
+                   {.help = "Platform: TCP ports for single nodes, NODE=PORT,..."});
     parser.addInteger("host-processors", settings.processors,
                       {.unit = "cores", .min = 1, .help = "Platform: of a host"});
     parser.addInteger("move-ms", settings.moveMilliseconds,
--- a/testing/standin/platformstandin.cpp
+++ b/testing/standin/platformstandin.cpp
@@ -126,6 +126,7 @@
     , m_timer(daemon.loop(), [this] { tick(); })
 {
     addRoutes();
+    addLinks();
     addHosts(settings.pools);
     tick();
 }
@@ -151,6 +152,41 @@
     m_daemon.route("/v1/machine-upkeep", [this](const ExchangePtr &e) { orderHost(e, false); });
 }
 
+void PlatformStandin::addLinks()
+{
+    std::istringstream links(m_settings.links);
+    std::string link;
+    while (std::getline(links, link, ',')) {
+        const std::size_t equals = link.find('=');
+        const std::string node = link.substr(0, equals);
+        const HttpServer::Options options{.address = m_daemon.settings().address,
+                                          .port
+                                          = std::uint16_t(std::stoi(link.substr(equals + 1)))};
+        m_links.push_back(std::make_unique<HttpServer>(
+            m_daemon.loop(), options,
+            [this, node](const ExchangePtr &exchange) { serveLink(node, exchange); }));
+    }
+}
+
+void PlatformStandin::serveLink(const std::string &node, const ExchangePtr &exchange)
+{
+    if (applyStoreFaults(exchange, node))
+        return;
+    const std::string &path = exchange->request().path;
+    if (path == "/v1/rows-tx")
+        commit(exchange);
+    else if (path == "/v1/rows-get")
+        readRows(exchange);
+    else if (path == "/v1/rows-feed")
+        watchOn(exchange, node);
+    else if (path == "/v1/machines")
+        listHosts(exchange);
+    else if (path == "/v1/machine-move" || path == "/v1/machine-upkeep")
+        orderHost(exchange, path == "/v1/machine-move");
+    else
+        exchange->reply({.status = 404});
+}
+
 void PlatformStandin::addHosts(const std::string &pools)
 {
     std::istringstream ports(m_settings.runnerPorts);
@@ -195,6 +231,8 @@
 
 void PlatformStandin::writeHeartbeat(const Host &host)
 {
+    if (m_faults.hiddenRunners.contains(host.fleet.runner))
+        return;
     const json heartbeat{
         {"service", host.fleet.pool},
         {"addr", m_daemon.settings().address + ":" + std::to_string(host.port)},
@@ -239,13 +277,15 @@
     m_timer.startAt(now + TickInterval);
 }
 
-bool PlatformStandin::applyStoreFaults(const ExchangePtr &exchange)
+bool PlatformStandin::applyStoreFaults(const ExchangePtr &exchange, const std::string &node)
 {
-    if (m_faults.storeSilent)
+    const bool isSilent = m_faults.storeSilent || m_faults.cutNodes.contains(node);
+    const bool isRejected = m_faults.storeDown || m_faults.rejectedNodes.contains(node);
+    if (isSilent)
         m_unanswered.push_back(exchange);
-    else if (m_faults.storeDown)
+    else if (isRejected)
         exchange->reply({.status = 503});
-    return m_faults.storeSilent || m_faults.storeDown;
+    return isSilent || isRejected;
 }
 
 void PlatformStandin::commit(const ExchangePtr &exchange)
@@ -305,13 +345,14 @@
            {{"rows", rows}, {"has_more", false}, {"ver", m_rows.version()}, {"now_ms", 0}});
 }
 
-void PlatformStandin::watch(const ExchangePtr &exchange)
+void PlatformStandin::watchOn(const ExchangePtr &exchange, const std::string &node)
 {
     if (applyStoreFaults(exchange))
         return;
     std::map<std::string, std::string> query = queryOf(exchange->request());
     const auto wait = milliseconds(std::stoll("0" + query["wait_ms"]));
     const Watch watch{.exchange = exchange,
+                      .node = node,
                       .table = query["table"],
                       .after = std::stoull("0" + query["after"]),
                       .deadline = BootClock::now() + wait};
@@ -336,7 +377,8 @@
     std::erase_if(m_watches, [&](const Watch &watch) {
         if (!watch.exchange->isOpen())
             return true;
-        return applyStoreFaults(watch.exchange) || answerWatch(watch, now >= watch.deadline);
+        return applyStoreFaults(watch.exchange, watch.node)
+            || answerWatch(watch, now >= watch.deadline);
     });
 }
 
@@ -353,6 +395,12 @@
         return;
     }
     const json body = parseBody(request.body);
+    const auto deaf = m_faults.deafRunners.find(host.runner->id());
+    if (deaf != m_faults.deafRunners.end()
+        && numberField(body, "fence").value_or(0) >= std::int64_t(deaf->second)) {
+        m_unanswered.push_back(exchange);
+        return;
+    }
     if (request.path == "/v1/run-start")
         startRun(host, exchange, body);
     else if (request.path == "/v1/run-stop")
@@ -530,8 +578,18 @@
                 .ordersRefused = flagField(body, "ordersRefused"),
                 .lostCommits = int(numberField(body, "lostCommits").value_or(0)),
                 .lostStarts = int(numberField(body, "lostStarts").value_or(0))};
-    for (const json &runner : listField(body, "silentRunners"))
-        m_faults.silentRunners.insert(runner.get<std::string>());
+    const auto readNames = [&](const char *field, std::set<std::string> &names) {
+        for (const json &name : listField(body, field))
+            names.insert(name.get<std::string>());
+    };
+    readNames("silentRunners", m_faults.silentRunners);
+    readNames("hiddenRunners", m_faults.hiddenRunners);
+    readNames("cutNodes", m_faults.cutNodes);
+    readNames("rejectedNodes", m_faults.rejectedNodes);
+    if (body.contains("deafRunners"))
+        body["deafRunners"].get_to(m_faults.deafRunners);
+    for (const std::string &runner : m_faults.hiddenRunners)
+        m_rows.apply({.writes = {{{.table = "servers", .key = runner}, std::nullopt}}});
     exchange->reply({});
 }
 
--- a/testing/standin/platformstandin.h
+++ b/testing/standin/platformstandin.h
@@ -1,7 +1,8 @@
 // PlatformStandin simulates the users' platform on loopback: the row store, runners in pools, the
 // fleet interface and the operator. Each one speaks the published protocol.
 //
-// The store and the fleet interface are served on the admin port, each runner on its own port. For
+// The store and the fleet interface are served on the admin port, and for nodes with a link also on
+// the link's port, so that each node can be cut off by itself. Each runner has its own port. For
 // tests, the admin port also serves:
 //   POST /operator {"key": "config", "value": {...}}   writes a row of the operator's table
 //   POST /entry {"key": "i-9", "text": "..."}          writes a row of the runners' table
@@ -16,6 +17,12 @@
 //     "lostCommits": 2           the next 2 transactions take effect but get no answer
 //     "lostStarts": 2            the next 2 starts take effect but get no answer
 //     "silentRunners": ["i-1"]   these runners answer no call
+//     "deafRunners": {"i-1": 2}  these runners answer no call with this fence or a higher one, as
+//     if
+//                                the links to later owners were cut
+//     "hiddenRunners": ["i-1"]   these runners run on, but the store has no entry of them
+//     "cutNodes": ["node-1"]     the store leaves calls on these nodes' links unanswered
+//     "rejectedNodes": ["n"]     the store answers calls on these nodes' links with 503
 #pragma once
 
 #include "cli/daemon.h"
@@ -38,6 +45,7 @@
 {
     std::string pools; // Pools with host counts, "vanload:3,sundries:1".
     std::string runnerPorts; // One port per host, "7101,7102,...".
+    std::string links; // TCP ports of the nodes' links, "node-1=7201,node-2=7202"; may be empty.
     std::int64_t processors = 8;
     std::int64_t moveMilliseconds = 300; // Time of a host's move or maintenance.
 };
@@ -73,6 +81,7 @@
     struct Watch
     {
         ExchangePtr exchange;
+        std::string node; // Node whose link the call came on; empty for the admin port.
         std::string table;
         std::uint64_t after = 0;
         TimePoint deadline;
@@ -86,19 +95,26 @@
         int lostCommits = 0;
         int lostStarts = 0;
         std::set<std::string> silentRunners;
+        std::map<std::string, std::uint64_t> deafRunners; // Lowest fence that is not answered.
+        std::set<std::string> hiddenRunners;
+        std::set<std::string> cutNodes;
+        std::set<std::string> rejectedNodes;
     };
 
     void addHosts(const std::string &pools);
     void addRoutes();
+    void addLinks();
+    void serveLink(const std::string &node, const ExchangePtr &exchange);
     void startIncarnation(std::size_t host);
     void writeHeartbeat(const Host &host);
     void tick();
 
     // Returns true if a store fault is set, which refuses the exchange or leaves it unanswered.
-    bool applyStoreFaults(const ExchangePtr &exchange);
+    bool applyStoreFaults(const ExchangePtr &exchange, const std::string &node = {});
     void commit(const ExchangePtr &exchange);
     void readRows(const ExchangePtr &exchange);
-    void watch(const ExchangePtr &exchange);
+    void watch(const ExchangePtr &exchange) { watchOn(exchange, {}); }
+    void watchOn(const ExchangePtr &exchange, const std::string &node);
     bool answerWatch(const Watch &watch, bool isDue);
     void answerWatches();
 
@@ -123,6 +139,7 @@
     MemoryRows m_rows;
     RunLedger m_ledger;
     std::vector<std::unique_ptr<Host>> m_hosts;
+    std::vector<std::unique_ptr<HttpServer>> m_links;
     std::vector<Renewal> m_renewals;
     std::vector<Watch> m_watches;
     std::vector<ExchangePtr> m_unanswered;
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -113,7 +113,7 @@
     return m_time.now() - start;
 }
 
-void EnginePool::replaceOwner(Duration gap)
+void EnginePool::replaceOwner(Duration gap, Duration renewedFor)
 {
     m_engine.reset();
     m_batch.reset();
@@ -121,6 +121,7 @@
         runner.isRenewing = false;
     run(gap);
     makeEngine(m_epoch + 1);
+    m_engine->setEarlierOwnersUntil(m_time.now() + renewedFor);
 }
 
 void EnginePool::setReachable(int runner, bool isReachable)
--- a/testing/support/enginepool.h
+++ b/testing/support/enginepool.h
@@ -66,8 +66,9 @@
     // taken.
     Duration runUntilEnded(const std::string &id, Duration timeout);
 
-    // Ends the owner; after `gap`, another owner takes over with the contents of the store.
-    void replaceOwner(Duration gap);
+    // Ends the owner; after `gap`, another owner takes over with the contents of the store. It
+    // counts `renewedFor` for renewals by the earlier owner.
+    void replaceOwner(Duration gap, Duration renewedFor = {});
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
     void setReachable(int runner, bool isReachable);
     void setListed(int runner, bool isListed);
--- a/testing/support/lendingworld.cpp
+++ b/testing/support/lendingworld.cpp
@@ -126,6 +126,7 @@
 
 void LendingWorld::onAcquired(LenderProcess &process, const OwnedResource &resource)
 {
+    process.acquired[resource.name] = resource;
     Lender::Options options{.resource = resource.name, .capacity = m_options.capacity};
     options.epoch = resource.epoch;
     options.term = m_options.term;
--- a/testing/support/lendingworld.h
+++ b/testing/support/lendingworld.h
@@ -49,6 +49,7 @@
     std::shared_ptr<ActionQueue> actions;
     std::unique_ptr<Ownership> ownership;
     std::map<std::string, Lender> lenders;
+    std::map<std::string, OwnedResource> acquired; // latest acquisition by resource
 };
 
 struct Loan
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -123,14 +123,21 @@
     return startRole("controller", name, std::move(arguments), flags, 0);
 }
 
-bool LocalSystem::startPlatform(const std::string &pools, int hosts, int processors)
-{
+bool LocalSystem::startPlatform(const std::string &pools, int hosts, int processors,
+                                const std::vector<std::string> &linkedNodes)
+{
+    std::string links;
+    const std::vector<std::uint16_t> linkPorts = freePorts(linkedNodes.size());
+    for (std::size_t i = 0; i < linkedNodes.size(); ++i) {
+        m_links[linkedNodes[i]] = linkPorts[i];
+        links += (links.empty() ? "" : ",") + linkedNodes[i] + "=" + std::to_string(linkPorts[i]);
+    }
     std::string ports;
     for (const std::uint16_t port : freePorts(std::size_t(hosts)))
         ports += (ports.empty() ? "" : ",") + std::to_string(port);
     return startStandin("platform",
-                        {"--pools", pools, "--runner-ports", ports, "--host-processors",
-                         std::to_string(processors)});
+                        {"--pools", pools, "--runner-ports", ports, "--links", links,
+                         "--host-processors", std::to_string(processors)});
 }
 
 int LocalSystem::writeOperatorRow(const std::string &key, const std::string &json) const
@@ -162,13 +169,16 @@
     const std::uint16_t callerPort = freePort();
     const auto endpoint
         = [](std::uint16_t port) { return std::string(Loopback) + ":" + std::to_string(port); };
+    const auto link = m_links.find(name);
+    const std::string platform
+        = link != m_links.end() ? endpoint(link->second) : endpointOf("platform");
     const nlohmann::json settings{
         {"node", name},
         {"zone", "zone-1"},
         {"listen", {{"front", endpoint(callerPort)}, {"ready", endpoint(freePort())}}},
         {"port_range", {peerPort, peerPort}},
-        {"platform", {{"addr", endpointOf("platform")}}},
-        {"cloud", {{"addr", endpointOf("platform")}}}};
+        {"platform", {{"addr", platform}}},
+        {"cloud", {{"addr", platform}}}};
     const std::string file = m_directory + "/" + name + ".json";
     std::ofstream(file) << settings.dump();
     const std::vector<std::string> arguments{SEQUOIAPIER_BINARY, "node", "--config", file};
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -51,7 +51,9 @@
     bool startScheduler(const std::string &name, const std::vector<std::string> &flags = {});
     bool startController(const std::string &name, const std::vector<std::string> &flags = {});
     // Starts a stand-in of the users' platform with hosts in these pools: "vanload:3,sundries:1".
-    bool startPlatform(const std::string &pools, int hosts, int processors = 8);
+    // Each of `linkedNodes` reaches it by a port of its own.
+    bool startPlatform(const std::string &pools, int hosts, int processors = 8,
+                       const std::vector<std::string> &linkedNodes = {});
     // Writes a row as the platform's operator; returns the status.
     int writeOperatorRow(const std::string &key, const std::string &json) const;
     // Configures the queue "/quotes/" on the pool "vanload", the spare pool "sundries", and a team
@@ -113,6 +115,7 @@
 
     std::string m_directory;
     std::map<std::string, Member> m_members;
+    std::map<std::string, std::uint16_t> m_links; // the platform's ports for single nodes
     std::string m_output;
 };
 
--- a/testing/unit/enginelease_test.cpp
+++ b/testing/unit/enginelease_test.cpp
@@ -130,5 +130,50 @@
     EXPECT_EQ(m_pool.ledger().runsOf("b").size(), 1U) << m_pool.trace();
 }
 
+// An earlier owner that is cut off from the store renews leases for a while longer. The next owner
+// neither reaches the runner nor sees it listed.
+class EarlierOwner : public EngineLease
+{
+protected:
+    static constexpr Duration Renewed = milliseconds(1'500);
+
+    void takeOver()
+    {
+        submitLastingTask();
+        cutFirstRunner();
+        m_pool.setListed(0, false);
+        m_pool.replaceOwner(milliseconds(200), Renewed);
+    }
+
+    // Renews the runner's lease as the earlier owner does.
+    void renewFor(Duration duration)
+    {
+        const TimePoint end = m_pool.time().now() + duration;
+        while (m_pool.time().now() < end) {
+            const TimePoint now = m_pool.time().now();
+            m_pool.runner(0).renew(1, 0, m_pool.runner(0).clock(now) + 5'000, now);
+            m_pool.run(milliseconds(50));
+        }
+    }
+};
+
+TEST_F(EarlierOwner, RunThatItKeepsAliveIsNotStartedAgain)
+{
+    takeOver();
+    renewFor(Renewed);
+    expectMovedWithoutOverlap();
+}
+
+// Waiting on would leave the task without a run for nothing.
+TEST_F(EarlierOwner, IsWaitedForNoLongerThanUntilItHasEnded)
+{
+    takeOver();
+    renewFor(milliseconds(200));
+    m_pool.engine().setEarlierOwnersUntil(m_pool.time().now());
+    m_pool.run(milliseconds(5'700)); // A lease, by a slow clock, and its start elsewhere.
+    EXPECT_EQ(m_pool.ledger().runsOf("a").size(), 2U) << m_pool.trace();
+    EXPECT_EQ(m_pool.violations(), "") << m_pool.trace();
+}
+
 } // namespace
 } // namespace sequoiapier
--- a/testing/unit/ownership_test.cpp
+++ b/testing/unit/ownership_test.cpp
@@ -84,6 +84,28 @@
     EXPECT_LT(runUntilOwned(world, 3, 30), seconds(3));
 }
 
+// A member that lost its resources may not know it. A later incarnation shows that it has ended.
+TEST(Ownership, TellsFromWhomAResourceIsTakenOverAndWhenThatMemberHasEnded)
+{
+    LendingWorld world = makeWorld(2, 6);
+    runUntilOwned(world, 2, 6);
+    world.run(seconds(5));
+    const MemberId killed = world.lender(0).ownership->self();
+    const std::string resource = world.lender(0).acquired.begin()->first;
+    world.killLender(0);
+    runUntilOwned(world, 2, 6);
+    ASSERT_TRUE(world.lender(1).ownership->owns(resource));
+    EXPECT_EQ(world.lender(1).acquired.at(resource).takenFrom, killed);
+    EXPECT_FALSE(world.lender(1).ownership->hasEnded(killed));
+    world.restartLender(0);
+    world.run(seconds(5));
+    EXPECT_TRUE(world.lender(1).ownership->hasEnded(killed));
+    EXPECT_FALSE(world.lender(1).ownership->hasEnded(world.lender(0).ownership->self()));
+    // The other member has handed the resource over.
+    ASSERT_TRUE(world.lender(0).ownership->owns(resource));
+    EXPECT_FALSE(world.lender(0).acquired.at(resource).takenFrom);
+}
+
 TEST(Ownership, LostAnswersLeaveOneOwner)
 {
     for (int lost = 1; lost < 12; ++lost) {
