An owner that has left its pool sends nothing more

A runner that leaves between a placement and its batch is looked up without assuming that the engine still has it; the address rows would have ended the process there. After the term, renewals of idle runners keep their long wait.

--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -401,7 +401,7 @@
     bool m_hasStopRequests = false; // True if some run is to be stopped.
     std::size_t m_fillingRuns = 0; // Number of runs of filling tasks that may exist.
     TimePoint m_loadedAt{}; // When load() was called.
-    TimePoint m_earlierOwnersUntil{};
+    TimePoint m_earlierOwnersUntil{}; // Earlier owners may renew leases until then.
     TimePoint m_nextRemoval{}; // When to look for expired ended jobs next.
     // Sizes for which the current plan found no runner with room.
     std::vector<UnplacedSize> m_unplaced;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -360,6 +360,7 @@
     if (found == m_pools.end())
         return;
     // This may be called from a method of the owner, so the owner is destroyed later.
+    found->second->leave();
     m_deposed.push_back(std::move(found->second));
     m_pools.erase(found);
     m_runnerWatch.setActive(!m_pools.empty());
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -45,7 +45,7 @@
 // an outage of the store may last before runs end, and what the tasks of a runner that neither is
 // listed nor answers wait for after a takeover.
 constexpr Duration RenewalGrace = milliseconds(1'500);
-// Longest wait of a renewal after the node's term, so that the last one leaves a whole lease.
+// Wait of a renewal after the node's term. It is short so that the last one leaves a whole lease.
 constexpr Duration GraceRenewalWait = milliseconds(200);
 // Longest wait of a renewal for the end of a run.
 constexpr Duration BusyRunnerWait = milliseconds(1'000);
@@ -126,7 +126,13 @@
     }
     for (const ParkedCall &parked : m_parked)
         parked.answer(reply(ResultCode::NotOwner));
-    if (m_isReady)
+    leave();
+}
+
+void PoolOwner::leave()
+{
+    m_hasLeft = true;
+    if (std::exchange(m_isReady, false))
         m_context.log.info("pool.left", {{"pool", m_pool}, {"epoch", std::to_string(m_epoch)}});
 }
 
@@ -223,6 +229,8 @@
 
 void PoolOwner::onLoaded(const PoolRows &rows)
 {
+    if (m_hasLeft)
+        return;
     loadJobs(rows.states, rows.specs);
     loadAddresses(rows.addresses);
     m_isReady = true;
@@ -644,9 +652,11 @@
 {
     std::set<std::string> runners;
     for (const jobs::StartOrder &start : batch.starts) {
+        const auto known = m_engine.runners().find(start.runner);
+        if (known == m_engine.runners().end())
+            continue; // The runner has gone, and the start will not be sent.
         const auto stored = m_addresses.find(start.runner);
-        const Endpoint &endpoint = m_engine.runners().at(start.runner).entry.endpoint;
-        if (stored == m_addresses.end() || stored->second != endpoint)
+        if (stored == m_addresses.end() || stored->second != known->second.entry.endpoint)
             runners.insert(start.runner);
     }
     return {runners.begin(), runners.end()};
@@ -728,7 +738,7 @@
 // renewed.
 void PoolOwner::sendOrders()
 {
-    if (!isOwner())
+    if (!m_isReady || !isOwner())
         return;
     for (const jobs::StartOrder &order : m_engine.takeStarts(BootClock::now()))
         sendStart(order);
@@ -840,6 +850,8 @@
 {
     if (runner.runs.empty())
         return IdleRunnerWait;
+    if (!isOwner())
+        return GraceRenewalWait;
     return m_engine.needsFrequentPolling(id) ? WatchedRunnerWait : BusyRunnerWait;
 }
 
@@ -857,8 +869,7 @@
         renewal.lease = leaseDuration(m_context.settings);
         m_engine.onLeaseSent(id, now);
         if (!hasUncommittedEnds)
-            renewal.wait = isOwner() ? renewalWait(id, runner)
-                                     : std::min(GraceRenewalWait, renewalWait(id, runner));
+            renewal.wait = renewalWait(id, runner);
     }
     m_renewals[id].isInFlight = true;
     const RunnerTarget target{id, runner.entry.endpoint};
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -72,6 +72,8 @@
     PoolOwner &operator=(const PoolOwner &) = delete;
 
     void start() { claim(); }
+    // Sends no more orders and takes no more calls.
+    void leave();
     void setConfiguration(const Configuration &configuration);
     void setRunners(std::span<const jobs::RunnerEntry> runners);
     void handle(const api::JobCall &call, ReplyCallback answer);
@@ -176,6 +178,7 @@
     jobs::Engine m_engine;
     std::vector<jobs::RunnerEntry> m_listed; // listed runners of the pool
     bool m_isReady = false;
+    bool m_hasLeft = false;
     bool m_hasShortage = false; // set by the last demand()
     bool m_isDeposed = false;
     std::uint64_t m_fenceVersion = 0; // version of the fence row
