Renewals after the term wait as long as before, but for the last one

A loop that falls behind passes its term now and then. Renewals then waited 200 ms instead of 1 s for an end, five times as many calls where the processor was short already. Only the wait before the last renewal is cut now. Addresses of forgotten runners are looked for in one transaction of 64.

--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -45,8 +45,10 @@
 // an outage of the store may last before runs end, and what the tasks of a runner that neither is
 // listed nor answers wait for after a takeover.
 constexpr Duration RenewalGrace = milliseconds(1'500);
-// Wait of a renewal after the node's term. It is short so that the last one leaves a whole lease.
-constexpr Duration GraceRenewalWait = milliseconds(200);
+// The last renewal goes out this long before the end of RenewalGrace, or less.
+constexpr Duration LastRenewalLead = milliseconds(250);
+// Number of transactions of which one looks for addresses of forgotten runners.
+constexpr std::uint64_t AddressCheckInterval = 64;
 // Longest wait of a renewal for the end of a run.
 constexpr Duration BusyRunnerWait = milliseconds(1'000);
 constexpr Duration IdleRunnerWait = milliseconds(2'000); // longest wait that a runner accepts
@@ -662,8 +664,8 @@
     return {runners.begin(), runners.end()};
 }
 
-// Adds new addresses to the transaction, then the removal of those of forgotten runners, as far as
-// there is room.
+// Adds new addresses to the transaction, then at times the removal of those of forgotten runners,
+// as far as there is room.
 void PoolOwner::addAddressWrites(std::size_t room)
 {
     while (!m_newAddresses.empty() && room > 0) {
@@ -677,6 +679,8 @@
         }
         m_newAddresses.pop_back();
     }
+    if (m_sequence % AddressCheckInterval != 0)
+        return;
     for (auto next = m_addresses.begin(); next != m_addresses.end() && room > 0;) {
         if (m_engine.runners().contains(next->first)) {
             ++next;
@@ -850,9 +854,11 @@
 {
     if (runner.runs.empty())
         return IdleRunnerWait;
-    if (!isOwner())
-        return GraceRenewalWait;
-    return m_engine.needsFrequentPolling(id) ? WatchedRunnerWait : BusyRunnerWait;
+    if (m_engine.needsFrequentPolling(id))
+        return WatchedRunnerWait;
+    // Leaves time for another renewal before the last one is due.
+    const Duration left = m_context.ownedUntil() + RenewalGrace - BootClock::now();
+    return std::min(BusyRunnerWait, std::max(left - LastRenewalLead, WatchedRunnerWait));
 }
 
 // A runner would at once report again the ends of runs that are not in the store yet, so a renewal
