A repeated request is not said to have not run while its write may be in the store

A caller whose request got no answer and who sends it again could be told 503, never runs, and the job ran. Found in the reading of the code, not seen by callers.

Cause: a call that waits for a batch was marked as possibly stored only if the batch was sent after the call had come. A repeat of a job whose batch is under way, or that is stored, was not marked, and the owner, when it is deposed, answered it as one that it had not taken.

Change: a call is marked when it begins to wait, by whether the store has the job or may have it; a cancel, by whether a batch with the job is under way.

Test: CutLinks.RepeatedRequestOfADeposedOwnerIsNotSaidToHaveNotRun; it fails with the change taken back.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -156,6 +156,12 @@
                        [&](const auto &item) { return !others.contains(item.second.job.queue); });
 }
 
+bool Engine::mayBeStored(std::string_view job) const
+{
+    const auto found = m_jobs.find(job);
+    return found != m_jobs.end() && (found->second.durable || found->second.isWriting);
+}
+
 bool Engine::isDurable(std::string_view job) const
 {
     const auto found = m_jobs.find(job);
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -210,6 +210,8 @@
     // Returns whether any job of the queue is known, ended ones included. A job whose queue the
     // configuration doesn't name may be one. O(n) in jobs.
     bool hasJobs(std::string_view queue) const;
+    // Returns whether the store has the job, or may have it as its row is being written.
+    bool mayBeStored(std::string_view job) const;
     // Returns whether the job's latest change is in the store.
     bool isDurable(std::string_view job) const;
 
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -124,7 +124,8 @@
 PoolOwner::~PoolOwner()
 {
     for (const Waiter &waiter : m_waiters) {
-        waiter.answer(reply(waiter.isInBatch ? ResultCode::OutcomeUnknown : ResultCode::NotOwner));
+        waiter.answer(
+            reply(waiter.mayBeStored ? ResultCode::OutcomeUnknown : ResultCode::NotOwner));
     }
     for (const ParkedCall &parked : m_parked)
         parked.answer(reply(ResultCode::NotOwner));
@@ -379,7 +380,7 @@
 void PoolOwner::submit(const api::JobCall &call, ReplyCallback answer)
 {
     if (m_engine.phaseOf(call.job)) {
-        answerWhenDurable(call.job, std::move(answer));
+        answerWhenDurable(call.job, m_engine.mayBeStored(call.job), std::move(answer));
         return;
     }
     api::JobReply moved = reply(ResultCode::QueueMoved);
@@ -420,7 +421,7 @@
     m_engine.submit(
         {.id = call.job, .queue = call.queue, .team = call.team, .spec = std::move(spec.value())},
         BootClock::now());
-    answerWhenDurable(call.job, std::move(answer));
+    answerWhenDurable(call.job, m_engine.mayBeStored(call.job), std::move(answer));
 }
 
 // From the first such call on, the new home of the queue may accept the job, so that this pool must
@@ -429,7 +430,7 @@
 {
     m_homes.invalidate(call.address);
     if (m_engine.phaseOf(call.job)) {
-        answerWhenDurable(call.job, std::move(answer));
+        answerWhenDurable(call.job, m_engine.mayBeStored(call.job), std::move(answer));
         return;
     }
     api::JobReply unknown = reply(isOwner() ? ResultCode::NotFound : ResultCode::NotOwner);
@@ -468,9 +469,10 @@
         handle(parked.call, std::move(parked.answer));
 }
 
-void PoolOwner::answerWhenDurable(const std::string &job, ReplyCallback answer)
+// `mayBeStored` tells whether the store may hold what the call asks for before the next batch.
+void PoolOwner::answerWhenDurable(const std::string &job, bool mayBeStored, ReplyCallback answer)
 {
-    m_waiters.push_back({.job = job, .answer = std::move(answer)});
+    m_waiters.push_back({.job = job, .mayBeStored = mayBeStored, .answer = std::move(answer)});
     answerWaiters();
     requestTick();
 }
@@ -482,7 +484,8 @@
         answer(reply(isOwner() ? ResultCode::NotFound : ResultCode::NotOwner));
         return;
     }
-    answerWhenDurable(call.job, std::move(answer));
+    const bool isBeingWritten = m_batch && m_batch->phases.contains(call.job);
+    answerWhenDurable(call.job, isBeingWritten, std::move(answer));
 }
 
 // Only a node that is certain to be the owner may answer that a job does not exist: a later owner
@@ -600,7 +603,7 @@
         return;
     }
     for (Waiter &waiter : m_waiters)
-        waiter.isInBatch = waiter.isInBatch || batch.phases.contains(waiter.job);
+        waiter.mayBeStored = waiter.mayBeStored || batch.phases.contains(waiter.job);
     m_newAddresses = unstoredAddresses(batch);
     m_batch = std::move(batch);
     m_writeDue = now + BatchInterval;
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -90,7 +90,8 @@
     struct Waiter
     {
         std::string job;
-        bool isInBatch = false; // A batch that may contain the job was sent.
+        // The store may hold what the call asked for, so that it must not be answered as not run.
+        bool mayBeStored = false;
         ReplyCallback answer;
     };
     // A call that waits until the pool's standing towards its queue is settled.
@@ -142,7 +143,7 @@
     void answerWaiting(const api::JobCall &call, ReplyCallback answer);
     QueueStanding standing(const api::JobCall &call);
     void resumeParkedCalls();
-    void answerWhenDurable(const std::string &job, ReplyCallback answer);
+    void answerWhenDurable(const std::string &job, bool mayBeStored, ReplyCallback answer);
     void cancel(const api::JobCall &call, ReplyCallback answer);
     void answerState(const api::JobCall &call, const ReplyCallback &answer);
     void answerWaiters();
--- a/testing/process/cutlinks_test.cpp
+++ b/testing/process/cutlinks_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <future>
 #include <iostream>
 #include <random>
 #include <set>
@@ -17,6 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char *JobA = "5c0e7a21d94b36f8";
+constexpr const char *JobB = "00000000000000bb";
 
 class CutLinks : public PlatformTest
 {
@@ -143,6 +145,24 @@
     EXPECT_EQ(runsOf(JobA).size(), 1U);
 }
 
+// Two requests for one job wait for a write whose outcome is not known. Neither may be told that
+// the job never runs when the owner is deposed, as a caller would hand in the work anew.
+TEST_F(CutLinks, RepeatedRequestOfADeposedOwnerIsNotSaidToHaveNotRun)
+{
+    startTask(milliseconds(60'000));
+    std::this_thread::sleep_for(milliseconds(2'500)); // No earlier write is under way any more.
+    const std::string former = owner();
+    setFaults({{"cutNodes", {former}}});
+    const auto submitB = [&] {
+        return call(former, "POST", std::string("/quotes/") + JobB, jobBody(1, 50)).response.status;
+    };
+    auto first = std::async(std::launch::async, submitB);
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_EQ(submitB(), 504);
+    EXPECT_EQ(first.get(), 504);
+    EXPECT_EQ(countEvents(former, "pool.fenced"), 1U);
+}
+
 class StoreOutage : public CutLinks, public testing::WithParamInterface<const char *>
 {
 };
