--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -31,7 +31,7 @@
 constexpr const char *SpecTable = "jobspecs";
 constexpr const char *StateTable = "jobstates";
 constexpr const char *AddressTable = "runneraddresses";
-constexpr std::size_t MaxTransactionEntries = 100;
+constexpr std::size_t MaxTransactionEntries = 100; // bound of the store
 
 constexpr Duration StoreTimeout = milliseconds(1'000); // a slow store takes a third of a second
 constexpr Duration StoreRetry = milliseconds(100);
@@ -47,8 +47,6 @@
 constexpr Duration RenewalGrace = milliseconds(1'500);
 // The last renewal goes out this long before the end of RenewalGrace, or less.
 constexpr Duration LastRenewalLead = milliseconds(250);
-// Number of transactions of which one looks for addresses of forgotten runners.
-constexpr std::uint64_t AddressCheckInterval = 64;
 // Longest wait of a renewal for the end of a run.
 constexpr Duration BusyRunnerWait = milliseconds(1'000);
 constexpr Duration IdleRunnerWait = milliseconds(2'000); // longest wait that a runner accepts
@@ -275,12 +273,14 @@
 
 void PoolOwner::loadAddresses(const std::vector<StoreRow> &addresses)
 {
+    std::map<std::string, Endpoint> stored;
     for (const StoreRow &row : addresses) {
         const Result<Endpoint> endpoint = parseEndpoint(row.value);
-        m_addresses[row.key.key] = endpoint ? endpoint.value() : Endpoint();
+        stored[row.key.key] = endpoint ? endpoint.value() : Endpoint();
         if (endpoint)
             m_engine.setAddress(row.key.key, endpoint.value());
     }
+    m_addresses.load(std::move(stored));
 }
 
 // Returns whether no earlier owner renews leases any more. The owner before this one says in the
@@ -339,9 +339,10 @@
     requestTick();
 }
 
-// Drops the renewals and clocks of runners that the engine no longer has.
+// Drops the renewals, clocks and addresses of runners that the engine no longer has.
 void PoolOwner::forgetRunners()
 {
+    m_addresses.forget(m_engine.runners());
     std::erase_if(m_renewals, [&](const auto &item) {
         const bool isGone = !item.second.isInFlight && !m_engine.runners().contains(item.first);
         if (isGone)
@@ -604,7 +605,7 @@
     }
     for (Waiter &waiter : m_waiters)
         waiter.mayBeStored = waiter.mayBeStored || batch.phases.contains(waiter.job);
-    m_newAddresses = unstoredAddresses(batch);
+    m_addresses.require(batch.starts, m_engine.runners());
     m_batch = std::move(batch);
     m_writeDue = now + BatchInterval;
     sendNextTransaction();
@@ -629,7 +630,7 @@
     const std::size_t room
         = MaxTransactionEntries - m_transaction.expected.size() - m_transaction.writes.size();
     std::vector<StoreWrite> rows = jobWrites();
-    m_hasBatchRows = rows.size() + m_newAddresses.size() <= room;
+    m_hasBatchRows = rows.size() + m_addresses.requiredCount() <= room;
     if (m_hasBatchRows)
         std::move(rows.begin(), rows.end(), std::back_inserter(m_transaction.writes));
     addAddressWrites(m_hasBatchRows ? room - rows.size() : room);
@@ -652,46 +653,12 @@
     return writes;
 }
 
-// Returns the runners of the batch's starts whose addresses the store does not have.
-std::vector<std::string> PoolOwner::unstoredAddresses(const jobs::Batch &batch) const
-{
-    std::set<std::string> runners;
-    for (const jobs::StartOrder &start : batch.starts) {
-        const auto known = m_engine.runners().find(start.runner);
-        if (known == m_engine.runners().end())
-            continue; // The runner has gone, and the start will not be sent.
-        const auto stored = m_addresses.find(start.runner);
-        if (stored == m_addresses.end() || stored->second != known->second.entry.endpoint)
-            runners.insert(start.runner);
-    }
-    return {runners.begin(), runners.end()};
-}
-
-// Adds new addresses to the transaction, then at times the removal of those of forgotten runners,
-// as far as there is room.
 void PoolOwner::addAddressWrites(std::size_t room)
 {
-    while (!m_newAddresses.empty() && room > 0) {
-        const std::string &runner = m_newAddresses.back();
-        const auto known = m_engine.runners().find(runner);
-        if (known != m_engine.runners().end()) {
-            m_addresses[runner] = known->second.entry.endpoint;
-            m_transaction.writes.push_back(
-                {key(AddressTable, runner), toString(known->second.entry.endpoint)});
-            --room;
-        }
-        m_newAddresses.pop_back();
-    }
-    if (m_sequence % AddressCheckInterval != 0)
-        return;
-    for (auto next = m_addresses.begin(); next != m_addresses.end() && room > 0;) {
-        if (m_engine.runners().contains(next->first)) {
-            ++next;
-            continue;
-        }
-        m_transaction.writes.push_back({key(AddressTable, next->first), std::nullopt});
-        next = m_addresses.erase(next);
-        --room;
+    for (const RunnerAddresses::Change &change : m_addresses.takeChanges(room)) {
+        m_transaction.writes.push_back(
+            {key(AddressTable, change.runner),
+             change.endpoint ? std::optional(toString(*change.endpoint)) : std::nullopt});
     }
 }
 
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -10,9 +10,9 @@
 // deposed owner can write nothing, and a batch whose answer was lost can be sent again: it is in
 // force if the fence row says so. Orders to runners also carry the epoch as their fence.
 //
-// No order goes out after the node's term. Leases of runs are renewed for RenewalGrace longer, so
-// that a short outage of the store ends no run, and each owner counts that time for the runners
-// that it has not fenced. It fences runners that the live list doesn't have at their addresses,
+// No order goes out after the node's term. Leases of runs are renewed for 1.5 s longer, so that a
+// short outage of the store ends no run, and each owner counts that time for the runners that it
+// has not fenced. It fences runners that the live list doesn't have at their addresses,
 // which the store keeps from before the first start on a runner until the runner is forgotten.
 #pragma once
 
@@ -23,6 +23,7 @@
 #include "node/decisionlog.h"
 #include "node/poolmetrics.h"
 #include "node/queuehomes.h"
+#include "node/runneraddresses.h"
 #include "platform/adviceclient.h"
 #include "platform/nodesettings.h"
 #include "platform/runnerclient.h"
@@ -154,7 +155,6 @@
     void writeBatch();
     void sendNextTransaction();
     std::vector<StoreWrite> jobWrites() const;
-    std::vector<std::string> unstoredAddresses(const jobs::Batch &batch) const;
     void addAddressWrites(std::size_t room);
     std::string fenceValue() const;
     void sendBatch();
@@ -179,7 +179,7 @@
     jobs::Engine m_engine;
     std::vector<jobs::RunnerEntry> m_listed; // listed runners of the pool
     bool m_isReady = false;
-    bool m_hasLeft = false;
+    bool m_hasLeft = false; // leave() was called
     bool m_hasShortage = false; // set by the last demand()
     bool m_isDeposed = false;
     std::uint64_t m_fenceVersion = 0; // version of the fence row
@@ -187,8 +187,7 @@
     std::optional<jobs::Batch> m_batch; // batch in flight
     StoreTransaction m_transaction; // transaction in flight, of m_batch or before it
     bool m_hasBatchRows = false; // m_transaction contains the rows of m_batch
-    std::map<std::string, Endpoint> m_addresses; // addresses in the store by runner name
-    std::vector<std::string> m_newAddresses; // runners whose addresses are to be written
+    RunnerAddresses m_addresses;
     std::optional<MemberId> m_takenFrom;
     // The fence row of the owner before said that no earlier one renewed leases any more.
     bool m_wasSettled = false;
