Tests of owners that freeze, are stopped or have no term, and of the wait for an ended one

TaskWaitsForARunner... let the former owner reach other runners, which told it of the next owner before its renewals mattered; it is now cut off from them as well, as in a split network. OwnerWithoutATermSendsNoOrders is new and uses the same.

--- a/testing/process/cutlinks_test.cpp
+++ b/testing/process/cutlinks_test.cpp
@@ -23,6 +23,8 @@
 class CutLinks : public PlatformTest
 {
 protected:
+    static inline const std::vector<std::string> Runners{"i-0", "i-1", "i-2"};
+
     explicit CutLinks(const std::string &name = testName())
         : PlatformTest(name)
     { }
@@ -62,6 +64,22 @@
         return LocalSystem::waitUntil([&] { return owner() != former; }, milliseconds(15'000));
     }
 
+    // Cuts the former owner and the runner off together: the runner from the store and from later
+    // owners, the owner from the store and from all other runners.
+    json islandOf(const std::string &runner, const std::string &former)
+    {
+        const std::uint64_t next = highestEpoch() + 1;
+        json lowest;
+        for (const std::string &other : Runners) {
+            if (other != runner)
+                lowest[other] = next;
+        }
+        return {{"hiddenRunners", {runner}},
+                {"deafRunners", {{runner, next}}},
+                {"lowestFences", lowest},
+                {"cutNodes", {former}}};
+    }
+
     std::size_t countEvents(const std::string &node, const std::string &event)
     {
         const std::vector<json> lines = logOf(node);
@@ -115,15 +133,69 @@
     expectOneRun(milliseconds(30'000));
 }
 
+// The owner wakes after its term and must not go on as before.
+TEST_F(CutLinks, RunGoesOnAfterItsRunnerLostTheStoreAndItsOwnerFroze)
+{
+    const std::string runner = startTask(milliseconds(16'000));
+    const std::string former = owner();
+    setFaults({{"hiddenRunners", {runner}}});
+    std::this_thread::sleep_for(milliseconds(700));
+    system().member(former).process.signal(SIGSTOP);
+    ASSERT_TRUE(waitNextOwner(former));
+    std::this_thread::sleep_for(milliseconds(3'000));
+    system().member(former).process.signal(SIGCONT);
+    expectOneRun(milliseconds(25'000));
+}
+
+TEST_F(CutLinks, RunGoesOnAfterItsOwnerWasStoppedWhileItsRunnerIsNotListed)
+{
+    const std::string runner = startTask(milliseconds(14'000));
+    const std::string former = owner();
+    setFaults({{"hiddenRunners", {runner}}});
+    std::this_thread::sleep_for(milliseconds(700));
+    system().member(former).process.signal(SIGTERM);
+    ASSERT_TRUE(waitNextOwner(former));
+    expectOneRun(milliseconds(25'000));
+}
+
+// Both links are cut while the configuration changes, and come back one after the other.
+TEST_F(CutLinks, RunGoesOnWhileTheConfigurationChangesAndTheLinksComeBack)
+{
+    const std::string runner = startTask(milliseconds(16'000));
+    const std::string former = owner();
+    setFaults({{"hiddenRunners", {runner}}, {"cutNodes", {former}}});
+    configure(2, {"good-key", "other-key"});
+    ASSERT_TRUE(waitNextOwner(former));
+    configure(3, {"good-key"}, {"/quotes/", "/levies/"});
+    std::this_thread::sleep_for(milliseconds(2'000));
+    setFaults({{"hiddenRunners", {runner}}});
+    std::this_thread::sleep_for(milliseconds(2'000));
+    setFaults(json::object());
+    expectOneRun(milliseconds(25'000));
+}
+
+// The task stalls between the end of the owner's term and that of its renewals. An owner with a
+// term would stop it.
+TEST_F(CutLinks, OwnerWithoutATermSendsNoOrders)
+{
+    const std::string runner = startTask(milliseconds(60'000));
+    const std::string former = owner();
+    json faults = islandOf(runner, former);
+    setFaults(faults);
+    std::this_thread::sleep_for(milliseconds(1'000));
+    faults["hangingRunners"] = {runner};
+    setFaults(faults);
+    ASSERT_TRUE(LocalSystem::waitUntil([&] { return runsOf(JobA).at(0)["how"] != ""; }));
+    EXPECT_EQ(runsOf(JobA).at(0)["how"], "lapsed");
+    EXPECT_EQ(violations(), "[]");
+}
+
 // Nothing tells the next owner of the runner, so that it waits until the former one renews no more.
 TEST_F(CutLinks, TaskWaitsForARunnerThatOnlyTheFormerOwnerReaches)
 {
     const std::string runner = startTask(milliseconds(60'000));
     const std::string former = owner();
-    const json deaf{{runner, highestEpoch() + 1}};
-    setFaults({{"hiddenRunners", {runner}}, {"deafRunners", deaf}});
-    std::this_thread::sleep_for(milliseconds(700));
-    setFaults({{"hiddenRunners", {runner}}, {"deafRunners", deaf}, {"cutNodes", {former}}});
+    setFaults(islandOf(runner, former));
     ASSERT_TRUE(waitNextOwner(former));
     EXPECT_TRUE(
         LocalSystem::waitUntil([&] { return runsOf(JobA).size() == 2; }, milliseconds(25'000)));
@@ -163,6 +235,31 @@
     EXPECT_EQ(countEvents(former, "pool.fenced"), 1U);
 }
 
+// The next owner waits for renewals by the former one, but not by one that is known to have ended.
+class TakeoverTime : public CutLinks
+{
+protected:
+    static constexpr milliseconds LeaseAndGrace{6'900};
+};
+
+TEST_F(TakeoverTime, TaskOfALostRunnerIsBackAfterALeaseOnceItsKilledOwnerHasRestarted)
+{
+    const std::string runner = startTask(milliseconds(60'000));
+    std::this_thread::sleep_for(milliseconds(2'500)); // The owner says that none before it renews.
+    const std::string killed = owner();
+    const std::uint64_t epoch = highestEpoch();
+    setFaults({{"silentRunners", {runner}}, {"hiddenRunners", {runner}}});
+    system().member(killed).process.signal(SIGKILL);
+    system().replace(killed);
+    ASSERT_TRUE(
+        LocalSystem::waitUntil([&] { return highestEpoch() > epoch; }, milliseconds(15'000)));
+    const auto owned = std::chrono::steady_clock::now();
+    ASSERT_TRUE(
+        LocalSystem::waitUntil([&] { return runsOf(JobA).size() == 2; }, milliseconds(15'000)));
+    EXPECT_LT(std::chrono::steady_clock::now() - owned, LeaseAndGrace);
+    EXPECT_EQ(violations(), "[]");
+}
+
 class StoreOutage : public CutLinks, public testing::WithParamInterface<const char *>
 {
 };
@@ -268,8 +365,6 @@
     static unsigned seed() { return numberFromEnvironment("LINK_SOAK_SEED", 1); }
 
 private:
-    static inline const std::vector<std::string> Runners{"i-0", "i-1", "i-2"};
-
     std::set<std::string> m_cutNodes;
     std::set<std::string> m_rejectedNodes;
     std::set<std::string> m_hiddenRunners;
--- a/testing/standin/platformstandin.cpp
+++ b/testing/standin/platformstandin.cpp
@@ -395,9 +395,7 @@
         return;
     }
     const json body = parseBody(request.body);
-    const auto deaf = m_faults.deafRunners.find(host.runner->id());
-    if (deaf != m_faults.deafRunners.end()
-        && numberField(body, "fence").value_or(0) >= std::int64_t(deaf->second)) {
+    if (isCutFromOwner(host.runner->id(), std::uint64_t(numberField(body, "fence").value_or(0)))) {
         m_unanswered.push_back(exchange);
         return;
     }
@@ -411,6 +409,15 @@
         exchange->reply({.status = 404});
 }
 
+// The fence tells which owner makes the call.
+bool PlatformStandin::isCutFromOwner(const std::string &runner, std::uint64_t fence) const
+{
+    const auto deaf = m_faults.deafRunners.find(runner);
+    const auto lowest = m_faults.lowestFences.find(runner);
+    return (deaf != m_faults.deafRunners.end() && fence >= deaf->second)
+        || (lowest != m_faults.lowestFences.end() && fence < lowest->second);
+}
+
 void PlatformStandin::startRun(Host &host, const ExchangePtr &exchange, const json &body)
 {
     const auto task = jobs::parseTaskName(textField(body, "task").value_or(""));
@@ -583,11 +590,20 @@
             names.insert(name.get<std::string>());
     };
     readNames("silentRunners", m_faults.silentRunners);
+    readNames("hangingRunners", m_faults.hangingRunners);
     readNames("hiddenRunners", m_faults.hiddenRunners);
     readNames("cutNodes", m_faults.cutNodes);
     readNames("rejectedNodes", m_faults.rejectedNodes);
     if (body.contains("deafRunners"))
         body["deafRunners"].get_to(m_faults.deafRunners);
+    if (body.contains("lowestFences"))
+        body["lowestFences"].get_to(m_faults.lowestFences);
+    for (const auto &host : m_hosts) {
+        if (host->runner) {
+            host->runner->setHanging(m_faults.hangingRunners.contains(host->runner->id()),
+                                     BootClock::now());
+        }
+    }
     for (const std::string &runner : m_faults.hiddenRunners)
         m_rows.apply({.writes = {{{.table = "servers", .key = runner}, std::nullopt}}});
     exchange->reply({});
--- a/testing/standin/platformstandin.h
+++ b/testing/standin/platformstandin.h
@@ -20,6 +20,10 @@
 //     "deafRunners": {"i-1": 2}  these runners answer no call with this fence or a higher one, as
 //     if
 //                                the links to later owners were cut
+//     "lowestFences": {"i-1": 2} these runners answer no call with a lower fence, as if the links
+//     to
+//                                earlier owners were cut
+//     "hangingRunners": ["i-1"]  the tasks on these runners make no progress
 //     "hiddenRunners": ["i-1"]   these runners run on, but the store has no entry of them
 //     "cutNodes": ["node-1"]     the store leaves calls on these nodes' links unanswered
 //     "rejectedNodes": ["n"]     the store answers calls on these nodes' links with 503
@@ -96,6 +100,8 @@
         int lostStarts = 0;
         std::set<std::string> silentRunners;
         std::map<std::string, std::uint64_t> deafRunners; // Lowest fence that is not answered.
+        std::map<std::string, std::uint64_t> lowestFences; // Lowest fence that is answered.
+        std::set<std::string> hangingRunners;
         std::set<std::string> hiddenRunners;
         std::set<std::string> cutNodes;
         std::set<std::string> rejectedNodes;
@@ -119,6 +125,7 @@
     void answerWatches();
 
     void serveRunner(std::size_t host, const ExchangePtr &exchange);
+    bool isCutFromOwner(const std::string &runner, std::uint64_t fence) const;
     void startRun(Host &host, const ExchangePtr &exchange, const nlohmann::json &body);
     void stopRun(Host &host, const ExchangePtr &exchange, const nlohmann::json &body);
     void renew(std::size_t host, const ExchangePtr &exchange, const nlohmann::json &body);
