--- a/testing/unit/runneraddresses_test.cpp
+++ b/testing/unit/runneraddresses_test.cpp
@@ -20,6 +20,7 @@
 std::vector<jobs::StartOrder> startsOn(const std::vector<std::string> &names)
 {
     std::vector<jobs::StartOrder> starts;
+    starts.reserve(names.size());
     for (const std::string &name : names)
         starts.push_back({.runner = name});
     return starts;
