A job's row never outgrows the store, and a refused batch stops no pool

Callers met a pool in which, once 2,400 tasks with checkpoints had outgrown their job's row, no job was accepted, ended or acknowledged any more.

Two faults, in one commit because both rewrite how a batch is put together: (a) A placement was counted against the row's room, but not the checkpoints and failed runs that come later. A task now holds the room for all that it may grow to from its first placement until it is done, and a checkpoint that does not fit is left out. Also, a batch near its bound took one more job. (b) A batch that the store refuses for its contents was sent again for ever, before all later changes. Its jobs are now written one by one; one that is refused by itself is set apart, logged, counted and tried again, and ends that its rows do not cover stay unacknowledged.

Ruled out: rows that split (docs/design/platform.md).

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -13,6 +13,15 @@
 
 namespace sequoiapier::jobs {
 
+namespace {
+
+std::size_t sizeOf(const RowChange &rows)
+{
+    return (rows.spec ? rows.spec->size() : 0) + (rows.state ? rows.state->size() : 0);
+}
+
+} // namespace
+
 Engine::Engine(Options options, Hooks hooks)
     : m_options(options)
     , m_hooks(std::move(hooks))
@@ -178,9 +187,9 @@
 // Returns whether the job's row in the store can grow by `bytes`.
 bool Engine::hasRowRoom(Entry &entry, std::size_t bytes) const
 {
-    if (entry.stateBytes == 0)
-        entry.stateBytes = encodeJobState(entry.job).size();
-    return entry.stateBytes + bytes <= m_options.maxRowBytes;
+    if (entry.rowBytes == 0)
+        entry.rowBytes = rowBytes(entry.job);
+    return entry.rowBytes + bytes <= m_options.maxRowBytes;
 }
 
 // The job's runs are stopped once its end is in the store.
@@ -196,39 +205,78 @@
     job.occurrences.clear();
     m_live.erase(job.id);
     markDirty(entry);
+    if (entry.isSetApart)
+        writeAgain(entry); // The row is small now.
+}
+
+// Encodes the rows of a changed job, which count as being written from then on.
+RowChange Engine::takeRows(Entry &entry)
+{
+    RowChange rows{.job = entry.job.id, .isRemoved = entry.isRemoved};
+    if (!entry.isRemoved) {
+        const bool isSpecNeeded = !entry.job.hasEnded();
+        if (std::exchange(entry.isSpecDirty, false) && isSpecNeeded) {
+            rows.spec = encodeSpecRow(entry.job.spec, entry.job.terms);
+            entry.hasSpecRow = true;
+        }
+        if (!isSpecNeeded)
+            rows.isSpecRemoved = std::exchange(entry.hasSpecRow, false);
+        rows.state = encodeJobState(entry.job);
+        entry.rowBytes = rowBytes(entry.job);
+    }
+    entry.isStateDirty = false;
+    entry.isWriting = true;
+    entry.writingEnds = std::exchange(entry.unsavedEnds, {});
+    return rows;
 }
 
-// Ends are acknowledged only if the batch contains every changed job, since an end may be
-// acknowledged only when its job is in this batch or an earlier one.
+// Keeps the first end of each runner's newest incarnation.
+void Engine::keepFirst(std::map<std::string, AppliedEnds> &ends, const std::string &runner,
+                       const AppliedEnds &end)
+{
+    AppliedEnds &first = ends.try_emplace(runner, end).first->second;
+    if (end.bornAt > first.bornAt || (end.bornAt == first.bornAt && end.number < first.number))
+        first = end;
+}
+
+// Undoes takeRows().
+void Engine::putBackRows(Entry &entry, const RowChange &rows)
+{
+    entry.isSpecDirty = entry.isSpecDirty || rows.spec.has_value();
+    entry.hasSpecRow = (entry.hasSpecRow || rows.isSpecRemoved) && !rows.spec;
+    entry.isWriting = false;
+    for (const auto &[runner, end] : std::exchange(entry.writingEnds, {}))
+        keepFirst(entry.unsavedEnds, runner, end);
+}
+
+// Ends are acknowledged only if the batch contains every changed job that is not set apart, since
+// an end may be acknowledged only when its job is in this batch or an earlier one.
 Batch Engine::takeBatch()
 {
     Batch batch;
     std::size_t bytes = 0;
-    while (!m_dirty.empty() && batch.rows.size() < m_options.maxJobsInBatch
-           && bytes < m_options.maxBatchBytes) {
+    while (!m_dirty.empty() && batch.rows.size() < m_options.maxJobsInBatch) {
         const auto found = m_jobs.find(m_dirty.front());
-        m_dirty.pop_front();
-        if (found == m_jobs.end() || !found->second.isStateDirty)
+        if (found == m_jobs.end() || !found->second.isStateDirty) {
+            m_dirty.pop_front();
             continue;
+        }
         Entry &entry = found->second;
-        RowChange change{.job = entry.job.id, .isRemoved = entry.isRemoved};
-        if (!entry.isRemoved) {
-            const bool isSpecNeeded = !entry.job.hasEnded();
-            if (std::exchange(entry.isSpecDirty, false) && isSpecNeeded) {
-                change.spec = encodeSpecRow(entry.job.spec, entry.job.terms);
-                bytes += change.spec->size();
-                entry.hasSpecRow = true;
-            }
-            if (!isSpecNeeded)
-                change.isSpecRemoved = std::exchange(entry.hasSpecRow, false);
-            change.state = encodeJobState(entry.job);
-            entry.stateBytes = change.state->size();
-            bytes += entry.stateBytes;
+        if (entry.isWrittenAlone && !batch.rows.empty())
+            break;
+        RowChange rows = takeRows(entry);
+        const std::size_t rowsBytes = sizeOf(rows);
+        if (!batch.rows.empty() && bytes + rowsBytes > m_options.maxBatchBytes) {
+            putBackRows(entry, rows);
+            entry.isStateDirty = true;
+            break;
         }
-        entry.isStateDirty = false;
-        entry.isWriting = true;
+        m_dirty.pop_front();
+        bytes += rowsBytes;
         batch.phases[entry.job.id] = entry.job.phase;
-        batch.rows.push_back(std::move(change));
+        batch.rows.push_back(std::move(rows));
+        if (entry.isWrittenAlone)
+            break;
     }
     std::vector<StartOrder> later;
     for (StartOrder &start : m_planned) {
@@ -238,13 +286,78 @@
     m_planned = std::move(later);
     if (m_dirty.empty()) {
         for (const auto &[id, runner] : m_runners) {
-            if (runner.appliedEnds > runner.durableEnds)
-                batch.ends[id] = {runner.bornAt, runner.appliedEnds};
+            const std::uint64_t last = lastSavedEnd(id, runner);
+            if (last > runner.durableEnds)
+                batch.ends[id] = {runner.bornAt, last};
         }
     }
     return batch;
 }
 
+// Returns the number of the runner's last end before which no job that is set apart needs one.
+std::uint64_t Engine::lastSavedEnd(const std::string &id, const Runner &runner) const
+{
+    std::uint64_t last = runner.appliedEnds;
+    for (const std::string &job : m_setApart) {
+        const std::map<std::string, AppliedEnds> &unsaved = m_jobs.find(job)->second.unsavedEnds;
+        const auto first = unsaved.find(id);
+        if (first != unsaved.end() && first->second.bornAt == runner.bornAt)
+            last = std::min(last, first->second.number - 1);
+    }
+    return last;
+}
+
+void Engine::onRefused(const Batch &batch, TimePoint now)
+{
+    m_planned.insert(m_planned.begin(), batch.starts.begin(), batch.starts.end());
+    for (const RowChange &rows : batch.rows) {
+        const auto found = m_jobs.find(rows.job);
+        if (found == m_jobs.end())
+            continue;
+        Entry &entry = found->second;
+        putBackRows(entry, rows);
+        markDirty(entry);
+        entry.isWrittenAlone = true;
+        if (batch.rows.size() == 1)
+            setApart(entry, rows, now);
+    }
+}
+
+// The job stays marked as changed, so that it is not written before writeAgain() is called.
+void Engine::setApart(Entry &entry, const RowChange &rows, TimePoint now)
+{
+    std::erase(m_dirty, entry.job.id);
+    std::vector<StartOrder> abandoned;
+    std::vector<StartOrder> later;
+    for (StartOrder &start : m_planned)
+        (start.task.job == entry.job.id ? abandoned : later).push_back(std::move(start));
+    m_planned = std::move(later);
+    for (const StartOrder &start : abandoned)
+        abandonStart(start);
+    entry.retryAt = now + m_options.refusedRetry;
+    if (!m_setApart.insert(entry.job.id).second)
+        return;
+    entry.isSetApart = true;
+    note("job.set-apart", {.job = entry.job.id},
+         "rows of " + std::to_string(sizeOf(rows)) + " bytes are refused, limit "
+             + std::to_string(m_options.maxRowBytes));
+}
+
+void Engine::writeAgain(Entry &entry)
+{
+    if (std::exchange(entry.retryAt, TimePoint::max()) != TimePoint::max())
+        m_dirty.push_back(entry.job.id);
+}
+
+void Engine::retrySetApart(TimePoint now)
+{
+    for (const std::string &id : m_setApart) {
+        Entry &entry = m_jobs.find(id)->second;
+        if (now >= entry.retryAt)
+            writeAgain(entry);
+    }
+}
+
 void Engine::onCommitted(const Batch &batch)
 {
     for (const RowChange &row : batch.rows) {
@@ -254,6 +367,12 @@
         Entry &entry = found->second;
         entry.isWriting = false;
         entry.durable = batch.phases.at(row.job);
+        entry.writingEnds.clear();
+        entry.isWrittenAlone = false;
+        if (std::exchange(entry.isSetApart, false)) {
+            m_setApart.erase(row.job);
+            note("job.written", {.job = row.job});
+        }
         if (row.isRemoved)
             m_jobs.erase(found);
     }
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -161,11 +161,15 @@
         // Callers may ask for ended jobs for this long.
         Duration endedJobRetention = std::chrono::seconds(130);
         std::size_t maxJobsInBatch = 45; // Each job has two rows; a transaction holds 100 entries.
-        // Size of the rows; a batch below this bound may take one more job.
+        // Maximum size of the rows of several jobs; a job by itself may be larger.
         std::size_t maxBatchBytes = 512 * 1024;
-        // Maximum size of a job's state in the store. Tasks are placed and occurrences begun only
-        // while the state fits.
+        // Maximum size of a job's state in the store. Tasks are placed, occurrences begun and long
+        // checkpoints kept only while all that the tasks may grow to fits.
         std::size_t maxRowBytes = 65'536;
+        // Delay before rows that the store has refused are written again.
+        Duration refusedRetry = std::chrono::seconds(5);
+        // A runner with more ends that are not in the store gets no task: it lists 500 at most.
+        std::uint64_t maxUnsavedEnds = 400;
         // Jobs that will be late after this time ask for fewer hosts: moving a host takes 1.5 s,
         // and some of the waiting tasks start meanwhile.
         Duration hostDelay = std::chrono::milliseconds(1'000);
@@ -248,6 +252,13 @@
     void plan(TimePoint now);
     Batch takeBatch();
     void onCommitted(const Batch &batch);
+    // Called when the store refuses the batch for what it contains, so that nothing of it is
+    // stored. Its jobs are written one by one, and those that are refused again are set apart: they
+    // stay as they are in the store, nothing of them is started, the ends that they need are not
+    // acknowledged, and their rows are written again from time to time.
+    void onRefused(const Batch &batch, TimePoint now);
+    // Number of jobs that are set apart.
+    std::size_t setApartCount() const { return m_setApart.size(); }
     // Returns the starts to be sent now. Each must be followed by onStartAnswer().
     std::vector<StartOrder> takeStarts(TimePoint now);
     std::vector<StopOrder> takeStops(TimePoint now);
@@ -277,7 +288,18 @@
         // True once a stalled task of the job has been counted against a runner.
         bool hasCountedStall = false;
         TimePoint arrivedAt{};
-        std::size_t stateBytes = 0; // Upper bound for the size of its state row; 0 if unknown.
+        // Room of its state row as defined by jobs::rowBytes(); 0 if unknown.
+        std::size_t rowBytes = 0;
+        // The store has refused a batch that contains the job, which is now written by itself.
+        bool isWrittenAlone = false;
+        // The store has refused the job's rows alone. They are kept here and written again at
+        // retryAt, which is TimePoint::max() while they are being written.
+        bool isSetApart = false;
+        TimePoint retryAt{};
+        // First end of each runner that changed the job and is not in the store, and such ends in
+        // the batch that is being written.
+        std::map<std::string, AppliedEnds> unsavedEnds;
+        std::map<std::string, AppliedEnds> writingEnds;
     };
 
     struct TaskLocation
@@ -376,6 +398,18 @@
     void requestAdviceAhead(TimePoint now);
     bool isWithinCeiling(const std::string &team, const Resources &size) const;
     bool hasRowRoom(Entry &entry, std::size_t bytes) const;
+    std::size_t growthIfPlaced(const Candidate &candidate, const Task &task,
+                               const Runner &runner) const;
+    void setCheckpoint(const TaskLocation &location, std::span<Task> tasks,
+                       const std::string &checkpoint) const;
+    RowChange takeRows(Entry &entry);
+    static void keepFirst(std::map<std::string, AppliedEnds> &ends, const std::string &runner,
+                          const AppliedEnds &end);
+    void putBackRows(Entry &entry, const RowChange &rows);
+    void setApart(Entry &entry, const RowChange &rows, TimePoint now);
+    void writeAgain(Entry &entry);
+    void retrySetApart(TimePoint now);
+    std::uint64_t lastSavedEnd(const std::string &id, const Runner &runner) const;
     void orderStart(const Candidate &candidate, std::uint32_t index, Runner &runner,
                     std::uint64_t run, TimePoint now);
 
@@ -392,6 +426,7 @@
     std::map<std::string, Entry, std::less<>> m_jobs;
     std::map<std::string, Entry *, std::less<>> m_live; // Jobs that have not ended.
     std::deque<std::string> m_dirty; // Jobs to be written, the longest waiting first.
+    std::set<std::string> m_setApart; // Jobs whose rows the store refuses.
     std::map<std::string, Runner> m_runners;
     // Resources used by runs that may exist, by team.
     std::map<std::string, Resources, std::less<>> m_teamUse;
--- a/jobs/engineevacuation.cpp
+++ b/jobs/engineevacuation.cpp
@@ -35,6 +35,8 @@
 
 bool Engine::canEndTask(const TaskLocation &location) const
 {
+    if (location.entry->isSetApart)
+        return false; // The task could not be started elsewhere.
     if (location.spec->maxUnavailable == 0)
         return true;
     const auto out
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -52,12 +52,6 @@
                        [](const auto &item) { return item.second.isLasting; });
 }
 
-// Returns the size of a task placed on the runner in its job's row.
-std::size_t placedBytes(const Runner &runner)
-{
-    return PlacedTaskBytes + runner.entry.id.size();
-}
-
 bool isReady(const Occurrence &occurrence, const StepSpec &step)
 {
     return std::all_of(step.after.begin(), step.after.end(),
@@ -69,6 +63,7 @@
 void Engine::plan(TimePoint now)
 {
     releaseExpiredRuns(now);
+    retrySetApart(now);
     if (now >= m_nextRemoval) {
         m_nextRemoval = now + RemovalInterval;
         removeEndedJobs();
@@ -158,11 +153,10 @@
             = job.spec.firstDue + std::int64_t(job.nextOccurrence) * job.spec.intervalMilliseconds;
         if (job.spec.isTimed() && due > m_hooks.wallMilliseconds())
             return;
-        const std::size_t bytes = occurrenceBytes(job.spec);
-        if (!job.occurrences.empty() && !hasRowRoom(entry, bytes))
+        if (!job.occurrences.empty() && !hasRowRoom(entry, occurrenceBytes(job.spec, job.terms)))
             return;
         job.occurrences[job.nextOccurrence++] = makeOccurrence(job.spec);
-        entry.stateBytes = std::max(entry.stateBytes, JobFrameBytes) + bytes;
+        entry.rowBytes = 0;
         m_arrivals.add(runnerSeconds(job), now);
         markDirty(entry);
     }
@@ -196,6 +190,8 @@
     std::vector<Candidate> waiting;
     for (const auto &[id, live] : m_live) {
         Entry &entry = *live;
+        if (entry.isSetApart)
+            continue;
         const Job &job = entry.job;
         for (const auto &[number, occurrence] : job.occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
@@ -219,7 +215,8 @@
 {
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
     const bool isReachable = runner.isFenced && now >= runner.avoidUntil
-        && runner.answeredAt + m_options.maxAnswerAge >= now;
+        && runner.answeredAt + m_options.maxAnswerAge >= now
+        && runner.appliedEnds - runner.durableEnds <= m_options.maxUnsavedEnds;
     if (!runner.isOpen(now) || !isListedLately(runner, now) || !isReachable
         || (runner.isReserved && !step.isLasting))
         return false;
@@ -351,7 +348,7 @@
             requestAdvice(candidate, now);
             return;
         }
-        if (!hasRowRoom(*candidate.entry, placedBytes(*runner)))
+        if (!hasRowRoom(*candidate.entry, growthIfPlaced(candidate, tasks[index], *runner)))
             return;
         orderStart(candidate, index, *runner, tasks[index].run + 1, now);
     }
@@ -390,14 +387,24 @@
         return;
     }
     std::size_t bytes = 0;
-    for (const Runner *runner : picked)
-        bytes += placedBytes(*runner);
+    for (std::uint32_t index = 0; index < tasks.size(); ++index)
+        bytes += growthIfPlaced(candidate, tasks[index], *picked[index]);
     if (!hasRowRoom(*candidate.entry, bytes))
         return;
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
         orderStart(candidate, index, *picked[index], run + 1, now);
 }
 
+// Returns by how much the room of the job's row grows if the task is placed on the runner.
+std::size_t Engine::growthIfPlaced(const Candidate &candidate, const Task &task,
+                                   const Runner &runner) const
+{
+    const Job &job = candidate.entry->job;
+    const StepSpec &step = job.spec.steps[candidate.step];
+    return placedTaskBytes(step, job.terms, task, runner.entry.id)
+        - taskBytes(step, job.terms, task);
+}
+
 // The start is sent once the job's row with the placement is in the store.
 void Engine::orderStart(const Candidate &candidate, std::uint32_t index, Runner &runner,
                         std::uint64_t run, TimePoint now)
@@ -406,6 +413,7 @@
     Job &job = candidate.entry->job;
     Task &task = job.occurrences.at(candidate.occurrence).steps[candidate.step].tasks[index];
     const TaskName name{job.id, candidate.occurrence, candidate.step, index};
+    candidate.entry->rowBytes += growthIfPlaced(candidate, task, runner);
     task.phase = TaskPhase::Placed;
     task.runPhase = RunPhase::Ordered;
     task.run = run;
@@ -416,7 +424,6 @@
     task.measurement = 0;
     task.missingReports = 0;
     addRun(runner, makeRun(job, name, run));
-    candidate.entry->stateBytes += placedBytes(runner);
     m_planned.push_back({.runner = runner.entry.id,
                          .task = name,
                          .run = run,
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -300,7 +300,7 @@
         task->missingReports = 0;
         task->measurement = entry.measurement;
         if (!entry.checkpoint.empty())
-            task->checkpoint = entry.checkpoint;
+            setCheckpoint(location, {task, 1}, entry.checkpoint);
         Run &run = runner.runs.at(key);
         if (!run.mayBeStopped())
             run.isStopRequested = false;
@@ -368,6 +368,8 @@
              + runner.entry.id);
     removeRun(runner, {end.task, end.run});
     const TaskLocation location = find(end.task);
+    if (location.entry != nullptr)
+        keepFirst(location.entry->unsavedEnds, runner.entry.id, {runner.bornAt, end.number});
     if (location.task == nullptr || location.task->phase == TaskPhase::Done)
         return;
     applyCheckpoint(location, end);
@@ -387,12 +389,36 @@
 {
     if (end.checkpoint.empty() || end.run < location.task->run)
         return;
-    if (!location.spec->isGang) {
-        location.task->checkpoint = end.checkpoint;
+    if (location.spec->isGang)
+        setCheckpoint(location, location.step->tasks, end.checkpoint);
+    else
+        setCheckpoint(location, {location.task, 1}, end.checkpoint);
+}
+
+// If the job's row has no room for a longer checkpoint, the tasks keep the one before, from which
+// they can go on as well. Room for one more task stays free.
+void Engine::setCheckpoint(const TaskLocation &location, std::span<Task> tasks,
+                           const std::string &checkpoint) const
+{
+    Entry &entry = *location.entry;
+    std::size_t growth = 0;
+    for (const Task &task : tasks) {
+        Task changed{.phase = task.phase, .run = task.run, .failedRuns = task.failedRuns};
+        changed.runner = task.runner;
+        changed.checkpoint = checkpoint;
+        const std::size_t before = taskBytes(*location.spec, entry.job.terms, task);
+        const std::size_t after = taskBytes(*location.spec, entry.job.terms, changed);
+        growth += after > before ? after - before : 0;
+    }
+    if (growth > 0
+        && !hasRowRoom(entry, growth + largestTaskBytes(entry.job.spec, entry.job.terms))) {
+        note("job.checkpoint-dropped", {.job = entry.job.id},
+             std::to_string(checkpoint.size()) + " bytes");
         return;
     }
-    for (Task &member : location.step->tasks)
-        member.checkpoint = end.checkpoint;
+    entry.rowBytes += growth;
+    for (Task &task : tasks)
+        task.checkpoint = checkpoint;
 }
 
 // If one member is done, the whole gang is done; the other members list their ends as well.
--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -24,6 +24,19 @@
 constexpr int WaitingMark = 0;
 constexpr int DoneMark = 1;
 
+// Maximum sizes in the row. Run numbers fit 32 bits.
+constexpr std::size_t OccurrenceFrameBytes = 16;
+constexpr std::size_t StepFrameBytes = 8;
+constexpr std::size_t TaskFrameBytes = 16; // of a placed task, without what has a length
+constexpr std::size_t RunNumberBytes = 5;
+constexpr std::size_t RunnerNameBytes = 40;
+constexpr std::uint32_t RoomyAttempts = 100; // attempts for which a task holds room
+
+bool isPlacedAsAWhole(const StepSpec &step)
+{
+    return step.isGang || step.isLasting;
+}
+
 json encodeTask(const Task &task)
 {
     if (task.phase == TaskPhase::Done)
@@ -152,15 +165,57 @@
     return occurrence;
 }
 
-std::size_t occurrenceBytes(const JobSpec &spec)
+std::size_t frameBytes(const Job &job)
+{
+    constexpr std::size_t FrameBytes = 64; // without the names
+    return FrameBytes + job.queue.size() + job.team.size();
+}
+
+std::size_t occurrenceBytes(const JobSpec &spec, const JobTerms &terms)
 {
-    constexpr std::size_t FrameBytes = 16;
-    constexpr std::size_t StepBytes = 8;
-    constexpr std::size_t RunnerNameBytes = 40;
-    std::size_t bytes = FrameBytes;
+    std::size_t bytes = OccurrenceFrameBytes;
     for (const StepSpec &step : spec.steps) {
-        const bool isWhole = step.isGang || step.isLasting;
-        bytes += StepBytes + step.count * (isWhole ? PlacedTaskBytes + RunnerNameBytes : 1);
+        const std::size_t unplaced = taskBytes(step, terms, {});
+        bytes += StepFrameBytes + step.count * unplaced;
+    }
+    return bytes + largestTaskBytes(spec, terms);
+}
+
+std::size_t largestTaskBytes(const JobSpec &spec, const JobTerms &terms)
+{
+    std::size_t largest = 0;
+    for (const StepSpec &step : spec.steps)
+        largest = std::max(largest, placedTaskBytes(step, terms, {}, {}));
+    return largest;
+}
+
+std::size_t placedTaskBytes(const StepSpec &step, const JobTerms &terms, const Task &task,
+                            std::string_view runner)
+{
+    const std::size_t attempts = step.isLasting ? 0 : std::min(terms.maxAttempts, RoomyAttempts);
+    return TaskFrameBytes + std::max(runner.size(), RunnerNameBytes)
+        + std::max(task.failedRuns.size(), attempts) * RunNumberBytes
+        + std::max(task.checkpoint.size(), step.hasCheckpoints ? CheckpointBytes : 0);
+}
+
+std::size_t taskBytes(const StepSpec &step, const JobTerms &terms, const Task &task)
+{
+    const bool isUnplaced = task.phase == TaskPhase::Waiting && task.run == 0;
+    if (task.phase == TaskPhase::Done || (isUnplaced && !isPlacedAsAWhole(step)))
+        return 1;
+    return placedTaskBytes(step, terms, task, task.runner);
+}
+
+std::size_t rowBytes(const Job &job)
+{
+    std::size_t bytes = frameBytes(job);
+    for (const auto &[number, occurrence] : job.occurrences) {
+        bytes += OccurrenceFrameBytes;
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            bytes += StepFrameBytes;
+            for (const Task &task : occurrence.steps[s].tasks)
+                bytes += taskBytes(job.spec.steps[s], job.terms, task);
+        }
     }
     return bytes;
 }
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -122,14 +122,26 @@
 void forEachPlaced(const Job &job,
                    const std::function<void(const TaskName &name, const Task &task)> &visit);
 
-// Maximum size of a placed task in its job's row, without the runner's name and the checkpoint.
-inline constexpr std::size_t PlacedTaskBytes = 24;
-// Maximum size of a job's row without its occurrences.
-inline constexpr std::size_t JobFrameBytes = 1'000;
-
-// Maximum size of an occurrence in its job's row when nothing is placed except gangs and lasting
-// tasks, which are placed as a whole, on runners with names of common length. O(steps).
-std::size_t occurrenceBytes(const JobSpec &spec);
+// Room in a job's row. A task takes one byte until it is first placed and once it is done. From its
+// first placement on it holds the room for all that it may grow to: the failed runs that its terms
+// allow, a runner's name and a checkpoint of common length, and what the present ones exceed those
+// by. Gangs and lasting tasks, which are placed as a whole, hold that room from the beginning.
+//
+// Checkpoint length for which a task of a step with checkpoints holds room.
+inline constexpr std::size_t CheckpointBytes = 32;
+
+// Maximum size of the job's row without its occurrences.
+std::size_t frameBytes(const Job &job);
+// Room of an occurrence that begins, and of one more task so that it can go on. O(steps).
+std::size_t occurrenceBytes(const JobSpec &spec, const JobTerms &terms);
+// Room of the task as it is, and of the same task placed on the runner.
+std::size_t taskBytes(const StepSpec &step, const JobTerms &terms, const Task &task);
+std::size_t placedTaskBytes(const StepSpec &step, const JobTerms &terms, const Task &task,
+                            std::string_view runner);
+// Room of the largest placed task of the job without a checkpoint of its own. O(steps).
+std::size_t largestTaskBytes(const JobSpec &spec, const JobTerms &terms);
+// Room of the whole job, which is at least the size of its row. O(n) in tasks.
+std::size_t rowBytes(const Job &job);
 
 // Encodes the mutable part of a job for its row.
 std::string encodeJobState(const Job &job);
--- a/node/poolmetrics.cpp
+++ b/node/poolmetrics.cpp
@@ -31,6 +31,11 @@
                          .Help("Calls to runners that were made through other nodes")
                          .Register(metrics)
                          .Add({}))
+    , m_setApart(prometheus::BuildCounter()
+                     .Name("sequoiapier_jobs_set_apart_total")
+                     .Help("Jobs whose rows the store has refused, which are kept in memory")
+                     .Register(metrics)
+                     .Add({}))
 { }
 
 void PoolMetrics::observeStart(const jobs::StartOrder &order)
--- a/node/poolmetrics.h
+++ b/node/poolmetrics.h
@@ -29,6 +29,8 @@
     {
         m_carriedCalls.Increment(double(count) - m_carriedCalls.Value());
     }
+    // Records a job whose rows the store has refused.
+    void countSetApart() { m_setApart.Increment(); }
     void observePlan(Duration duration) { m_planTime.Observe(seconds(duration)); }
 
 private:
@@ -41,6 +43,7 @@
     prometheus::Histogram &m_delay; // seconds
     prometheus::Histogram &m_planTime; // seconds
     prometheus::Counter &m_carriedCalls;
+    prometheus::Counter &m_setApart;
 };
 
 } // namespace sequoiapier
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -33,6 +33,9 @@
 constexpr const char *AddressTable = "runneraddresses";
 constexpr std::size_t MaxTransactionEntries = 100; // bound of the store
 
+// The two rows of a job, encoded as base64, fit a transaction of 1 MB.
+constexpr std::size_t MaxRowBytes = 350'000;
+
 constexpr Duration StoreTimeout = milliseconds(1'000); // a slow store takes a third of a second
 constexpr Duration StoreRetry = milliseconds(100);
 constexpr Duration BatchInterval = milliseconds(20); // time between batches; each is one paid call
@@ -66,6 +69,11 @@
     return std::min(LeaseDuration, settings.maxLease);
 }
 
+std::size_t maxRowBytes(const NodeSettings &settings)
+{
+    return std::min(std::size_t(settings.maxRowBytes), MaxRowBytes);
+}
+
 jobs::Engine::Options engineOptions(const NodeSettings &settings)
 {
     jobs::Engine::Options options;
@@ -75,7 +83,7 @@
         = std::max(settings.drainNotice - RunnerClient::OrderTimeout, settings.drainNotice / 2);
     options.stopTime = settings.stopTime + milliseconds(100);
     options.endedJobRetention = settings.endedJobRetention + std::chrono::seconds(10);
-    options.maxRowBytes = std::size_t(settings.maxRowBytes);
+    options.maxRowBytes = maxRowBytes(settings);
     return options;
 }
 
@@ -413,9 +421,11 @@
         answer(reply(ResultCode::RequestMalformed));
         return;
     }
+    const jobs::Job job{.queue = call.queue, .team = call.team};
     const std::size_t specBytes = jobs::SpecRowFrameBytes + call.spec.size();
-    const std::size_t stateBytes = jobs::JobFrameBytes + jobs::occurrenceBytes(spec.value());
-    if (std::max(specBytes, stateBytes) > m_context.settings.maxRowBytes) {
+    const std::size_t stateBytes
+        = jobs::frameBytes(job) + jobs::occurrenceBytes(spec.value(), termsInForce(call.queue));
+    if (std::max(specBytes, stateBytes) > maxRowBytes(m_context.settings)) {
         answer(reply(ResultCode::RequestTooLarge));
         return;
     }
@@ -655,7 +665,8 @@
 
 void PoolOwner::addAddressWrites(std::size_t room)
 {
-    for (const RunnerAddresses::Change &change : m_addresses.takeChanges(room)) {
+    m_addressChanges = m_addresses.takeChanges(room);
+    for (const RunnerAddresses::Change &change : m_addressChanges) {
         m_transaction.writes.push_back(
             {key(AddressTable, change.runner),
              change.endpoint ? std::optional(toString(*change.endpoint)) : std::nullopt});
@@ -679,6 +690,10 @@
         onBatchWritten(commit.version);
         return;
     }
+    if (commit.isRefused && m_hasBatchRows) {
+        onBatchRefused(commit.detail);
+        return;
+    }
     if (commit.outcome != CommitOutcome::Conflict) {
         m_context.log.info("batch.unanswered", {{"pool", m_pool}, {"detail", commit.detail}});
         m_batchTimer.startAt(BootClock::now() + StoreRetry);
@@ -708,6 +723,25 @@
     requestTick();
 }
 
+// The same batch would be refused for ever, and with it all later ones. An earlier attempt may
+// still be applied if its answer was lost: then the next batch meets another fence row, and the
+// pool is given up.
+void PoolOwner::onBatchRefused(std::string_view detail)
+{
+    m_context.log.warn("batch.refused",
+                       {{"pool", m_pool},
+                        {"jobs", std::to_string(m_batch->rows.size())},
+                        {"detail", std::string(detail)}});
+    m_addresses.putBack(m_addressChanges);
+    const jobs::Batch batch = std::move(*m_batch);
+    m_batch.reset();
+    const std::size_t before = m_engine.setApartCount();
+    m_engine.onRefused(batch, BootClock::now());
+    if (m_engine.setApartCount() > before)
+        m_context.poolMetrics.countSetApart();
+    requestTick();
+}
+
 // Another node may own the pool after this node's term, so that orders wait until the term is
 // renewed.
 void PoolOwner::sendOrders()
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -160,6 +160,7 @@
     void sendBatch();
     void onBatchAnswer(const StoreCommit &commit);
     void onBatchWritten(std::uint64_t version);
+    void onBatchRefused(std::string_view detail);
     void sendOrders();
     void askAdvice();
     void sendStart(const jobs::StartOrder &order);
@@ -188,6 +189,7 @@
     StoreTransaction m_transaction; // transaction in flight, of m_batch or before it
     bool m_hasBatchRows = false; // m_transaction contains the rows of m_batch
     RunnerAddresses m_addresses;
+    std::vector<RunnerAddresses::Change> m_addressChanges; // changes in m_transaction
     std::optional<MemberId> m_takenFrom;
     // The fence row of the owner before said that no earlier one renewed leases any more.
     bool m_wasSettled = false;
--- a/node/runneraddresses.cpp
+++ b/node/runneraddresses.cpp
@@ -44,4 +44,15 @@
     return changes;
 }
 
+// The address that the store has is not known any more, so that the next start there writes it.
+void RunnerAddresses::putBack(std::span<const Change> changes)
+{
+    for (const Change &change : changes) {
+        if (change.endpoint)
+            m_stored.erase(change.runner);
+        else
+            m_stored[change.runner] = {};
+    }
+}
+
 } // namespace sequoiapier
--- a/node/runneraddresses.h
+++ b/node/runneraddresses.h
@@ -44,6 +44,8 @@
     std::size_t requiredCount() const { return m_required.size(); }
     // Returns at most `room` changes, the required ones first. They count as written.
     std::vector<Change> takeChanges(std::size_t room);
+    // Called with changes that were taken and not written.
+    void putBack(std::span<const Change> changes);
 
 private:
     std::map<std::string, Endpoint> m_stored;
--- a/testing/standin/platformstandin.cpp
+++ b/testing/standin/platformstandin.cpp
@@ -303,9 +303,11 @@
             {keyOf(entry), decodeBase64(textField(entry, "value").value_or(""))});
     for (const json &entry : listField(body, "remove"))
         transaction.writes.push_back({keyOf(entry), std::nullopt});
-    const auto isTooLarge
-        = [](const StoreWrite &write) { return write.value && write.value->size() > MaxRowBytes; };
-    if (std::any_of(transaction.writes.begin(), transaction.writes.end(), isTooLarge)) {
+    const auto isRefused = [&](const StoreWrite &write) {
+        const bool isTooLarge = write.value && write.value->size() > MaxRowBytes;
+        return isTooLarge || m_faults.refusedKeys.contains(write.key.key);
+    };
+    if (std::any_of(transaction.writes.begin(), transaction.writes.end(), isRefused)) {
         answer(exchange, StatusMalformed, {{"error", "a row is too large"}});
         return;
     }
@@ -594,6 +596,7 @@
     readNames("hiddenRunners", m_faults.hiddenRunners);
     readNames("cutNodes", m_faults.cutNodes);
     readNames("rejectedNodes", m_faults.rejectedNodes);
+    readNames("refusedKeys", m_faults.refusedKeys);
     if (body.contains("deafRunners"))
         body["deafRunners"].get_to(m_faults.deafRunners);
     if (body.contains("lowestFences"))
--- a/testing/standin/platformstandin.h
+++ b/testing/standin/platformstandin.h
@@ -105,6 +105,7 @@
         std::set<std::string> hiddenRunners;
         std::set<std::string> cutNodes;
         std::set<std::string> rejectedNodes;
+        std::set<std::string> refusedKeys; // Rows that can't be written.
     };
 
     void addHosts(const std::string &pools);
--- a/testing/standin/simulatedrunner.cpp
+++ b/testing/standin/simulatedrunner.cpp
@@ -34,6 +34,11 @@
         run.willFail = payload.value("fail", false) || start.run <= payload.value("failures", 0U);
         run.lasts = payload.value("lasts", false);
         run.tailLatency = payload.value("tailMs", 0U);
+        const std::size_t checkpointBytes = payload.value("checkpointBytes", 0U);
+        if (checkpointBytes > 0) {
+            run.checkpoint = toString(start.task);
+            run.checkpoint.resize(checkpointBytes, '.');
+        }
         run.disturbance = payload.value("disturbMs", 0U);
     }
     run.willFail = run.willFail || m_isFailing;
@@ -137,6 +142,7 @@
     for (const Running &run : m_runs) {
         report.running.push_back({.task = run.start.task,
                                   .run = run.start.run,
+                                  .checkpoint = run.checkpoint,
                                   .percent = percentOf(run, now),
                                   .measurement = tailLatencyOf(run)});
     }
@@ -162,11 +168,12 @@
 {
     std::uint64_t &highest = m_highestRun[run.start.task];
     highest = std::max(highest, run.start.run);
+    const std::string stopped = kind == jobs::EndKind::Stopped ? "saved" : "";
     m_ends.push_back({.number = ++m_endCount,
                       .task = run.start.task,
                       .run = run.start.run,
                       .kind = kind,
-                      .checkpoint = kind == jobs::EndKind::Stopped ? "saved" : ""});
+                      .checkpoint = run.checkpoint.empty() ? stopped : run.checkpoint});
     m_ledger.end(run.start.task, run.start.run, toString(kind), now);
 }
 
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -229,12 +229,25 @@
             return;
         const jobs::Batch written = std::move(*m_batch);
         m_batch.reset();
+        if (isRefused(written)) {
+            ++m_refusalCount;
+            m_engine->onRefused(written, m_time.now());
+            return;
+        }
         apply(written);
         m_engine->onCommitted(written);
         sendOrders();
     });
 }
 
+bool EnginePool::isRefused(const jobs::Batch &batch) const
+{
+    return std::any_of(batch.rows.begin(), batch.rows.end(), [&](const jobs::RowChange &row) {
+        return m_refusedJobs.contains(row.job)
+            || (row.state && row.state->size() > m_options.maxRowBytes);
+    });
+}
+
 void EnginePool::apply(const jobs::Batch &batch)
 {
     std::size_t bytes = 0;
--- a/testing/support/enginepool.h
+++ b/testing/support/enginepool.h
@@ -70,6 +70,8 @@
     // counts `renewedFor` for renewals by the earlier owner.
     void replaceOwner(Duration gap, Duration renewedFor = {});
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
+    // The store refuses each batch with a row of one of these jobs.
+    void refuse(std::set<std::string> jobs) { m_refusedJobs = std::move(jobs); }
     void setReachable(int runner, bool isReachable);
     void setListed(int runner, bool isListed);
     void setDraining(int runner, bool isDraining);
@@ -100,6 +102,8 @@
     // Highest use of any runner as a fraction of its capacity.
     double peakUse() const { return m_peakUse; }
     std::size_t commitCount() const { return m_commitCount; }
+    // Number of batches that the store has refused for their rows.
+    std::size_t refusalCount() const { return m_refusalCount; }
     // Size in bytes of the largest job state and of the largest batch that were stored.
     std::size_t largestRow() const { return m_largestRow; }
     std::size_t largestBatch() const { return m_largestBatch; }
@@ -127,6 +131,7 @@
     void configure();
     void tick();
     void writeBatch();
+    bool isRefused(const jobs::Batch &batch) const;
     void apply(const jobs::Batch &batch);
     void sendOrders();
     void send(const jobs::StartOrder &order);
@@ -161,6 +166,8 @@
     std::string m_trace;
     double m_peakUse = 0;
     std::size_t m_commitCount = 0;
+    std::size_t m_refusalCount = 0;
+    std::set<std::string> m_refusedJobs;
     std::size_t m_largestRow = 0;
     std::size_t m_largestBatch = 0;
 };
