A lasting task without room reserves a runner only where and while it can come true

Callers met a job of two small tasks that was not started on two runners that were half empty.

Cause: each waiting lasting step reserved one runner at each plan, wherever its task fitted an empty runner: also where another lasting task stood in the way, on all runners, and for ever.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -1,8 +1,8 @@
 // The interface to callers, and the batches that are written to the store. The other parts of the
 // engine are in engineruns.cpp (reports of runners), engineplan.cpp (placement), enginestarts.cpp
-// (sending of starts), enginedemand.cpp (demand for hosts), engineevacuation.cpp (evacuation of
-// runners), enginehealth.cpp (quarantine of runners), enginepace.cpp (pacing) and engineadvice.cpp
-// (advice of policies).
+// (sending of starts), enginereservation.cpp (runners kept for lasting tasks), enginedemand.cpp
+// (demand for hosts), engineevacuation.cpp (evacuation of runners), enginehealth.cpp (quarantine of
+// runners), enginepace.cpp (pacing) and engineadvice.cpp (advice of policies).
 #include "jobs/engine.h"
 
 #include "jobs/specrow.h"
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -323,6 +323,8 @@
     {
         Resources room;
         bool isLasting = false; // Reserved runners were tried, too.
+        // Tasks with shorter runs may still fit on a reserved runner; 0 if no such runner has room.
+        double runMilliseconds = 0;
     };
 
     TaskLocation find(const TaskName &name);
@@ -383,7 +385,8 @@
     bool exceedsCeiling(const std::string &team, const Resources &size) const;
     Resources openRoom(TimePoint now) const;
     bool isKnownNotToFit(const Candidate &candidate) const;
-    void recordNoRoom(const Candidate &candidate);
+    double runMilliseconds(const Candidate &candidate) const;
+    void recordNoRoom(const Candidate &candidate, bool isKeptOut);
     void place(const Candidate &candidate, TimePoint now);
     void placeGang(const Candidate &candidate, TimePoint now);
     Runner *pickRunner(const Candidate &candidate, const Task &task, TimePoint now);
@@ -392,7 +395,10 @@
     double urgency(const Entry &entry, const StepSpec &step, TimePoint now) const;
     bool canEndTask(const TaskLocation &location) const;
     bool isFitFor(const Runner &runner, const Candidate &candidate, TimePoint now) const;
+    void clearReservations();
+    bool isReservedFor(const Runner &runner, const Candidate &candidate, TimePoint now) const;
     void reserveRunner(const Candidate &candidate, TimePoint now);
+    TimePoint expectedRoomAt(const Runner &runner, const Resources &size, TimePoint now) const;
     bool hasAdvice(const Runner &runner, const Candidate &candidate, TimePoint now) const;
     void requestAdvice(const Candidate &candidate, TimePoint now);
     void requestAdviceAhead(TimePoint now);
@@ -440,6 +446,7 @@
     TimePoint m_loadedAt{}; // When load() was called.
     TimePoint m_earlierOwnersUntil{}; // Earlier owners may renew leases until then.
     TimePoint m_nextRemoval{}; // When to look for expired ended jobs next.
+    std::size_t m_reservedRunners = 0; // Runners that the current plan reserves.
     // Sizes for which the current plan found no runner with room.
     std::vector<UnplacedSize> m_unplaced;
 };
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -1,9 +1,8 @@
 // Placement. Waiting steps are taken in the order of JobOrder, and each task goes to the runner of
 // its pool with enough room that suits the step best. A runner on the rack of the step's data is
 // preferred, then the fullest runner, so that whole runners stay free for large tasks and can be
-// given away. Lasting tasks come first, since they must be at work however full the pool is. If a
-// lasting task finds no room, a runner is reserved for it, since smaller tasks would take all room
-// that becomes free there.
+// given away. Lasting tasks come first, since they must be at work however full the pool is; see
+// enginereservation.cpp for those that find no room.
 #include "jobs/engine.h"
 
 #include <algorithm>
@@ -17,20 +16,13 @@
 constexpr Duration RemovalInterval = std::chrono::seconds(1); // Ended jobs are kept for minutes.
 // Open occurrences of a job, whose row in the store grows with them.
 constexpr std::size_t MaxOpenOccurrences = 64;
-constexpr double RoomTolerance = 1e-6; // Rounding error in sums of fractions of a core.
-
-bool fits(const Resources &size, const Resources &room)
-{
-    return size.processors <= room.processors + RoomTolerance
-        && size.memory <= room.memory + RoomTolerance
-        && size.accelerators <= room.accelerators + RoomTolerance;
-}
 
 // Returns whether the use is within the ceiling, in which 0 means no bound.
 bool isWithin(const Resources &use, const Resources &ceiling)
 {
+    constexpr double Tolerance = 1e-6; // rounding error in sums of fractions of a core
     const auto isOver
-        = [](double amount, double bound) { return bound > 0 && amount > bound + RoomTolerance; };
+        = [](double amount, double bound) { return bound > 0 && amount > bound + Tolerance; };
     return !isOver(use.processors, ceiling.processors) && !isOver(use.memory, ceiling.memory)
         && !isOver(use.accelerators, ceiling.accelerators);
 }
@@ -72,8 +64,7 @@
         beginOccurrences(*live, now);
     moveLastingTasks(now);
     updateQuarantine(now);
-    for (auto &[id, runner] : m_runners)
-        runner.isReserved = false;
+    clearReservations();
     m_advice.clearRequest();
     m_unplaced.clear();
     std::vector<Candidate> waiting = candidates(now);
@@ -217,8 +208,7 @@
     const bool isReachable = runner.isFenced && now >= runner.avoidUntil
         && runner.answeredAt + m_options.maxAnswerAge >= now
         && runner.appliedEnds - runner.durableEnds <= m_options.maxUnsavedEnds;
-    if (!runner.isOpen(now) || !isListedLately(runner, now) || !isReachable
-        || (runner.isReserved && !step.isLasting))
+    if (!runner.isOpen(now) || !isListedLately(runner, now) || !isReachable)
         return false;
     const std::vector<std::string> &labels = runner.entry.labels;
     if (!step.requiredLabel.empty()
@@ -236,24 +226,6 @@
     return placedCount < step.maxPerRunner;
 }
 
-// Reserves the runner with the most room for a lasting task until the next plan.
-void Engine::reserveRunner(const Candidate &candidate, TimePoint now)
-{
-    const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
-    Runner *best = nullptr;
-    for (auto &[id, runner] : m_runners) {
-        if (runner.isReserved || !isFitFor(runner, candidate, now)
-            || !fits(step.room(), runner.entry.capacity)) {
-            continue;
-        }
-        const auto part = [](const Runner &r) { return dominantShare(r.used, r.entry.capacity); };
-        if (best == nullptr || part(runner) < part(*best))
-            best = &runner;
-    }
-    if (best != nullptr)
-        best->isReserved = true;
-}
-
 bool Engine::isWithinCeiling(const std::string &team, const Resources &size) const
 {
     const std::optional<Resources> ceiling = m_hooks.ceiling ? m_hooks.ceiling(team) : std::nullopt;
@@ -279,23 +251,38 @@
 {
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
     return std::any_of(m_unplaced.begin(), m_unplaced.end(), [&](const UnplacedSize &unplaced) {
-        return (unplaced.isLasting || !step.isLasting) && fits(unplaced.room, step.room());
+        return (unplaced.isLasting || !step.isLasting) && fits(unplaced.room, step.room())
+            && (unplaced.runMilliseconds == 0
+                || runMilliseconds(candidate) >= unplaced.runMilliseconds);
     });
 }
 
-// Records the size if nothing else than its size kept the task from being placed.
-void Engine::recordNoRoom(const Candidate &candidate)
+// Returns the longer of the declared and the usual run time of the candidate's tasks.
+double Engine::runMilliseconds(const Candidate &candidate) const
+{
+    const Job &job = candidate.entry->job;
+    const StepSpec &step = job.spec.steps[candidate.step];
+    return std::max(m_order.runTime(job.queue, step), double(step.estimateMilliseconds));
+}
+
+// Records the size if nothing else than its size kept the task from being placed, or that it runs
+// too long for a reserved runner.
+void Engine::recordNoRoom(const Candidate &candidate, bool isKeptOut)
 {
     constexpr std::size_t MaxSizes = 8; // Bounds the search in isKnownNotToFit().
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
     const bool isAdvised = candidate.entry->job.terms.advice.isNeeded;
     if (isAdvised || !step.requiredLabel.empty() || step.maxPerRunner > 0)
         return;
+    const UnplacedSize size{.room = step.room(),
+                            .isLasting = step.isLasting,
+                            .runMilliseconds = isKeptOut ? runMilliseconds(candidate) : 0};
     std::erase_if(m_unplaced, [&](const UnplacedSize &unplaced) {
-        return (step.isLasting || !unplaced.isLasting) && fits(step.room(), unplaced.room);
+        return (size.isLasting || !unplaced.isLasting) && fits(size.room, unplaced.room)
+            && size.runMilliseconds <= unplaced.runMilliseconds;
     });
     if (m_unplaced.size() < MaxSizes)
-        m_unplaced.push_back({step.room(), step.isLasting});
+        m_unplaced.push_back(size);
 }
 
 Runner *Engine::pickRunner(const Candidate &candidate, const Task &task, TimePoint now)
@@ -305,11 +292,16 @@
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
     Runner *best = nullptr;
     double bestScore = -std::numeric_limits<double>::infinity();
+    bool isKeptOut = false; // A reserved runner has room.
     for (auto &[id, runner] : m_runners) {
         if (!fits(step.room(), runner.room()) || !isFitFor(runner, candidate, now)
             || !hasAdvice(runner, candidate, now)) {
             continue;
         }
+        if (isReservedFor(runner, candidate, now)) {
+            isKeptOut = true;
+            continue;
+        }
         double score = dominantShare(runner.used, runner.entry.capacity);
         if (!step.dataRack.empty() && runner.entry.rack() == step.dataRack)
             score += 2; // Outweighs any difference in fullness.
@@ -327,7 +319,7 @@
         }
     }
     if (best == nullptr)
-        recordNoRoom(candidate);
+        recordNoRoom(candidate, isKeptOut);
     return best;
 }
 
--- a/jobs/runner.cpp
+++ b/jobs/runner.cpp
@@ -4,6 +4,13 @@
 
 namespace sequoiapier::jobs {
 
+bool fits(const Resources &size, const Resources &room)
+{
+    constexpr double Tolerance = 1e-6;
+    return size.processors <= room.processors + Tolerance && size.memory <= room.memory + Tolerance
+        && size.accelerators <= room.accelerators + Tolerance;
+}
+
 std::string_view toString(EndKind kind)
 {
     static constexpr std::array<std::string_view, 6> Names{"done",   "failed", "stopped",
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -61,6 +61,17 @@
     bool mayBeStopped() const { return isStopSent || nextStopAt != TimePoint{}; }
 };
 
+// A runner that takes only tasks that last, or that end before its room is needed for one.
+struct Reservation
+{
+    bool isActive = false; // A lasting task waits for the room, as of the last plan.
+    TimePoint neededAt{}; // When the room is expected to be free.
+    TimePoint until{}; // When the reservation ends; unset if there was none.
+};
+
+// Returns whether the size fits, to the precision of sums of fractions of a core.
+bool fits(const Resources &size, const Resources &room);
+
 using RunKey = std::pair<TaskName, std::uint64_t>;
 
 struct Runner
@@ -73,7 +84,7 @@
     // The runner restarted under its identifier. Late calls that were meant for the previous
     // incarnation carry leases on that incarnation's clock.
     bool hasRestarted = false;
-    bool isReserved = false; // Reserved for a lasting task that waits for room here.
+    Reservation reservation;
     bool isQuarantined = false; // Fails, stalls or slows down its tasks more than its peers do.
     // The runner gets no new task before then because its host is to leave.
     TimePoint evacuatedUntil{};
