All members of a gang start from one checkpoint

Found by reading, not seen by callers: members whose runners were lost without an end started from the checkpoints of their own last reports, while the users' page asks for one value.

Change: a gang is started from one checkpoint that a member has.

Evidence: EngineGang failed on the code before (four values), and passes now.

--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -388,6 +388,7 @@
     double runMilliseconds(const Candidate &candidate) const;
     void recordNoRoom(const Candidate &candidate, bool isKeptOut);
     void place(const Candidate &candidate, TimePoint now);
+    void shareCheckpoint(const TaskLocation &gang);
     void placeGang(const Candidate &candidate, TimePoint now);
     Runner *pickRunner(const Candidate &candidate, const Task &task, TimePoint now);
     void moveLastingTasks(TimePoint now);
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -346,6 +346,29 @@
     }
 }
 
+// Members that were lost without an end have the checkpoints of their last reports. Any of them is
+// valid for the gang, and all must start from the same one.
+void Engine::shareCheckpoint(const TaskLocation &gang)
+{
+    std::vector<Task> &members = gang.step->tasks;
+    std::string shortest;
+    for (const Task &member : members) {
+        const std::size_t size = member.checkpoint.size();
+        if (size > 0 && (shortest.empty() || size < shortest.size()))
+            shortest = member.checkpoint;
+    }
+    if (shortest.empty())
+        return;
+    setCheckpoint(gang, members, shortest);
+    const bool isShared = std::all_of(members.begin(), members.end(), [&](const Task &member) {
+        return member.checkpoint == shortest;
+    });
+    if (isShared)
+        return;
+    for (Task &member : members) // The row has no room for it.
+        member.checkpoint.clear();
+}
+
 // Starts all members together under one run number, or none of them.
 void Engine::placeGang(const Candidate &candidate, TimePoint now)
 {
@@ -383,6 +406,7 @@
         bytes += growthIfPlaced(candidate, tasks[index], *picked[index]);
     if (!hasRowRoom(*candidate.entry, bytes))
         return;
+    shareCheckpoint(find({job.id, candidate.occurrence, candidate.step, 0}));
     for (std::uint32_t index = 0; index < tasks.size(); ++index)
         orderStart(candidate, index, *picked[index], run + 1, now);
 }
