Runs that outlive their job use their team's ceiling under the next owner

After a takeover, runs of a cancelled or failed job that still went on, on a runner that could not be reached, were not known, and the team could run twice its ceiling.

Cause: the rows of a job that has ended named no runs. Its row now names those that were placed at its end; later owners count them until a report leaves them out or their leases have lapsed.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -77,6 +77,8 @@
             followAdvicePolicy(stored.job);
         }
         adoptPlacedRuns(stored.job, now);
+        if (stored.job.hasEnded())
+            adoptRemainingRuns(stored.job, now);
     }
 }
 
@@ -98,6 +100,31 @@
     });
 }
 
+// The runs count against their team's ceiling until they are known to have ended. They are stopped
+// once their runner reports them. Long after the job's end, their leases have expired.
+void Engine::adoptRemainingRuns(const Job &job, TimePoint now)
+{
+    const std::chrono::milliseconds age(m_hooks.wallMilliseconds() - job.endedAt);
+    if (age > 2 * m_options.maxLease)
+        return;
+    for (const RemainingRun &remaining : job.remainingRuns) {
+        Runner &runner = m_runners[remaining.runner];
+        runner.entry.id = remaining.runner;
+        Run run{.task = remaining.task, .number = remaining.run, .charge = remaining.size};
+        run.room = remaining.size;
+        if (remaining.isFilling)
+            run.room.processors = 0;
+        run.team = job.team;
+        run.isFilling = remaining.isFilling;
+        run.isLasting = remaining.isLasting;
+        run.isInherited = true;
+        addRun(runner, std::move(run));
+        extendLease(runner, m_options.lease, now);
+        runner.runs.at({remaining.task, remaining.run}).leaseEnd
+            = leaseEnd(m_options.maxLease, now);
+    }
+}
+
 SubmitVerdict Engine::submit(SubmitRequest request, TimePoint now)
 {
     if (m_jobs.contains(request.id))
@@ -196,8 +223,16 @@
 void Engine::endJob(Entry &entry, JobPhase phase)
 {
     Job &job = entry.job;
+    std::size_t bytes = frameBytes(job);
     forEachPlaced(job, [&](const TaskName &name, const Task &task) {
         requestStop(task.runner, name, task.run);
+        const StepSpec &step = job.spec.steps[name.step];
+        RemainingRun run{.task = name, .run = task.run, .runner = task.runner, .size = step.size};
+        run.isFilling = step.isFilling;
+        run.isLasting = step.isLasting;
+        bytes += remainingRunBytes(run);
+        if (bytes <= m_options.maxRowBytes)
+            job.remainingRuns.push_back(std::move(run));
     });
     m_advice.forgetJob(job.id);
     job.phase = phase;
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -350,6 +350,7 @@
     void releaseRuns(Runner &runner, std::string_view why);
     void requeueTask(const TaskName &name, std::uint64_t run);
     void adoptPlacedRuns(const Job &job, TimePoint now);
+    void adoptRemainingRuns(const Job &job, TimePoint now);
     TimePoint leaseEnd(Duration lease, TimePoint now) const;
     void extendLease(Runner &runner, Duration lease, TimePoint now) const;
 
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -358,7 +358,8 @@
 {
     const bool isStopped
         = run.stopAnsweredAt != TimePoint{} && sentAt > run.stopAnsweredAt + m_options.stopTime;
-    return isStopped || (task != nullptr && task->runPhase == RunPhase::Inherited);
+    return isStopped || run.isInherited
+        || (task != nullptr && task->runPhase == RunPhase::Inherited);
 }
 
 void Engine::applyEnd(Runner &runner, const RunEnd &end, TimePoint now)
--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -97,6 +97,31 @@
     return true;
 }
 
+json encodeRemainingRun(const RemainingRun &run)
+{
+    return json::array({run.task.occurrence, run.task.step, run.task.index, run.run, run.runner,
+                        run.size.processors, run.size.memory, run.size.accelerators, run.isFilling,
+                        run.isLasting});
+}
+
+RemainingRun parseRemainingRun(const json &row, const std::string &job)
+{
+    RemainingRun run{.task = {.job = job}};
+    std::size_t field = 0;
+    const auto next = [&](auto &target) { row.at(field++).get_to(target); };
+    next(run.task.occurrence);
+    next(run.task.step);
+    next(run.task.index);
+    next(run.run);
+    next(run.runner);
+    next(run.size.processors);
+    next(run.size.memory);
+    next(run.size.accelerators);
+    next(run.isFilling);
+    next(run.isLasting);
+    return run;
+}
+
 bool parseNumber(std::string_view text, std::uint32_t &number)
 {
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -220,15 +245,23 @@
     return bytes;
 }
 
+std::size_t remainingRunBytes(const RemainingRun &run)
+{
+    constexpr std::size_t FrameBytes = 56;
+    return FrameBytes + run.runner.size();
+}
+
+// The last field holds the open occurrences, or the remaining runs of a job that has ended.
 std::string encodeJobState(const Job &job)
 {
-    json occurrences = json::array();
+    json work = json::array();
     for (const auto &[number, occurrence] : job.occurrences)
-        occurrences.push_back(json::array({number, encodeOccurrence(occurrence)}));
+        work.push_back(json::array({number, encodeOccurrence(occurrence)}));
+    for (const RemainingRun &run : job.remainingRuns)
+        work.push_back(encodeRemainingRun(run));
     const json document
         = json::array({StateFormat, job.queue, job.team, int(job.phase), job.acceptedAt,
-                       job.endedAt, job.doneOccurrences, job.nextOccurrence,
-                       job.hasEnded() ? json::array() : std::move(occurrences)});
+                       job.endedAt, job.doneOccurrences, job.nextOccurrence, std::move(work)});
     std::string bytes;
     json::to_cbor(document, bytes);
     return bytes;
@@ -253,6 +286,10 @@
         document[6].get_to(job.doneOccurrences);
         document[7].get_to(job.nextOccurrence);
         for (const json &entry : document[8]) {
+            if (job.hasEnded()) {
+                job.remainingRuns.push_back(parseRemainingRun(entry, job.id));
+                continue;
+            }
             Occurrence occurrence = makeOccurrence(job.spec);
             if (!parseOccurrence(entry.at(1), occurrence))
                 return malformed;
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -88,6 +88,17 @@
     bool isDone() const { return doneSteps == steps.size(); }
 };
 
+// A run that was placed when its job ended, and that may go on until it is stopped.
+struct RemainingRun
+{
+    TaskName task;
+    std::uint64_t run = 0;
+    std::string runner;
+    Resources size;
+    bool isFilling = false;
+    bool isLasting = false;
+};
+
 enum class JobPhase : std::uint8_t {
     Queued,
     Running, // At least one task has begun.
@@ -111,6 +122,7 @@
     std::uint32_t doneOccurrences = 0;
     std::uint32_t nextOccurrence = 0; // First occurrence that has not begun.
     std::map<std::uint32_t, Occurrence> occurrences; // Open occurrences by number.
+    std::vector<RemainingRun> remainingRuns; // As of the job's end; empty before.
 
     bool hasEnded() const { return phase >= JobPhase::Completed; }
 };
@@ -140,6 +152,8 @@
                             std::string_view runner);
 // Room of the largest placed task of the job without a checkpoint of its own. O(steps).
 std::size_t largestTaskBytes(const JobSpec &spec, const JobTerms &terms);
+// Maximum size of a remaining run in its job's row.
+std::size_t remainingRunBytes(const RemainingRun &run);
 // Room of the whole job, which is at least the size of its row. O(n) in tasks.
 std::size_t rowBytes(const Job &job);
 
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -48,6 +48,7 @@
     std::uint32_t targetMilliseconds = 0;
     std::uint32_t percent = 100; // Percentage that the runner was last told to let the run use.
     TimePoint nextPaceAt{}; // Earliest time of the next pace order.
+    bool isInherited = false; // An earlier owner ordered it, and its job has ended since.
     bool isStopRequested = false; // The run is to be stopped.
     bool isStopSent = false; // A stop was sent and has not been answered yet.
     TimePoint nextStopAt{}; // Earliest time of the next stop order; unset before the first answer.
