A key of another team learns nothing of a job and changes nothing

Any valid key could read and cancel the jobs of every team, and a submission under an identifier of another team's job was answered 200 and never ran.

Cause: an entry checked that a key is valid, and the pool's owner looked jobs up by identifier alone. PROTOCOL.md: 'A call carries a key of the job's tenant', unless the route is public.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -198,6 +198,16 @@
     return found != m_jobs.end() && (found->second.durable || found->second.isWriting);
 }
 
+bool Engine::mayAccess(std::string_view job, std::string_view team, std::string_view queue) const
+{
+    const auto found = m_jobs.find(job);
+    if (found == m_jobs.end() || found->second.job.team == team)
+        return true;
+    const QueueConfig *config = m_configuration.findQueue(queue);
+    const bool isOpen = config != nullptr && config->isOpen;
+    return found->second.job.queue == queue && (isOpen || found->second.job.team.empty());
+}
+
 bool Engine::isDurable(std::string_view job) const
 {
     const auto found = m_jobs.find(job);
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -216,6 +216,10 @@
     bool hasJobs(std::string_view queue) const;
     // Returns whether the store has the job, or may have it as its row is being written.
     bool mayBeStored(std::string_view job) const;
+    // Returns whether a call with a key of `team` (empty without a key) may learn of the job or
+    // change it: the job is the team's own, or was handed in to the same queue without a key or
+    // while it is open to all.
+    bool mayAccess(std::string_view job, std::string_view team, std::string_view queue) const;
     // Returns whether the job's latest change is in the store.
     bool isDurable(std::string_view job) const;
 
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -365,6 +365,11 @@
         answer(reply(ResultCode::NotOwner));
         return;
     }
+    if (call.verb != api::JobVerb::WAITING
+        && !m_engine.mayAccess(call.job, call.team, call.queue)) {
+        refuseAccess(call, answer);
+        return;
+    }
     switch (call.verb) {
     case api::JobVerb::SUBMIT:
         submit(call, std::move(answer));
@@ -385,6 +390,20 @@
     }
 }
 
+// The caller must not learn that the job exists, so that questions are answered as if it did not.
+// Its identifier can't be used for another job.
+void PoolOwner::refuseAccess(const api::JobCall &call, const ReplyCallback &answer)
+{
+    const bool isSubmission
+        = call.verb == api::JobVerb::SUBMIT || call.verb == api::JobVerb::REPEAT;
+    m_context.log.info("job.access-refused",
+                       {{"pool", m_pool}, {"job", call.job}, {"team", call.team}});
+    if (isSubmission)
+        answer(reply(ResultCode::KeyRejected));
+    else
+        answer(reply(isOwner() ? ResultCode::NotFound : ResultCode::NotOwner));
+}
+
 // A job that is not known here may be known to a pool to which its queue was sent before.
 void PoolOwner::submit(const api::JobCall &call, ReplyCallback answer)
 {
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -138,6 +138,7 @@
     jobs::JobTerms termsInForce(const std::string &queue) const;
     void depose(std::string_view reason);
 
+    void refuseAccess(const api::JobCall &call, const ReplyCallback &answer);
     void submit(const api::JobCall &call, ReplyCallback answer);
     void accept(const api::JobCall &call, ReplyCallback answer);
     void answerRepeat(const api::JobCall &call, ReplyCallback answer);
