A new holder of host orders waits for the interval of the settings

The wait was 3 s whatever lease_ms said, so that with a longer interval orders of two holders could conflict, and with a shorter one hosts waited for nothing. A value above a minute is refused at the start.

--- a/node/fleetowner.cpp
+++ b/node/fleetowner.cpp
@@ -33,8 +33,6 @@
 constexpr Duration EvacuationInterval = EvacuationDuration / 3;
 // A move is dropped if its idle host is not empty by then.
 constexpr Duration MoveEvacuationTimeout = milliseconds(1'500);
-// The platform treats orders of two holders for one host within three seconds as a conflict.
-constexpr Duration TakeoverDelay = milliseconds(3'000);
 // Delay of the platform's host list after its orders.
 constexpr Duration ListLag = milliseconds(500);
 
@@ -54,7 +52,7 @@
 void FleetOwner::start()
 {
     const TimePoint now = BootClock::now();
-    m_ordersAllowedAt = m_epoch > 1 ? now + TakeoverDelay : now;
+    m_ordersAllowedAt = m_epoch > 1 ? now + m_context.settings.holderInterval : now;
     tick();
 }
 
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -178,7 +178,8 @@
         {"listen", {{"front", endpoint(callerPort)}, {"ready", endpoint(freePort())}}},
         {"port_range", {peerPort, peerPort}},
         {"platform", {{"addr", platform}}},
-        {"cloud", {{"addr", platform}}}};
+        {"cloud", {{"addr", platform}}},
+        {"bounds", nlohmann::json::parse(m_bounds)}};
     const std::string file = m_directory + "/" + name + ".json";
     std::ofstream(file) << settings.dump();
     const std::vector<std::string> arguments{SEQUOIAPIER_BINARY, "node", "--config", file};
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -59,6 +59,8 @@
     // Configures the queue "/quotes/" on the pool "vanload", the spare pool "sundries", and a team
     // with the key "good-key".
     bool configureOneQueue() const;
+    // Sets the field "bounds" in the settings of the nodes that are started from now on.
+    void setBounds(std::string json) { m_bounds = std::move(json); }
     // Starts a node on that platform.
     bool startNode(const std::string &name);
 
@@ -116,6 +118,7 @@
     std::string m_directory;
     std::map<std::string, Member> m_members;
     std::map<std::string, std::uint16_t> m_links; // the platform's ports for single nodes
+    std::string m_bounds = "{}"; // JSON
     std::string m_output;
 };
 
--- a/testing/unit/platformrows_test.cpp
+++ b/testing/unit/platformrows_test.cpp
@@ -230,6 +230,20 @@
     EXPECT_EQ(parseNodeSettings(R"({"node":"a"})").error().detail, "no address in the field front");
 }
 
+TEST(NodeSettings, ReadsTheIntervalOfHoldersAndRefusesOneThatStopsAllOrders)
+{
+    const auto parse = [](const std::string &bounds) {
+        return parseNodeSettings(
+            R"({"node":"a","listen":{"front":"10.1.0.23:8340","ready":"10.1.0.23:8343"},
+"port_range":[7000],"platform":{"addr":"10.200.1.7:8344"},"bounds":{)"
+            + bounds + "}}");
+    };
+    EXPECT_EQ(parse("").value().holderInterval, std::chrono::milliseconds(3'000));
+    EXPECT_EQ(parse(R"("lease_ms":1500)").value().holderInterval, std::chrono::milliseconds(1'500));
+    EXPECT_EQ(parse(R"("lease_ms":6000)").value().holderInterval, std::chrono::milliseconds(6'000));
+    EXPECT_EQ(parse(R"("lease_ms":60001)").error().code, ResultCode::InvalidSettings);
+}
+
 RC_GTEST_PROP(Base64, IsReadBackAsItWasWritten, (const std::string &bytes))
 {
     RC_ASSERT(decodeBase64(encodeBase64(bytes)) == bytes);
