A reader of the log that stands still delays no request

The log went to standard output from the only loop, so that a reader that stopped reading stopped the node once the pipe was full.

Change: LogAppender writes only what the descriptor takes at once, drops and counts the rest, and says so when the reader is back.

--- a/cli/logger.cpp
+++ b/cli/logger.cpp
@@ -1,12 +1,14 @@
 #include "cli/logger.h"
 
-#include <log4cplus/consoleappender.h>
+#include "cli/logappender.h"
+
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
+#include <array>
 #include <chrono>
 #include <ctime>
 #include <utility>
@@ -52,10 +54,13 @@
 {
     log4cplus::Logger root = rootLogger();
     root.removeAllAppenders();
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(!m_options.isToStandardOutput, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
-    root.addAppender(appender);
+    // The appender may outlive this object.
+    const auto droppedLine = [options = m_options](std::uint64_t count) {
+        const std::array<LogField, 1> fields{{{"lines", std::to_string(count)}}};
+        return formatLine(options.format, timestampNow(), "warn", options, "log.dropped", fields);
+    };
+    const int descriptor = m_options.isToStandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+    root.addAppender(log4cplus::SharedAppenderPtr(new LogAppender(descriptor, droppedLine)));
     root.setLogLevel(log4cplus::getLogLevelManager().fromString(m_options.level));
 }
 
--- a/cli/logger.h
+++ b/cli/logger.h
@@ -3,7 +3,8 @@
 //   logger.info("request.answered", {{"queue", queue}, {"status", "200"}});
 //
 // The format is key=value or JSON, selected by --log-format. Lines go to standard error, or to
-// standard output with Options::isToStandardOutput.
+// standard output with Options::isToStandardOutput. Logging never waits for the reader: what it
+// does not take is dropped, and a later line gives the number of dropped ones.
 #pragma once
 
 #include <cstdint>
