--- a/testing/process/holderinterval_test.cpp
+++ b/testing/process/holderinterval_test.cpp
@@ -42,8 +42,7 @@
     std::vector<json> eventsOf(const std::string &node, const std::string &event)
     {
         std::vector<json> lines = logOf(node);
-        std::erase_if(lines,
-                      [&](const json &line) { return line.value("event", "") != event; });
+        std::erase_if(lines, [&](const json &line) { return line.value("event", "") != event; });
         return lines;
     }
 
--- a/testing/unit/enginereservation_test.cpp
+++ b/testing/unit/enginereservation_test.cpp
@@ -40,8 +40,8 @@
     std::size_t runningCount(const std::string &job)
     {
         const std::vector<RecordedRun> runs = m_pool.ledger().runsOf(job);
-        return std::size_t(
-            std::count_if(runs.begin(), runs.end(), [](const RecordedRun &run) { return !run.end; }));
+        return std::size_t(std::count_if(runs.begin(), runs.end(),
+                                         [](const RecordedRun &run) { return !run.end; }));
     }
 
     EnginePool m_pool;
