Only ends that left a job changed are kept for rows that are refused

An end that changed nothing stayed noted for its job, so that a later refusal of the job's rows would have held back the acknowledgement of all later ends of the runner.

--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -276,6 +276,9 @@
         if (end.number > runner.appliedEnds) {
             runner.appliedEnds = end.number;
             applyEnd(runner, end, now);
+            const auto job = m_jobs.find(end.task.job);
+            if (job != m_jobs.end() && job->second.isStateDirty)
+                keepFirst(job->second.unsavedEnds, id, {runner.bornAt, end.number});
         }
     }
     applyRunning(runner, report, now);
@@ -369,8 +372,6 @@
              + runner.entry.id);
     removeRun(runner, {end.task, end.run});
     const TaskLocation location = find(end.task);
-    if (location.entry != nullptr)
-        keepFirst(location.entry->unsavedEnds, runner.entry.id, {runner.bornAt, end.number});
     if (location.task == nullptr || location.task->phase == TaskPhase::Done)
         return;
     applyCheckpoint(location, end);
--- a/testing/unit/runneraddresses_test.cpp
+++ b/testing/unit/runneraddresses_test.cpp
@@ -71,6 +71,22 @@
     EXPECT_EQ(taken(addresses, 9), Texts{});
 }
 
+// The store has refused the transaction that contained them.
+TEST(RunnerAddresses, ChangesThatWereNotWrittenAreTakenAgain)
+{
+    RunnerAddresses addresses;
+    addresses.load({{"i-0", First}});
+    const RunnerAddresses::Runners runners = runnersAt({{"i-1", Second}});
+    addresses.forget(runners);
+    addresses.require(startsOn({"i-1"}), runners);
+    const std::vector<RunnerAddresses::Change> changes = addresses.takeChanges(9);
+    EXPECT_EQ(changes.size(), 2U);
+    addresses.putBack(changes);
+    addresses.forget(runners);
+    addresses.require(startsOn({"i-1"}), runners);
+    EXPECT_EQ(taken(addresses, 9), (Texts{"i-1=10.1.0.6:8340", "i-0="}));
+}
+
 // A runner that is listed again keeps its row if it gets a start before the row is removed.
 TEST(RunnerAddresses, RunnerThatIsBackKeepsItsRow)
 {
