Stand-in: 'failures' counts runs that failed, not run numbers

Trace: nodes were joining; the owner stored run 2 of the task and handed the pool over before it sent the start; the next owner found no such run on the runner, and ran the task as run 3. That is allowed. The stand-in let runs with numbers of 1 and 2 fail, so that the skipped number made a failure disappear.

Runs fail now until two have failed, and the check stays as it is: three runs, of which two failed.

--- a/testing/standin/runledger.cpp
+++ b/testing/standin/runledger.cpp
@@ -46,6 +46,13 @@
                                + " began between its end as done and the acknowledgement");
 }
 
+std::size_t RunLedger::failedRuns(const jobs::TaskName &task) const
+{
+    return std::size_t(std::count_if(m_runs.begin(), m_runs.end(), [&](const RecordedRun &run) {
+        return run.task == task && run.outcome == toString(jobs::EndKind::Failed);
+    }));
+}
+
 std::vector<RecordedRun> RunLedger::runsOf(std::string_view job) const
 {
     std::vector<RecordedRun> runs;
--- a/testing/standin/runledger.h
+++ b/testing/standin/runledger.h
@@ -35,6 +35,8 @@
 
     const std::vector<RecordedRun> &runs() const { return m_runs; }
     std::vector<RecordedRun> runsOf(std::string_view job) const;
+    // Number of the task's runs that have failed.
+    std::size_t failedRuns(const jobs::TaskName &task) const;
     // Descriptions of the violations, in the order in which they were found.
     const std::vector<std::string> &violations() const { return m_violations; }
 
--- a/testing/standin/simulatedrunner.cpp
+++ b/testing/standin/simulatedrunner.cpp
@@ -31,7 +31,9 @@
     Running run{.start = start, .begin = now, .endsAt = now + DefaultRunTime};
     if (payload.is_object()) {
         run.endsAt = now + std::chrono::milliseconds(payload.value("runMs", 100));
-        run.willFail = payload.value("fail", false) || start.run <= payload.value("failures", 0U);
+        const std::size_t failures = payload.value("failures", 0U);
+        run.willFail = payload.value("fail", false)
+            || (failures > 0 && m_ledger.failedRuns(start.task) < failures);
         run.lasts = payload.value("lasts", false);
         run.tailLatency = payload.value("tailMs", 0U);
         const std::size_t checkpointBytes = payload.value("checkpointBytes", 0U);
--- a/testing/standin/simulatedrunner.h
+++ b/testing/standin/simulatedrunner.h
@@ -3,11 +3,11 @@
 // it works under virtual time in tests and in real time in the stand-in.
 //
 // A task's payload is JSON, all fields optional: {"runMs": 100, "fail": true, "failures": 1,
-// "lasts": true, "tailMs": 50, "disturbMs": 80, "checkpointBytes": 16}. With "failures", that many
-// first runs of each task fail. With "checkpointBytes", a task always has a checkpoint, which is
-// its name and padding. A task with "lasts" never ends by itself and works at its full pace after
-// SettleTime. A serving task has a tail latency of tailMs, plus disturbMs of every disturbing task,
-// scaled by that task's pace.
+// "lasts": true, "tailMs": 50, "disturbMs": 80, "checkpointBytes": 16}. With "failures", runs of
+// each task fail until that many have. With "checkpointBytes", a task always has a checkpoint,
+// which is its name and padding. A task with "lasts" never ends by itself and works at its full
+// pace after SettleTime. A serving task has a tail latency of tailMs, plus disturbMs of every
+// disturbing task, scaled by that task's pace.
 #pragma once
 
 #include "jobs/runner.h"
