--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -403,14 +403,11 @@
                            const std::string &checkpoint) const
 {
     Entry &entry = *location.entry;
+    const std::size_t held = location.spec->hasCheckpoints ? CheckpointBytes : 0;
     std::size_t growth = 0;
     for (const Task &task : tasks) {
-        Task changed{.phase = task.phase, .run = task.run, .failedRuns = task.failedRuns};
-        changed.runner = task.runner;
-        changed.checkpoint = checkpoint;
-        const std::size_t before = taskBytes(*location.spec, entry.job.terms, task);
-        const std::size_t after = taskBytes(*location.spec, entry.job.terms, changed);
-        growth += after > before ? after - before : 0;
+        const std::size_t before = std::max(task.checkpoint.size(), held);
+        growth += std::max(checkpoint.size(), before) - before;
     }
     if (growth > 0
         && !hasRowRoom(entry, growth + largestTaskBytes(entry.job.spec, entry.job.terms))) {
