CutLinks: the tests begin once no resource changes hands any more

Cause: the test. A node that joins after the job was accepted is handed the pool, and as its new owner it has not read the row of the queue yet. Cut off then, it takes no job: the requests wait for that row, and "never runs" is true. Shown by two trials that failed with the same two values: nodes 2 and 3 started only after the job (the pool went from node-1 to node-3 0.4 s later), and the first owner stopped before the cut.

The checks are as before. The fixture waits, as that of Carrier does, until fleet and pool have different owners, and the test until the owner has taken the job, in place of 200 ms. The refusal of an owner that does not know the queue yet has a test of its own, with the check that the job never runs. RefusedRow reads the log of one owner and waits likewise.

--- a/testing/process/carrier_test.cpp
+++ b/testing/process/carrier_test.cpp
@@ -35,14 +35,7 @@
     // no carrier.
     bool isSettled()
     {
-        std::string fleetOwner;
-        for (const std::string &node : nodes()) {
-            for (const nlohmann::json &line : logOf(node)) {
-                if (line.value("event", "") == "resource.acquired"
-                    && line.value("resource", "") == "fleet")
-                    fleetOwner = node;
-            }
-        }
+        const std::string fleetOwner = lastToAcquire("fleet");
         const std::string before = m_owner + "/" + m_carrier;
         m_owner = owner();
         m_carrier = carrier();
--- a/testing/process/cutlinks_test.cpp
+++ b/testing/process/cutlinks_test.cpp
@@ -29,6 +29,13 @@
         : PlatformTest(name)
     { }
 
+    // The tests cut off the node that owns the pool when they begin.
+    void SetUp() override
+    {
+        PlatformTest::SetUp();
+        ASSERT_TRUE(LocalSystem::waitUntil([&] { return haveOwnersSettled(); }));
+    }
+
     void setFaults(const json &faults)
     {
         EXPECT_TRUE(system().setFaults("platform", faults.dump()));
@@ -226,16 +233,34 @@
     std::this_thread::sleep_for(milliseconds(2'500)); // No earlier write is under way any more.
     const std::string former = owner();
     setFaults({{"cutNodes", {former}}});
-    const auto submitB = [&] {
-        return call(former, "POST", std::string("/quotes/") + JobB, jobBody(1, 50)).response.status;
-    };
-    auto first = std::async(std::launch::async, submitB);
-    std::this_thread::sleep_for(milliseconds(200));
-    EXPECT_EQ(submitB(), 504);
+    auto first = std::async(std::launch::async, [&] { return submit(former, JobB, 1); });
+    ASSERT_TRUE(LocalSystem::waitUntil([&] { return countEvents(former, "job.taken") == 2; }));
+    EXPECT_EQ(submit(former, JobB, 1), 504);
     EXPECT_EQ(first.get(), 504);
     EXPECT_EQ(countEvents(former, "pool.fenced"), 1U);
 }
 
+// An owner that has not read the row of the job's queue yet takes no job of it, so that the refusal
+// of both requests has to be true.
+TEST_F(CutLinks, RequestsOfAnOwnerThatIsCutOffBeforeItKnowsTheQueueNeverRun)
+{
+    startTask(milliseconds(60'000));
+    const std::string first = owner();
+    system().member(first).process.signal(SIGTERM);
+    ASSERT_TRUE(waitNextOwner(first));
+    const std::string second = owner();
+    setFaults({{"cutNodes", {second}}});
+    auto refused = std::async(std::launch::async, [&] { return submit(second, JobB, 1); });
+    EXPECT_EQ(submit(second, JobB, 1), 503);
+    EXPECT_EQ(refused.get(), 503);
+    EXPECT_EQ(countEvents(second, "job.taken"), 0U);
+    setFaults(json::object());
+    ASSERT_TRUE(waitNextOwner(second));
+    EXPECT_TRUE(LocalSystem::waitUntil([&] { return stateOf(owner(), JobB) == "410"; }));
+    EXPECT_TRUE(runsOf(JobB).empty());
+    EXPECT_EQ(violations(), "[]");
+}
+
 // The next owner waits for renewals by the former one, but not by one that is known to have ended.
 class TakeoverTime : public CutLinks
 {
--- a/testing/process/platformtest.h
+++ b/testing/process/platformtest.h
@@ -153,6 +153,33 @@
         }
         return latest;
     }
+    // Name of the node that acquired the resource last; empty if none has.
+    std::string lastToAcquire(const std::string &resource)
+    {
+        std::string latest;
+        std::uint64_t highest = 0;
+        for (const std::string &node : nodes()) {
+            for (const nlohmann::json &line : logOf(node)) {
+                if (line.value("event", "") != "resource.acquired"
+                    || line.value("resource", "") != resource)
+                    continue;
+                const std::uint64_t epoch = std::stoull(line.value("epoch", "0"));
+                if (epoch > highest) {
+                    highest = epoch;
+                    latest = node;
+                }
+            }
+        }
+        return latest;
+    }
+    // While nodes join, the first one may hand its pool over. Afterwards the pool and the fleet
+    // have different owners, and no resource changes hands until a node ends or loses the store.
+    bool haveOwnersSettled()
+    {
+        const std::string fleetOwner = lastToAcquire("fleet");
+        return !fleetOwner.empty() && fleetOwner != lastToAcquire("pool/vanload")
+            && owner() == lastToAcquire("pool/vanload");
+    }
     std::string otherThan(const std::string &name)
     {
         return name == "node-1" ? "node-2" : "node-1";
--- a/testing/process/refusedrow_test.cpp
+++ b/testing/process/refusedrow_test.cpp
@@ -15,6 +15,13 @@
 class RefusedRow : public PlatformTest
 {
 protected:
+    // The log of the node that owns the pool must tell of the refused job.
+    void SetUp() override
+    {
+        PlatformTest::SetUp();
+        ASSERT_TRUE(LocalSystem::waitUntil([&] { return haveOwnersSettled(); }));
+    }
+
     static std::string jobId(int number) { return "5c0e7a21d94b37" + std::to_string(number); }
 
     void setRefused(bool isRefused)
