Owners in a row wait once for the lease of a lost runner

What callers met: a runner is lost while the hosts of the nodes are replaced one by one, and its tasks are not at work again before the replacements are over (LOST).

Cause: each new owner counted from its own beginning, as the one before it might have renewed the runner's lease. It had never reached the runner, and nothing said so.

Change: the fence row names the runners that no owner has reached since an earlier epoch, and for how long.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -89,6 +89,13 @@
         runner->second.entry.endpoint = endpoint;
 }
 
+void Engine::setRenewedUntil(const std::string &id, TimePoint until)
+{
+    const auto runner = m_runners.find(id);
+    if (runner != m_runners.end())
+        runner->second.renewedUntil = until;
+}
+
 void Engine::adoptPlacedRuns(const Job &job, TimePoint now)
 {
     forEachPlaced(job, [&](const TaskName &name, const Task &task) {
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -201,6 +201,8 @@
     void load(std::vector<Job> jobs, TimePoint now);
     // Earlier owners may renew the leases of runners that have not answered this one until then.
     void setEarlierOwnersUntil(TimePoint until) { m_earlierOwnersUntil = until; }
+    // No earlier owner has renewed the lease of a runner with loaded runs after `until`.
+    void setRenewedUntil(const std::string &runner, TimePoint until);
     // Sets where a runner with loaded runs is reached while the live list doesn't have it.
     void setAddress(const std::string &runner, const Endpoint &endpoint);
 
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -155,15 +155,16 @@
 
 // A run may hold a longer lease than was meant if its start reached another incarnation of the
 // runner, which the live list then shows. A runner that is not listed any more is gone, so that
-// only the leases that were meant are waited for: the tasks of a crashed runner would else wait for
-// as long as owners change.
+// only the leases that were meant are waited for.
 //
 // A runner that has not answered this owner may have answered an earlier one after the takeover.
 void Engine::releaseExpiredRuns(TimePoint now)
 {
-    const Duration grace = std::max(m_earlierOwnersUntil - m_loadedAt, Duration{});
+    const TimePoint earlierOwnersUntil = std::max(m_earlierOwnersUntil, m_loadedAt);
     for (auto &[id, runner] : m_runners) {
-        const TimePoint unextended = runner.isFenced ? now : now - grace;
+        // The lease ends are those of leases that were renewed when the jobs were loaded.
+        const TimePoint renewedUntil = std::min(earlierOwnersUntil, runner.renewedUntil);
+        const TimePoint unextended = runner.isFenced ? now : now - (renewedUntil - m_loadedAt);
         if (unextended <= runner.leaseEnd)
             continue;
         std::vector<RunKey> expired;
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -94,6 +94,8 @@
     std::uint64_t appliedEnds = 0; // Number of the last end applied to the jobs.
     std::uint64_t durableEnds = 0; // Number of the last end that is in the store.
     TimePoint leaseEnd{}; // Runs not renewed since have expired by then.
+    // Earlier owners have not renewed the lease since, as far as that is known.
+    TimePoint renewedUntil = TimePoint::max();
     TimePoint answeredAt{};
     TimePoint avoidUntil{}; // The runner gets no new task before then.
     std::uint32_t missedCalls = 0; // Number of unanswered calls since the last answer.
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -89,15 +89,15 @@
 
 } // namespace
 
-PoolOwner::PoolOwner(PoolContext &context, std::string pool, std::uint64_t epoch,
-                     std::optional<MemberId> takenFrom)
+PoolOwner::PoolOwner(PoolContext &context, std::string pool, const OwnedResource &resource)
     : m_context(context)
     , m_pool(std::move(pool))
-    , m_epoch(epoch)
-    , m_ceilings(context.store, context.log, m_pool, epoch, [this] { requestTick(); })
+    , m_epoch(resource.epoch)
+    , m_ceilings(context.store, context.log, m_pool, m_epoch, [this] { requestTick(); })
     , m_homes(context.store, context.log, m_pool, [this] { resumeParkedCalls(); })
     , m_engine(engineOptions(context.settings), engineHooks())
-    , m_takenFrom(std::move(takenFrom))
+    , m_silent(resource.observed)
+    , m_takenFrom(resource.takenFrom)
     , m_claimTimer(context.loop, [this] { claim(); })
     , m_tickTimer(context.loop, [this] { tick(); })
     , m_batchTimer(context.loop, [this] { sendBatch(); })
@@ -168,6 +168,7 @@
     }
     if (!row.value()) {
         m_wasSettled = true;
+        m_silent.load({}, 0, BootClock::now());
         writeClaim(0);
         return;
     }
@@ -177,9 +178,11 @@
         depose("a later owner has claimed it");
     } else if (epoch == m_epoch) { // The answer to this owner's claim was lost.
         m_fenceVersion = row.value()->version;
+        m_silent.onRowWritten();
         load();
     } else {
         m_wasSettled = epoch + 1 == m_epoch && flagField(fence, "settled");
+        m_silent.load(fence, epoch, BootClock::now());
         writeClaim(row.value()->version);
     }
 }
@@ -187,13 +190,14 @@
 void PoolOwner::writeClaim(std::uint64_t version)
 {
     const StoreTransaction claim{.expected = {{key(FenceTable, FenceKey), version}},
-                                 .writes = {{key(FenceTable, FenceKey), fenceValue()}}};
+                                 .writes = {{key(FenceTable, FenceKey), takeFenceValue()}}};
     m_context.store.commit(claim, BootClock::now() + StoreTimeout,
                            [this, guard = Guard(m_guard)](const StoreCommit &commit) {
                                if (guard.expired())
                                    return;
                                if (commit.outcome == CommitOutcome::Committed) {
                                    m_fenceVersion = commit.version;
+                                   m_silent.onRowWritten();
                                    load();
                                } else {
                                    retryClaim(commit.detail);
@@ -273,10 +277,23 @@
     m_context.log.info("pool.owned",
                        {{"pool", m_pool},
                         {"epoch", std::to_string(m_epoch)},
-                        {"jobs", std::to_string(loaded.size())}});
+                        {"jobs", std::to_string(loaded.size())},
+                        {"silent", std::to_string(m_silent.size())}});
     m_engine.load(std::move(loaded), now);
     m_earlierOwnersUntil = now + RenewalGrace;
     updateEarlierOwners(now);
+    inheritRunners(now);
+}
+
+// Takes over what earlier owners have told of the runners of the loaded jobs.
+void PoolOwner::inheritRunners(TimePoint now)
+{
+    std::set<std::string> inherited;
+    for (const auto &[id, runner] : m_engine.runners())
+        inherited.insert(id);
+    m_silent.setInherited(inherited, now);
+    for (const std::string &id : inherited)
+        m_engine.setRenewedUntil(id, m_silent.since(id, now) + RenewalGrace);
 }
 
 void PoolOwner::loadAddresses(const std::vector<StoreRow> &addresses)
@@ -351,6 +368,10 @@
 void PoolOwner::forgetRunners()
 {
     m_addresses.forget(m_engine.runners());
+    m_silent.removeIf([&](const std::string &id) {
+        const auto runner = m_engine.runners().find(id);
+        return runner == m_engine.runners().end() || runner->second.runs.empty();
+    });
     std::erase_if(m_renewals, [&](const auto &item) {
         const bool isGone = !item.second.isInFlight && !m_engine.runners().contains(item.first);
         if (isGone)
@@ -627,7 +648,7 @@
     }
     jobs::Batch batch = m_engine.takeBatch();
     const bool isSettling = !m_isSettled && now >= m_earlierOwnersUntil;
-    if (batch.rows.empty() && !isSettling) {
+    if (batch.rows.empty() && !isSettling && !m_silent.isRowDue(now)) {
         if (!batch.isEmpty())
             m_engine.onCommitted(batch);
         return;
@@ -640,11 +661,14 @@
     sendNextTransaction();
 }
 
-std::string PoolOwner::fenceValue() const
+std::string PoolOwner::takeFenceValue()
 {
     json fence{{"epoch", m_epoch}, {"sequence", m_sequence}, {"owner", m_context.settings.name}};
     if (m_isSettled)
         fence["settled"] = true;
+    const json silent = m_silent.takeRow(BootClock::now());
+    if (!silent.empty())
+        fence["silent"] = silent;
     return fence.dump();
 }
 
@@ -655,7 +679,7 @@
     ++m_sequence;
     m_isSettled = m_isSettled || BootClock::now() >= m_earlierOwnersUntil;
     m_transaction = {.expected = {{key(FenceTable, FenceKey), m_fenceVersion}},
-                     .writes = {{key(FenceTable, FenceKey), fenceValue()}}};
+                     .writes = {{key(FenceTable, FenceKey), takeFenceValue()}}};
     const std::size_t room
         = MaxTransactionEntries - m_transaction.expected.size() - m_transaction.writes.size();
     std::vector<StoreWrite> rows = jobWrites();
@@ -719,7 +743,7 @@
         return;
     }
     for (const StoreRow &row : commit.current) {
-        if (row.key.table == FenceTable && row.value == fenceValue()) {
+        if (row.key.table == FenceTable && row.value == m_transaction.writes.front().value) {
             onBatchWritten(row.version); // an earlier attempt was applied
             return;
         }
@@ -730,6 +754,7 @@
 void PoolOwner::onBatchWritten(std::uint64_t version)
 {
     m_fenceVersion = version;
+    m_silent.onRowWritten();
     if (!m_hasBatchRows) {
         sendNextTransaction();
         return;
@@ -894,7 +919,8 @@
     if (hasUncommittedEnds && now < runner.answeredAt + BusyRunnerWait)
         return;
     LeaseRenewal renewal{.fence = m_epoch, .seenEnds = runner.seenEnds()};
-    if (runner.missedCalls == 0 && runner.isFenced && !runner.isUnreported()) {
+    if (runner.missedCalls == 0 && runner.isFenced && !runner.isUnreported()
+        && m_silent.mayExtend(id)) {
         renewal.lease = leaseDuration(m_context.settings);
         m_engine.onLeaseSent(id, now);
         if (!hasUncommittedEnds)
@@ -918,12 +944,13 @@
     const TimePoint now = BootClock::now();
     Renewal &renewal = m_renewals[id];
     renewal.isInFlight = false;
-    renewal.dueAt = now + RenewalDelay;
+    renewal.dueAt = now + (m_silent.mayExtend(id) ? RenewalDelay : NoAnswerRetry);
     if (answer.lease)
         m_engine.onLeaseGranted(id, *answer.lease, now);
     switch (answer.outcome) {
     case CallOutcome::Answered:
         m_engine.onReport(id, answer.report, sentAt, now);
+        m_silent.remove(id);
         break;
     case CallOutcome::OtherIncarnation:
         m_engine.onIncarnationOver(id);
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -1,7 +1,7 @@
 // PoolOwner: runs the jobs of one pool on the platform's store and runners, as the owner of the
 // pool.
 //
-//   PoolOwner owner(context, "vanload", epoch);
+//   PoolOwner owner(context, "vanload", acquiredResource);
 //   owner.start();                              // claims the pool's rows and loads its jobs
 //   owner.handle(call, [](const api::JobReply &reply) { ... });
 //
@@ -24,11 +24,13 @@
 #include "node/poolmetrics.h"
 #include "node/queuehomes.h"
 #include "node/runneraddresses.h"
+#include "node/silentrunners.h"
 #include "platform/adviceclient.h"
 #include "platform/nodesettings.h"
 #include "platform/runnerclient.h"
 #include "platform/storeclient.h"
 #include "sequoiapier/memberid.h"
+#include "sequoiapier/ownership.h"
 
 #include <functional>
 #include <map>
@@ -63,9 +65,8 @@
 public:
     using ReplyCallback = std::function<void(const api::JobReply &)>;
 
-    // `takenFrom` is the owner from which the pool was taken over without its consent.
-    PoolOwner(PoolContext &context, std::string pool, std::uint64_t epoch,
-              std::optional<MemberId> takenFrom);
+    // `resource` is the pool as this node has acquired it.
+    PoolOwner(PoolContext &context, std::string pool, const OwnedResource &resource);
     // Answers all pending calls, with NotOwner or with OutcomeUnknown if a batch may contain the
     // job.
     ~PoolOwner();
@@ -134,6 +135,7 @@
     bool isOwner() const { return BootClock::now() < m_context.ownedUntil(); }
     bool haveEarlierOwnersEnded() const;
     void updateEarlierOwners(TimePoint now);
+    void inheritRunners(TimePoint now);
     void onFenced(const std::string &runner);
     jobs::JobTerms termsInForce(const std::string &queue) const;
     void depose(std::string_view reason);
@@ -157,7 +159,7 @@
     void sendNextTransaction();
     std::vector<StoreWrite> jobWrites() const;
     void addAddressWrites(std::size_t room);
-    std::string fenceValue() const;
+    std::string takeFenceValue();
     void sendBatch();
     void onBatchAnswer(const StoreCommit &commit);
     void onBatchWritten(std::uint64_t version);
@@ -190,6 +192,7 @@
     StoreTransaction m_transaction; // transaction in flight, of m_batch or before it
     bool m_hasBatchRows = false; // m_transaction contains the rows of m_batch
     RunnerAddresses m_addresses;
+    SilentRunners m_silent;
     std::vector<RunnerAddresses::Change> m_addressChanges; // changes in m_transaction
     std::optional<MemberId> m_takenFrom;
     // The fence row of the owner before said that no earlier one renewed leases any more.
--- a/sequoiapier/ownership.cpp
+++ b/sequoiapier/ownership.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr std::size_t MaxWritesPerCommit = 64;
+constexpr std::size_t MaxObservedEpochs = 16;
 // Number of incarnations reserved for each start of a process. The process uses the next one
 // whenever it was declared dead, and a later start must never be mistaken for one of them.
 constexpr std::uint64_t IncarnationsPerStart = 1 << 16;
@@ -215,12 +216,29 @@
             continue;
         }
         const Result<OwnerRow> value = parseOwnerRow(row.value);
-        if (value)
-            owners[resource] = {value.value(), row.version};
+        if (!value)
+            continue;
+        Owner &owner = owners[resource];
+        if (previous != m_owners.end())
+            owner.observed = std::move(previous->second.observed);
+        owner.row = value.value();
+        owner.version = row.version;
+        observeEpoch(owner.observed, owner.row.epoch);
     }
     m_owners = std::move(owners);
 }
 
+void Ownership::observeEpoch(std::vector<ObservedEpoch> &observed, std::uint64_t epoch) const
+{
+    if (!observed.empty() && observed.back().epoch > epoch)
+        observed.clear(); // The row was removed and written anew.
+    if (!observed.empty() && observed.back().epoch == epoch)
+        return;
+    if (observed.size() == MaxObservedEpochs)
+        observed.erase(observed.begin());
+    observed.push_back({epoch, m_hooks.now()});
+}
+
 void Ownership::onScanned(const std::vector<TableRow> &rows)
 {
     observeOwners(rows);
@@ -294,7 +312,8 @@
     for (const std::string &resource : m_acquiring) {
         if (!std::binary_search(valid.begin(), valid.end(), resource))
             continue;
-        const std::uint64_t epoch = m_owners[resource].row.epoch;
+        const Owner &owner = m_owners[resource];
+        const std::uint64_t epoch = owner.row.epoch;
         m_owned[resource] = epoch;
         const auto takeover = m_takeovers.find(resource);
         const bool isTakenOver = takeover != m_takeovers.end() && takeover->second.epoch == epoch;
@@ -302,7 +321,8 @@
             {.name = resource,
              .epoch = epoch,
              .borrowers = borrowers,
-             .takenFrom = isTakenOver ? std::optional(takeover->second.from) : std::nullopt});
+             .takenFrom = isTakenOver ? std::optional(takeover->second.from) : std::nullopt,
+             .observed = owner.observed});
     }
 }
 
--- a/sequoiapier/ownership.h
+++ b/sequoiapier/ownership.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "sequoiapier/memberview.h"
+#include "sequoiapier/observedepoch.h"
 #include "sequoiapier/ownerchoice.h"
 #include "sequoiapier/table.h"
 
@@ -35,6 +36,8 @@
     // The member whose row stood still, if this one took the resource over without its consent. It
     // may not know yet that it owns nothing any more.
     std::optional<MemberId> takenFrom;
+    // The latest epochs that this member has seen, in increasing order, `epoch` included.
+    std::vector<ObservedEpoch> observed;
 };
 
 class Ownership
@@ -112,6 +115,7 @@
     {
         OwnerRow row;
         std::uint64_t version = 0; // version of the table row
+        std::vector<ObservedEpoch> observed; // the latest epochs seen, in increasing order
     };
 
     struct Takeover
@@ -137,6 +141,7 @@
     void scan();
     void onScanned(const std::vector<TableRow> &rows);
     void observeOwners(const std::vector<TableRow> &rows);
+    void observeEpoch(std::vector<ObservedEpoch> &observed, std::uint64_t epoch) const;
     bool mustWatch(const std::vector<OwnerCandidate> &members) const;
     void updateWatching(const std::vector<OwnerCandidate> &members);
     int intervalFactor() const { return m_isWatching ? 1 : NonWatcherIntervalFactor; }
--- a/testing/process/cutlinks_test.cpp
+++ b/testing/process/cutlinks_test.cpp
@@ -286,6 +286,32 @@
     EXPECT_EQ(violations(), "[]");
 }
 
+// Hosts of nodes are replaced one by one, so that the pool changes its owner again before the wait
+// for the lease of the lost runner is over. The wait must not begin anew with each owner; each
+// change may cost the hand-over and the age of the row that tells of the runner.
+TEST_F(TakeoverTime, TaskOfALostRunnerIsBackAfterALeaseThoughOwnersChange)
+{
+    constexpr milliseconds ChangeCost{1'000}; // scan, claim and age of the row
+    const std::string runner = startTask(milliseconds(60'000));
+    std::this_thread::sleep_for(milliseconds(2'500)); // The owner says that none before it renews.
+    setFaults({{"silentRunners", {runner}}, {"hiddenRunners", {runner}}});
+    const auto isBack = [&] { return runsOf(JobA).size() == 2; };
+    const auto changed = std::chrono::steady_clock::now();
+    int changes = 0;
+    while (changes < 5 && !isBack()) {
+        const std::string former = owner();
+        system().member(former).process.signal(SIGTERM);
+        ASSERT_TRUE(waitNextOwner(former));
+        ++changes;
+        LocalSystem::waitUntil(isBack, milliseconds(2'500));
+        system().replace(former);
+        ASSERT_TRUE(system().waitReady(former));
+    }
+    ASSERT_TRUE(LocalSystem::waitUntil(isBack, milliseconds(20'000)));
+    EXPECT_LT(std::chrono::steady_clock::now() - changed, LeaseAndGrace + changes * ChangeCost);
+    EXPECT_EQ(violations(), "[]");
+}
+
 class StoreOutage : public CutLinks, public testing::WithParamInterface<const char *>
 {
 };
--- a/testing/unit/enginelease_test.cpp
+++ b/testing/unit/enginelease_test.cpp
@@ -116,6 +116,24 @@
     EXPECT_EQ(m_pool.violations(), "") << m_pool.trace();
 }
 
+// The owner before did not reach the runner either, so that its lease has run out since.
+TEST_F(EngineLease, NextOwnerCountsTheTimeForWhichTheOwnerBeforeDidNotReachTheRunner)
+{
+    submitLastingTask();
+    cutFirstRunner();
+    m_pool.setListed(0, false);
+    m_pool.replaceOwner(milliseconds(200));
+    const TimePoint owned = m_pool.time().now();
+    m_pool.run(seconds(4));
+    m_pool.replaceOwner(milliseconds(200));
+    m_pool.engine().setRenewedUntil(EnginePool::runnerId(0), owned);
+    m_pool.run(seconds(1));
+    EXPECT_EQ(m_pool.ledger().runsOf("a").size(), 1U) << m_pool.trace();
+    m_pool.run(seconds(1));
+    EXPECT_EQ(m_pool.ledger().runsOf("a").size(), 2U) << m_pool.trace();
+    EXPECT_EQ(m_pool.violations(), "") << m_pool.trace();
+}
+
 // The restart is listed before the owner has asked the runner, as its call is still under way.
 TEST_F(EngineLease, NothingIsStartedOnAListedLifeThatHasNotReported)
 {
--- a/testing/unit/ownership_test.cpp
+++ b/testing/unit/ownership_test.cpp
@@ -92,10 +92,17 @@
     world.run(seconds(5));
     const MemberId killed = world.lender(0).ownership->self();
     const std::string resource = world.lender(0).acquired.begin()->first;
+    const TimePoint killedAt = world.time().now();
     world.killLender(0);
     runUntilOwned(world, 2, 6);
     ASSERT_TRUE(world.lender(1).ownership->owns(resource));
     EXPECT_EQ(world.lender(1).acquired.at(resource).takenFrom, killed);
+    const std::vector<ObservedEpoch> observed = world.lender(1).acquired.at(resource).observed;
+    ASSERT_EQ(observed.size(), 2U);
+    EXPECT_EQ(observed[0].epoch, 1U);
+    EXPECT_EQ(observed[1].epoch, 2U);
+    EXPECT_LT(observed[0].seenAt, killedAt);
+    EXPECT_GT(observed[1].seenAt, killedAt);
     EXPECT_FALSE(world.lender(1).ownership->hasEnded(killed));
     world.restartLender(0);
     world.run(seconds(5));
