--- a/node/node.cpp
+++ b/node/node.cpp
@@ -340,8 +340,7 @@
 
 void Node::acquirePool(const std::string &pool, const OwnedResource &resource)
 {
-    auto owner
-        = std::make_unique<PoolOwner>(m_poolContext, pool, resource);
+    auto owner = std::make_unique<PoolOwner>(m_poolContext, pool, resource);
     owner->setConfiguration(m_operators.configuration());
     owner->setRunners(m_runnerWatch.runners());
     PoolOwner &started = *owner;
