FleetTest.LostHostDoesNotHoldUpTheOthers: the wave begins once the loss is seen

Cause: the test. The host h05 is dead, the host list lags by 150 ms, and 36 ms after the wave was declared a controller sent out h04 of the same rack, which was allowed, as the loss was not seen yet. It came back: 9 hosts done, while the test waited for 8.

The checks are as before; the wave is declared once both controllers show the host as lost.

--- a/testing/process/fleet_test.cpp
+++ b/testing/process/fleet_test.cpp
@@ -220,6 +220,9 @@
 TEST_F(FleetTest, LostHostDoesNotHoldUpTheOthers)
 {
     ASSERT_TRUE(system().setFaults("hosts", R"({"dead": ["h05"]})"));
+    // A host of the same rack may go out until the loss is seen.
+    ASSERT_TRUE(waitFor([&] { return seesLost("controller-1", "h05"); })) << hosts();
+    ASSERT_TRUE(waitFor([&] { return seesLost("controller-2", "h05"); })) << hosts();
     declareWave("spring");
     EXPECT_TRUE(waitFor([&] { return doneOf("spring") == HostCount - HostsOfRack; }))
         << "nothing else goes out of the rack of the lost host: " << wave("spring");
--- a/testing/process/fleettest.h
+++ b/testing/process/fleettest.h
@@ -116,6 +116,15 @@
         }
         return nlohmann::json::object();
     }
+    bool seesLost(const std::string &controller, const std::string &name)
+    {
+        const nlohmann::json all = list("host", controller);
+        for (const nlohmann::json &entry : all.value("hosts", nlohmann::json::array())) {
+            if (entry.at("name") == name)
+                return entry.at("isLost");
+        }
+        return false;
+    }
     nlohmann::json wave(const std::string &id, const std::string &controller = "")
     {
         const nlohmann::json all = list("wave", controller);
