--- a/node/silentrunners.h
+++ b/node/silentrunners.h
@@ -21,7 +21,7 @@
 // member has seen later epochs.
 //
 // Cost: O(log n) for a runner, O(n) for a row of n runners, at most MaxEntries in a row. While
-// there are any, a row is written every second.
+// there are any, a row is written four times a second.
 #pragma once
 
 #include "sequoiapier/bootclock.h"
