--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -173,7 +173,8 @@
                 expired.push_back(key);
         }
         for (const RunKey &key : expired)
-            releaseRun(runner, key, "the lease of " + id + " has expired");
+            releaseRun(runner, key,
+                       "the lease of " + id + " has expired, " + describeContact(runner, now));
     }
 }
 
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -183,7 +183,9 @@
 // answered after the report was requested shows only in a later report.
 void Engine::onRunnerRestart(Runner &runner, const RunnerReport &report, TimePoint sentAt)
 {
-    note("runner.reborn", {.job = runner.entry.id});
+    note("runner.reborn", {.job = runner.entry.id},
+         "born " + std::to_string(report.bornAt) + " after " + std::to_string(runner.bornAt)
+             + ", clock " + std::to_string(report.clock) + " ms");
     m_quarantine.forget(runner.entry.id);
     m_advice.forgetRunner(runner.entry.id);
     std::set<RunKey> reported;
@@ -273,6 +275,10 @@
     runner.missedCalls = 0;
     runner.isFenced = true;
     for (const RunEnd &end : report.ends) {
+        if (end.number > runner.appliedEnds + 1 && (runner.appliedEnds > 0 || runner.hasRestarted))
+            note("runner.ends-missing", {.job = id},
+                 std::to_string(runner.appliedEnds) + " is followed by "
+                     + std::to_string(end.number));
         if (end.number > runner.appliedEnds) {
             runner.appliedEnds = end.number;
             applyEnd(runner, end, now);
@@ -344,6 +350,10 @@
         }
         const bool isLost = task != nullptr && task->runPhase == RunPhase::Running
             && task->startedAt < sentAt && ++task->missingReports >= MissingReports;
+        if (isLost && !run.isStopRequested)
+            note("run.missing", key.first,
+                 "run " + std::to_string(run.number) + " on " + runner.entry.id + ", "
+                     + describeContact(runner, runner.answeredAt));
         const bool isUnconfirmed = task != nullptr && task->runPhase == RunPhase::Unconfirmed;
         if (task == nullptr || isLost || isUnconfirmed) {
             run.isStopRequested = true;
--- a/jobs/runner.cpp
+++ b/jobs/runner.cpp
@@ -11,6 +11,17 @@
         && size.accelerators <= room.accelerators + Tolerance;
 }
 
+std::string describeContact(const Runner &runner, TimePoint now)
+{
+    std::string text = runner.isListed ? "listed, " : "not listed, ";
+    text += runner.bornAt == 0 ? "has not reported" : "born " + std::to_string(runner.bornAt);
+    if (runner.hasRestarted)
+        text += ", has restarted";
+    if (runner.answeredAt != TimePoint{})
+        text += ", last answer " + formatMilliseconds(now - runner.answeredAt) + " ago";
+    return text;
+}
+
 std::string_view toString(EndKind kind)
 {
     static constexpr std::array<std::string_view, 6> Names{"done",   "failed", "stopped",
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -122,6 +122,9 @@
     }
 };
 
+// Describes the runner's life and its contact to the owner, for the log.
+std::string describeContact(const Runner &runner, TimePoint now);
+
 // A run as listed in a runner's report.
 struct RunReport
 {
