--- a/testing/standin/simulatedrunner.cpp
+++ b/testing/standin/simulatedrunner.cpp
@@ -22,7 +22,8 @@
 
 std::int64_t SimulatedRunner::clock(TimePoint now) const
 {
-    return 1'000 + std::chrono::duration_cast<std::chrono::milliseconds>(now - m_startedAt).count();
+    return m_clockAtStart
+        + std::chrono::duration_cast<std::chrono::milliseconds>(now - m_startedAt).count();
 }
 
 SimulatedRunner::Running SimulatedRunner::makeRunning(const Start &start, TimePoint now) const
@@ -210,6 +211,7 @@
     m_fence = 0;
     m_until = 0;
     m_startedAt = now;
+    m_clockAtStart = ClockAtRestart;
     ++m_bornAt;
 }
 
--- a/testing/standin/simulatedrunner.h
+++ b/testing/standin/simulatedrunner.h
@@ -28,6 +28,10 @@
     static constexpr Duration StopTime = std::chrono::milliseconds(100);
     static constexpr Duration SettleTime = std::chrono::milliseconds(300);
     static constexpr Duration MaxLease = std::chrono::seconds(10);
+    // Clocks in milliseconds. The first incarnation has run for a while, so that its clock is
+    // further ahead of those of later ones than any lease is long.
+    static constexpr std::int64_t FirstClock = 480'000;
+    static constexpr std::int64_t ClockAtRestart = 1'000;
     static constexpr std::size_t MaxReportedEnds = 500; // A report holds the first ones.
 
     struct Start
@@ -101,6 +105,7 @@
     RunLedger &m_ledger;
     std::int64_t m_bornAt = 1;
     TimePoint m_startedAt;
+    std::int64_t m_clockAtStart = FirstClock;
     std::uint64_t m_fence = 0;
     std::int64_t m_until = 0;
     std::vector<Running> m_runs;
--- a/testing/unit/enginelease_test.cpp
+++ b/testing/unit/enginelease_test.cpp
@@ -82,6 +82,43 @@
     expectMovedWithoutOverlap();
 }
 
+// The runner has lost the store as well, so that it leaves the list and runs on.
+TEST_F(EngineLease, TaskWithoutAnAnswerIsNotDoubledThoughItsRunnerHasLeftTheList)
+{
+    m_pool.restart(0);
+    m_pool.setAnswersLost(true);
+    submitLastingTask();
+    cutFirstRunner();
+    m_pool.setListed(0, false);
+    m_pool.setAnswersLost(false);
+    expectMovedWithoutOverlap();
+}
+
+TEST_F(EngineLease, NextOwnerDoesNotDoubleTheRunOfARunnerThatHasLeftTheList)
+{
+    m_pool.restart(0);
+    submitLastingTask();
+    cutFirstRunner();
+    m_pool.setListed(0, false);
+    m_pool.replaceOwner(milliseconds(200));
+    expectMovedWithoutOverlap();
+}
+
+// A lease is the runner's, so that the long one of the earlier owner also keeps the runs of the
+// next one going.
+TEST_F(EngineLease, RunOfTheNextOwnerIsNotDoubledWhileTheLeaseOfTheEarlierOneGoesOn)
+{
+    m_pool.restart(0);
+    const jobs::StepSpec step{.count = 1, .size = {.processors = 1, .memory = 1}};
+    m_pool.submit("b", {.payload = R"({"runMs": 10})", .steps = {step}});
+    m_pool.runUntilEnded("b", Started);
+    m_pool.replaceOwner(milliseconds(200));
+    m_pool.runUntilReport(0);
+    submitLastingTask();
+    cutFirstRunner();
+    expectMovedWithoutOverlap();
+}
+
 // The next owner finds the placement in the store and can't know how its start ended.
 TEST_F(EngineLease, NextOwnerWaitsForTheLongestLeaseOfASilentRunner)
 {
