--- a/testing/process/cutlinks_test.cpp
+++ b/testing/process/cutlinks_test.cpp
@@ -53,19 +53,6 @@
         return runsOf(JobA).at(0)["runner"];
     }
 
-    std::uint64_t highestEpoch()
-    {
-        std::uint64_t highest = 0;
-        for (const std::string &node : nodes()) {
-            for (const json &line : logOf(node)) {
-                if (line.value("event", "") == "pool.owned")
-                    highest
-                        = std::max<std::uint64_t>(highest, std::stoull(line.value("epoch", "0")));
-            }
-        }
-        return highest;
-    }
-
     bool waitNextOwner(const std::string &former)
     {
         return LocalSystem::waitUntil([&] { return owner() != former; }, milliseconds(15'000));
--- a/testing/process/platformtest.h
+++ b/testing/process/platformtest.h
@@ -153,6 +153,20 @@
         }
         return latest;
     }
+    // Highest epoch in which a node has owned the pool.
+    std::uint64_t highestEpoch()
+    {
+        std::uint64_t highest = 0;
+        for (const std::string &node : nodes()) {
+            for (const nlohmann::json &line : logOf(node)) {
+                if (line.value("event", "") == "pool.owned")
+                    highest
+                        = std::max<std::uint64_t>(highest, std::stoull(line.value("epoch", "0")));
+            }
+        }
+        return highest;
+    }
+
     // Name of the node that acquired the resource last; empty if none has.
     std::string lastToAcquire(const std::string &resource)
     {
--- a/testing/standin/platformstandin.cpp
+++ b/testing/standin/platformstandin.cpp
@@ -270,6 +270,10 @@
                 writeHeartbeat(*host);
         }
     }
+    leaveUnanswered([&](const Renewal &renewal) {
+        const Host &host = *m_hosts[renewal.host];
+        return host.runner && isCut(host.runner->id(), renewal.body);
+    });
     std::erase_if(m_renewals, [&](const Renewal &renewal) {
         return !renewal.exchange->isOpen() || answerRenewal(renewal, now >= renewal.deadline);
     });
@@ -277,6 +281,17 @@
     m_timer.startAt(now + TickInterval);
 }
 
+// Drops the waiting renewals for which `isLost` returns true.
+void PlatformStandin::leaveUnanswered(const std::function<bool(const Renewal &renewal)> &isLost)
+{
+    std::erase_if(m_renewals, [&](const Renewal &renewal) {
+        const bool isDropped = isLost(renewal);
+        if (isDropped)
+            m_unanswered.push_back(renewal.exchange);
+        return isDropped;
+    });
+}
+
 bool PlatformStandin::applyStoreFaults(const ExchangePtr &exchange, const std::string &node)
 {
     const bool isSilent = m_faults.storeSilent || m_faults.cutNodes.contains(node);
@@ -388,7 +403,8 @@
 {
     Host &host = *m_hosts[index];
     const HttpRequest &request = exchange->request();
-    if (!host.runner || m_faults.silentRunners.contains(host.runner->id())) {
+    const json body = parseBody(request.body);
+    if (!host.runner || isCut(host.runner->id(), body)) {
         m_unanswered.push_back(exchange);
         return;
     }
@@ -396,11 +412,6 @@
         exchange->reply({.status = 421});
         return;
     }
-    const json body = parseBody(request.body);
-    if (isCutFromOwner(host.runner->id(), std::uint64_t(numberField(body, "fence").value_or(0)))) {
-        m_unanswered.push_back(exchange);
-        return;
-    }
     if (request.path == "/v1/run-start")
         startRun(host, exchange, body);
     else if (request.path == "/v1/run-stop")
@@ -411,9 +422,13 @@
         exchange->reply({.status = 404});
 }
 
-// The fence tells which owner makes the call.
-bool PlatformStandin::isCutFromOwner(const std::string &runner, std::uint64_t fence) const
+// Returns whether the link between the runner and the owner that makes the call is cut. The fence
+// tells which owner that is.
+bool PlatformStandin::isCut(const std::string &runner, const json &call) const
 {
+    if (m_faults.silentRunners.contains(runner))
+        return true;
+    const auto fence = std::uint64_t(numberField(call, "fence").value_or(0));
     const auto deaf = m_faults.deafRunners.find(runner);
     const auto lowest = m_faults.lowestFences.find(runner);
     return (deaf != m_faults.deafRunners.end() && fence >= deaf->second)
@@ -625,6 +640,8 @@
 void PlatformStandin::crash(const ExchangePtr &exchange)
 {
     if (Host *host = findRunner(exchange)) {
+        leaveUnanswered(
+            [&](const Renewal &renewal) { return m_hosts[renewal.host].get() == host; });
         host->runner->crash(BootClock::now());
         writeHeartbeat(*host);
     }
--- a/testing/standin/platformstandin.h
+++ b/testing/standin/platformstandin.h
@@ -37,6 +37,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -126,11 +127,12 @@
     void answerWatches();
 
     void serveRunner(std::size_t host, const ExchangePtr &exchange);
-    bool isCutFromOwner(const std::string &runner, std::uint64_t fence) const;
+    bool isCut(const std::string &runner, const nlohmann::json &call) const;
     void startRun(Host &host, const ExchangePtr &exchange, const nlohmann::json &body);
     void stopRun(Host &host, const ExchangePtr &exchange, const nlohmann::json &body);
     void renew(std::size_t host, const ExchangePtr &exchange, const nlohmann::json &body);
     bool answerRenewal(const Renewal &renewal, bool isDue);
+    void leaveUnanswered(const std::function<bool(const Renewal &renewal)> &isLost);
 
     void listHosts(const ExchangePtr &exchange);
     void orderHost(const ExchangePtr &exchange, bool isMove);
