A runner that has left the live list may run on: leases are counted by what its life has shown

Cause: a runner that starts again under its id carries out calls that were meant for its former life and holds a lease of hold_max_ms, 10 s, where the owner means 5 s. Since the owner waited for that lease only while the live list had the runner. A runner that has lost the store leaves the list and runs on. Besides, a new owner counted an earlier owner's long lease only for that owner's runs, though a lease is the runner's and also keeps the runs going that the new owner starts there.

Why it works: the list is not asked any more. A run's lease is known once the life that has the run has answered its start, or listed it, and holds no longer lease than was meant: no later life has that run, and calls with that life's clock can't stretch its lease. Until then the longest lease counts. From a runner's first report on, a new owner counts what is possibly left of a lease that an earlier owner's call to a former life has set. Calls to a restarted runner count in full for 12 s, the time in which late ones are carried out, in place of for ever.

Rows: known leases are listed beside an occurrence's tasks, where earlier versions don't look; rows of earlier versions have none, so that their silent runners are waited for in full. A placed task holds 2 bytes more room.

Engine.TaskOnASilentRunnerIsPlacedAgainAfterItsLease: the earlier owner's start was answered, so that its lease is known now and the wait is 5 s. Its checks stand as they were, for a start without an answer; the answered one has a test of its own, with bounds as tight for the lease that was meant.

Ruled out: the longest lease for every run (LOST after each crash with a takeover); runners with uncertain leases in the fence row, since an owner may end before it notices a restart.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -56,8 +56,8 @@
 }
 
 // The runners of the earlier owner's runs have not been asked yet. Until they answer with this
-// owner's fence, the runs may go on for as long as the earlier owner renewed them. How the earlier
-// owner's starts were answered is not known, so that the longest lease is possible.
+// owner's fence, the runs may go on for as long as the earlier owner renewed them. The longest
+// lease is possible for those of which the store does not say that their lease is known.
 void Engine::load(std::vector<Job> jobs, TimePoint now)
 {
     m_loadedAt = now;
@@ -103,7 +103,8 @@
         runner.entry.id = task.runner;
         addRun(runner, makeRun(job, name, task.run));
         extendLease(runner, m_options.lease, now);
-        runner.runs.at({name, task.run}).leaseEnd = leaseEnd(m_options.maxLease, now);
+        if (!task.isLeaseKnown)
+            runner.runs.at({name, task.run}).leaseEnd = leaseEnd(m_options.maxLease, now);
     });
 }
 
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -21,7 +21,7 @@
 //
 // At most one run of a task exists at any time: a task is placed again only after the runner has
 // listed the end of its run, its stop was answered, the runner's incarnation is over, or the run's
-// lease has certainly expired.
+// lease has certainly expired. That a runner has left the live list says nothing about its runs.
 //
 // Cost: a plan is O(j + t r) in live jobs, waiting tasks and runners. Memory: the live jobs and the
 // jobs that ended within endedJobRetention.
@@ -144,6 +144,11 @@
         // when a call carries a lease on the clock of the previous incarnation.
         Duration maxLease = std::chrono::seconds(10);
         double clockRateMargin = 0.03; // Covers runner clocks that are up to 2 % slow.
+        // A call reaches its runner no later than this after the reading of the runner's clock that
+        // its lease is reckoned from.
+        Duration maxCallAge = std::chrono::milliseconds(7'500);
+        // A call without an answer may be carried out for this long.
+        Duration lateCallTime = std::chrono::seconds(12);
         Duration leaseSlack = std::chrono::milliseconds(250); // Allowance for calls in transit.
         // A runner that has not answered for longer gets no task.
         Duration maxAnswerAge = std::chrono::milliseconds(2'500);
@@ -230,7 +235,8 @@
     // `sentAt` is when the call that this report answers was sent.
     void onReport(const std::string &runner, const RunnerReport &report, TimePoint sentAt,
                   TimePoint now);
-    void onMissedCall(const std::string &runner);
+    // `hasLease` tells whether the call without an answer carried a lease.
+    void onMissedCall(const std::string &runner, bool hasLease, TimePoint now);
     // Called when another incarnation answers at the runner's address: no run of this one exists
     // any more.
     void onIncarnationOver(const std::string &runner);
@@ -359,6 +365,9 @@
     void adoptRemainingRuns(const Job &job, TimePoint now);
     TimePoint leaseEnd(Duration lease, TimePoint now) const;
     void extendLease(Runner &runner, Duration lease, TimePoint now) const;
+    void countEarlierLeases(Runner &runner, Duration age, TimePoint now) const;
+    bool isLeaseAsMeant(const Runner &runner, TimePoint now) const;
+    void keepKnownLease(Runner &runner, const TaskLocation &location, TimePoint now);
 
     void applyEntry(Runner &runner, const RunnerEntry &entry);
     void onRunnerRestart(Runner &runner, const RunnerReport &report, TimePoint sentAt);
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -169,7 +169,7 @@
             continue;
         std::vector<RunKey> expired;
         for (const auto &[key, run] : runner.runs) {
-            if (unextended > run.leaseEnd || !runner.isListed)
+            if (unextended > run.leaseEnd)
                 expired.push_back(key);
         }
         for (const RunKey &key : expired)
@@ -441,6 +441,7 @@
     task.progressedAt = {};
     task.measurement = 0;
     task.missingReports = 0;
+    task.isLeaseKnown = false;
     addRun(runner, makeRun(job, name, run));
     m_planned.push_back({.runner = runner.entry.id,
                          .task = name,
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -209,16 +209,20 @@
     }
     for (const RunKey &key : gone)
         releaseRun(runner, key, "the runner restarted");
-    runner.hasRestarted = true;
     runner.appliedEnds = 0;
     runner.durableEnds = 0;
 }
 
-void Engine::onMissedCall(const std::string &id)
+// The call may have been under way while the runner restarted, and be carried out after the
+// restart.
+void Engine::onMissedCall(const std::string &id, bool hasLease, TimePoint now)
 {
     const auto found = m_runners.find(id);
-    if (found != m_runners.end())
-        ++found->second.missedCalls;
+    if (found == m_runners.end())
+        return;
+    ++found->second.missedCalls;
+    if (hasLease && now < found->second.lateCallsUntil)
+        extendLease(found->second, m_options.maxLease, now);
 }
 
 // Returns when a lease of the given length, counted from `now`, has certainly expired.
@@ -237,7 +241,7 @@
 void Engine::onLeaseSent(const std::string &id, TimePoint now)
 {
     Runner &runner = m_runners[id];
-    extendLease(runner, runner.hasRestarted ? m_options.maxLease : m_options.lease, now);
+    extendLease(runner, now < runner.lateCallsUntil ? m_options.maxLease : m_options.lease, now);
 }
 
 void Engine::onLeaseGranted(const std::string &id, Duration lease, TimePoint now)
@@ -246,11 +250,44 @@
     if (found == m_runners.end())
         return;
     const Duration granted = std::min(lease, m_options.maxLease);
-    if (granted > m_options.lease + m_options.leaseSlack)
+    if (granted > m_options.lease + m_options.leaseSlack) {
         note("runner.long-lease", {.job = id}, formatMilliseconds(granted));
+        found->second.lateCallsUntil = now + m_options.lateCallTime;
+    }
     extendLease(found->second, granted, now);
 }
 
+// Earlier owners' calls have set a longer lease than was meant only if they were sent to an earlier
+// incarnation of the runner and reached this one while it was young. The new owner's fence stops
+// them from its first report on.
+void Engine::countEarlierLeases(Runner &runner, Duration age, TimePoint now) const
+{
+    const TimePoint lastCall = std::max(m_earlierOwnersUntil, m_loadedAt) + m_options.maxCallAge;
+    const Duration sinceLastCall = now - lastCall;
+    const Duration sinceYoung = age - m_options.maxCallAge;
+    const Duration elapsed = std::max({sinceLastCall, sinceYoung, Duration{}});
+    if (elapsed < m_options.maxLease)
+        extendLease(runner, m_options.maxLease - elapsed, now);
+}
+
+// Returns whether the runner is known to hold no longer lease than this owner means to give.
+bool Engine::isLeaseAsMeant(const Runner &runner, TimePoint now) const
+{
+    return runner.bornAt != 0 && !runner.isUnreported() && now >= runner.lateCallsUntil
+        && runner.leaseEnd <= leaseEnd(m_options.lease, now);
+}
+
+// Called when the runner has said that it has the task's run. Lasting tasks must be back soon after
+// their runner is lost, also under the next owner, so that their job is written for it.
+void Engine::keepKnownLease(Runner &runner, const TaskLocation &location, TimePoint now)
+{
+    if (location.task->isLeaseKnown || !isLeaseAsMeant(runner, now))
+        return;
+    location.task->isLeaseKnown = true;
+    if (location.spec->isLasting)
+        markDirty(*location.entry);
+}
+
 void Engine::onReport(const std::string &id, const RunnerReport &report, TimePoint sentAt,
                       TimePoint now)
 {
@@ -261,13 +298,12 @@
     if (report.bornAt < runner.bornAt)
         return; // The report is from the previous incarnation.
     if (report.bornAt > runner.bornAt) {
-        // Calls of an earlier owner, or calls meant for an earlier incarnation, may have set a
-        // longer lease than this owner sends.
-        for (auto &[key, run] : runner.runs)
-            run.leaseEnd = leaseEnd(m_options.maxLease, now);
         if (runner.bornAt != 0) {
+            runner.lateCallsUntil = now + m_options.lateCallTime;
             extendLease(runner, m_options.maxLease, now);
             onRunnerRestart(runner, report, sentAt);
+        } else {
+            countEarlierLeases(runner, std::chrono::milliseconds(report.clock), now);
         }
         runner.bornAt = report.bornAt;
     }
@@ -275,7 +311,8 @@
     runner.missedCalls = 0;
     runner.isFenced = true;
     for (const RunEnd &end : report.ends) {
-        if (end.number > runner.appliedEnds + 1 && (runner.appliedEnds > 0 || runner.hasRestarted))
+        if (end.number > runner.appliedEnds + 1
+            && (runner.appliedEnds > 0 || runner.hasRestarted()))
             note("runner.ends-missing", {.job = id},
                  std::to_string(runner.appliedEnds) + " is followed by "
                      + std::to_string(end.number));
@@ -311,6 +348,8 @@
         if (!entry.checkpoint.empty())
             setCheckpoint(location, {task, 1}, entry.checkpoint);
         Run &run = runner.runs.at(key);
+        run.leaseEnd = {};
+        keepKnownLease(runner, location, now);
         if (!run.mayBeStopped())
             run.isStopRequested = false;
         if (task->runPhase != RunPhase::Running) {
@@ -498,14 +537,16 @@
              + start.runner + describeAges(start, now));
     if (outcome != StartOutcome::NotSent && outcome != StartOutcome::Unanswered)
         runner.answeredAt = std::max(runner.answeredAt, now);
-    Task *task = currentTask(start.task, start.run);
+    const TaskLocation location = find(start.task);
+    Task *task = currentTask(location, start.run);
     const bool isOrdered = task != nullptr && task->runPhase == RunPhase::Ordered;
     switch (outcome) {
     case StartOutcome::Started:
         if (isOrdered) {
             task->runPhase = RunPhase::Running;
             task->startedAt = now;
-            beginJob(m_jobs.find(start.task.job)->second);
+            keepKnownLease(runner, location, now);
+            beginJob(*location.entry);
         }
         return;
     case StartOutcome::Unanswered: {
--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -1,6 +1,7 @@
 // Encoded as CBOR arrays in the order of the fields. A done task is the number 1, a waiting task
 // that was never placed is 0, and any other task is an array, which keeps the row of a large job
-// small.
+// small. The tasks with a known lease are listed beside the tasks of their occurrence, where
+// earlier versions do not look.
 #include "jobs/job.h"
 
 #include "sequoiapier/boundedjson.h"
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <stdexcept>
 #include <utility>
 
 namespace sequoiapier::jobs {
@@ -26,8 +28,8 @@
 
 // Maximum sizes in the row. Run numbers fit 32 bits.
 constexpr std::size_t OccurrenceFrameBytes = 16;
-constexpr std::size_t StepFrameBytes = 8;
-constexpr std::size_t TaskFrameBytes = 16; // of a placed task, without what has a length
+constexpr std::size_t StepFrameBytes = 10;
+constexpr std::size_t TaskFrameBytes = 18; // of a placed task, without what has a length
 constexpr std::size_t RunNumberBytes = 5;
 constexpr std::size_t RunnerNameBytes = 40;
 constexpr std::uint32_t RoomyAttempts = 100; // attempts for which a task holds room
@@ -77,6 +79,31 @@
     return steps;
 }
 
+// Returns the indices of the tasks with a known lease, by step; empty if there are none.
+json encodeKnownLeases(const Occurrence &occurrence)
+{
+    json steps = json::array();
+    bool hasAny = false;
+    for (const Step &step : occurrence.steps) {
+        json indices = json::array();
+        for (std::size_t t = 0; t < step.tasks.size(); ++t) {
+            if (step.tasks[t].phase == TaskPhase::Placed && step.tasks[t].isLeaseKnown)
+                indices.push_back(t);
+        }
+        hasAny = hasAny || !indices.empty();
+        steps.push_back(std::move(indices));
+    }
+    return hasAny ? steps : json::array();
+}
+
+void parseKnownLeases(const json &steps, Occurrence &occurrence)
+{
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+        for (const json &index : steps[s])
+            occurrence.steps.at(s).tasks.at(index.get<std::size_t>()).isLeaseKnown = true;
+    }
+}
+
 bool parseOccurrence(const json &steps, Occurrence &occurrence)
 {
     if (steps.size() != occurrence.steps.size())
@@ -255,8 +282,13 @@
 std::string encodeJobState(const Job &job)
 {
     json work = json::array();
-    for (const auto &[number, occurrence] : job.occurrences)
-        work.push_back(json::array({number, encodeOccurrence(occurrence)}));
+    for (const auto &[number, occurrence] : job.occurrences) {
+        json row = json::array({number, encodeOccurrence(occurrence)});
+        json knownLeases = encodeKnownLeases(occurrence);
+        if (!knownLeases.empty())
+            row.push_back(std::move(knownLeases));
+        work.push_back(std::move(row));
+    }
     for (const RemainingRun &run : job.remainingRuns)
         work.push_back(encodeRemainingRun(run));
     const json document
@@ -293,10 +325,14 @@
             Occurrence occurrence = makeOccurrence(job.spec);
             if (!parseOccurrence(entry.at(1), occurrence))
                 return malformed;
+            if (entry.size() > 2)
+                parseKnownLeases(entry[2], occurrence);
             job.occurrences[entry.at(0).get<std::uint32_t>()] = std::move(occurrence);
         }
     } catch (const json::exception &exception) {
         return Error{ResultCode::RowMalformed, exception.what()};
+    } catch (const std::out_of_range &) {
+        return malformed;
     }
     return boost::outcome_v2::success();
 }
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -60,6 +60,9 @@
     std::vector<std::uint64_t> failedRuns; // Run numbers of the failed runs.
     std::string runner; // Runner of the placed run.
     std::string checkpoint;
+    // The life of the runner that has the placed run has shown that it holds no longer lease than
+    // was meant, so that later owners need not wait for the longest one.
+    bool isLeaseKnown = false;
 
     RunPhase runPhase = RunPhase::Ordered;
     // Percentage of its processor share that the task uses, or its progress.
--- a/jobs/runner.cpp
+++ b/jobs/runner.cpp
@@ -15,7 +15,7 @@
 {
     std::string text = runner.isListed ? "listed, " : "not listed, ";
     text += runner.bornAt == 0 ? "has not reported" : "born " + std::to_string(runner.bornAt);
-    if (runner.hasRestarted)
+    if (runner.hasRestarted())
         text += ", has restarted";
     if (runner.answeredAt != TimePoint{})
         text += ", last answer " + formatMilliseconds(now - runner.answeredAt) + " ago";
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -53,8 +53,8 @@
     bool isStopSent = false; // A stop was sent and has not been answered yet.
     TimePoint nextStopAt{}; // Earliest time of the next stop order; unset before the first answer.
     TimePoint stopAnsweredAt{}; // The run can't begin any more from then on.
-    // Set if the start was not answered: the run may hold a lease until then, even if its runner's
-    // other runs have expired.
+    // The run may hold a lease until then even if the runner's other runs have expired, since a
+    // life of the runner that is not known may have it. Unset if the owner knows that none has.
     TimePoint leaseEnd{};
 
     // Returns whether a stop order was sent, which may be carried out seconds later even if its
@@ -82,9 +82,9 @@
     bool isFenced = false; // True once the runner has answered a call with this owner's fence.
     std::int64_t bornAt = 0; // Start time of the incarnation that reported last.
     PaceControl pace; // Pace of the filling tasks.
-    // The runner restarted under its identifier. Late calls that were meant for the previous
-    // incarnation carry leases on that incarnation's clock.
-    bool hasRestarted = false;
+    // Calls that were meant for an earlier incarnation may be carried out until then. They carry
+    // leases on that incarnation's clock. Unset if the runner has not restarted.
+    TimePoint lateCallsUntil{};
     Reservation reservation;
     bool isQuarantined = false; // Fails, stalls or slows down its tasks more than its peers do.
     // The runner gets no new task before then because its host is to leave.
@@ -101,6 +101,7 @@
     std::uint32_t missedCalls = 0; // Number of unanswered calls since the last answer.
     std::uint32_t startsUnderWay = 0; // Number of starts sent and not answered.
 
+    bool hasRestarted() const { return lateCallsUntil != TimePoint{}; }
     // Returns whether the live list names a later incarnation than the one that reported last. The
     // clock and the ends that are known are those of the earlier one.
     bool isUnreported() const { return bornAt != 0 && entry.bornAt > bornAt; }
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -81,6 +81,7 @@
     options.maxLease = settings.maxLease;
     options.maxListingAge
         = std::max(settings.drainNotice - RunnerClient::OrderTimeout, settings.drainNotice / 2);
+    options.maxCallAge = RunnerClient::MaxReadingAge + IdleRunnerWait + RunnerClient::OrderTimeout;
     options.stopTime = settings.stopTime + milliseconds(100);
     options.endedJobRetention = settings.endedJobRetention + std::chrono::seconds(10);
     options.maxRowBytes = maxRowBytes(settings);
@@ -929,13 +930,14 @@
     m_renewals[id].isInFlight = true;
     const RunnerTarget target{id, runner.entry.endpoint};
     m_context.runners.renew(target, renewal,
-                            [this, guard = Guard(m_guard), id, now](const RenewAnswer &answer) {
+                            [this, guard = Guard(m_guard), id, now,
+                             hasLease = renewal.lease.has_value()](const RenewAnswer &answer) {
                                 if (!guard.expired())
-                                    onRenewed(id, answer, now);
+                                    onRenewed(id, answer, {.sentAt = now, .hasLease = hasLease});
                             });
 }
 
-void PoolOwner::onRenewed(const std::string &id, const RenewAnswer &answer, TimePoint sentAt)
+void PoolOwner::onRenewed(const std::string &id, const RenewAnswer &answer, const SentRenewal &sent)
 {
     if (answer.outcome == CallOutcome::Fenced) {
         onFenced(id);
@@ -949,7 +951,7 @@
         m_engine.onLeaseGranted(id, *answer.lease, now);
     switch (answer.outcome) {
     case CallOutcome::Answered:
-        m_engine.onReport(id, answer.report, sentAt, now);
+        m_engine.onReport(id, answer.report, sent.sentAt, now);
         m_silent.remove(id);
         break;
     case CallOutcome::OtherIncarnation:
@@ -957,7 +959,7 @@
         renewal.dueAt = now + NoAnswerRetry;
         break;
     default:
-        m_engine.onMissedCall(id);
+        m_engine.onMissedCall(id, sent.hasLease, now);
         renewal.dueAt = now + NoAnswerRetry;
         break;
     }
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -107,6 +107,11 @@
         bool isInFlight = false;
         TimePoint dueAt{};
     };
+    struct SentRenewal
+    {
+        TimePoint sentAt{};
+        bool hasLease = false;
+    };
     // The pool's rows as of its claim.
     struct PoolRows
     {
@@ -173,7 +178,7 @@
     void forgetRunners();
     Duration renewalWait(const std::string &runner, const jobs::Runner &state) const;
     void renew(const std::string &runner, const jobs::Runner &state);
-    void onRenewed(const std::string &runner, const RenewAnswer &answer, TimePoint sentAt);
+    void onRenewed(const std::string &runner, const RenewAnswer &answer, const SentRenewal &sent);
 
     PoolContext &m_context;
     std::string m_pool;
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -396,7 +396,7 @@
                 renewed.clockReadAt = m_time.now();
                 m_engine->onReport(runnerId(index), **report, sentAt, m_time.now());
             } else {
-                m_engine->onMissedCall(runnerId(index));
+                m_engine->onMissedCall(runnerId(index), mayRenew, m_time.now());
             }
         });
     });
--- a/testing/unit/engine_test.cpp
+++ b/testing/unit/engine_test.cpp
@@ -222,13 +222,16 @@
 }
 
 // No owner can reach the only runner of the task. The task waits until the longest lease that the
-// runner grants has certainly expired, and no longer: the earlier owner's start may have reached
-// another incarnation of the runner.
+// runner grants has certainly expired, and no longer: the earlier owner's start was not answered
+// and may have reached another incarnation of the runner.
 TEST(Engine, TaskOnASilentRunnerIsPlacedAgainAfterItsLease)
 {
     EnginePool pool({.runners = 2});
+    pool.run(milliseconds(300));
+    pool.setAnswersLost(true);
     pool.submit("a", job({step(1)}, R"({"runMs": 20000})"));
     pool.run(milliseconds(300));
+    pool.setAnswersLost(false);
     const std::string runner = pool.ledger().runsOf("a").front().runner;
     pool.setReachable(runner == EnginePool::runnerId(0) ? 0 : 1, false);
     pool.replaceOwner(milliseconds(1'000));
@@ -239,6 +242,23 @@
     EXPECT_EQ(pool.violations(), "");
 }
 
+// The runner has answered the start, so that the store says that no life of it holds the longest
+// lease on the run.
+TEST(Engine, TaskThatItsSilentRunnerHadConfirmedIsPlacedAgainAfterTheLeaseThatWasMeant)
+{
+    EnginePool pool({.runners = 2});
+    pool.submit("a", job({step(1)}, R"({"runMs": 20000})"));
+    pool.run(milliseconds(300));
+    const std::string runner = pool.ledger().runsOf("a").front().runner;
+    pool.setReachable(runner == EnginePool::runnerId(0) ? 0 : 1, false);
+    pool.replaceOwner(milliseconds(100));
+    pool.run(milliseconds(4'900)); // A lease of 5 s less the gap between the owners.
+    EXPECT_EQ(pool.ledger().runsOf("a").size(), 1U);
+    pool.run(milliseconds(700));
+    EXPECT_EQ(pool.ledger().runsOf("a").size(), 2U);
+    EXPECT_EQ(pool.violations(), "");
+}
+
 TEST(Engine, CrashedRunnerFreesItsTasksAtOnceWhenItsNextLifeAnswers)
 {
     EnginePool pool({.runners = 1});
--- a/testing/unit/enginelease_test.cpp
+++ b/testing/unit/enginelease_test.cpp
@@ -4,6 +4,9 @@
 #include "testing/support/enginepool.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
 
 namespace sequoiapier {
 namespace {
@@ -185,6 +188,29 @@
     EXPECT_EQ(m_pool.ledger().runsOf("b").size(), 1U) << m_pool.trace();
 }
 
+// The lease of a task that starts after its job has begun is known to the next owner as well.
+TEST(LaterTask, IsBackAfterTheLeaseThatWasMeantWhenItsRunnerIsGone)
+{
+    EnginePool pool({.runners = 3, .renewInterval = seconds(1)});
+    pool.setListed(1, false);
+    pool.setListed(2, false);
+    pool.run(seconds(20));
+    const jobs::StepSpec step{
+        .count = 2, .size = {.processors = 8, .memory = 1}, .isLasting = true};
+    pool.submit("a", {.payload = R"({"lasts": true})", .steps = {step}});
+    pool.run(seconds(1));
+    pool.setListed(1, true);
+    pool.run(seconds(3));
+    ASSERT_EQ(pool.ledger().runsOf("a").size(), 2U) << pool.trace();
+    pool.setReachable(1, false);
+    pool.setListed(1, false);
+    pool.setListed(2, true);
+    pool.replaceOwner(milliseconds(200));
+    pool.run(seconds(6));
+    EXPECT_EQ(pool.ledger().runsOf("a").size(), 3U) << pool.trace();
+    EXPECT_EQ(pool.violations(), "") << pool.trace();
+}
+
 // An earlier owner that is cut off from the store renews leases for a while longer. The next owner
 // neither reaches the runner nor sees it listed.
 class EarlierOwner : public EngineLease
@@ -230,5 +256,67 @@
     EXPECT_EQ(m_pool.violations(), "") << m_pool.trace();
 }
 
+// Runners restart unnoticed and are cut off soon after, with or without the store, while long tasks
+// are started and owners follow one another.
+RC_GTEST_PROP(EngineLeaseProperty, NoTaskRunsTwiceWhileRunnersRestartAndAreCutOff, ())
+{
+    constexpr int Runners = 3;
+    EnginePool pool({.runners = Runners,
+                     .seed = *rc::gen::arbitrary<std::uint32_t>(),
+                     .renewInterval = milliseconds(*rc::gen::element(50, 1'000))});
+    const auto runFor = [&](int shortest, int longest) {
+        pool.run(milliseconds(*rc::gen::inRange(shortest, longest)));
+    };
+    const auto isChosen = [] { return *rc::gen::arbitrary<bool>(); };
+    int jobCount = 0;
+    const auto name = [](int number) { return "job" + std::to_string(number); };
+    const auto submit = [&] {
+        const jobs::StepSpec step{.count = 2, .size = {.processors = 1, .memory = 1}};
+        const int runMilliseconds = *rc::gen::inRange(5'000, 15'000);
+        pool.submit(
+            name(jobCount++),
+            {.payload = R"({"runMs": )" + std::to_string(runMilliseconds) + "}", .steps = {step}});
+        runFor(30, 300); // A submission that was not written is lost.
+    };
+    const auto replaceOwner = [&] {
+        if (isChosen())
+            pool.replaceOwner(milliseconds(*rc::gen::inRange(10, 3'000)));
+    };
+    pool.run(seconds(2));
+    const int rounds = *rc::gen::inRange(1, 4);
+    for (int round = 0; round < rounds; ++round) {
+        for (int i = 0; i < Runners; ++i) {
+            if (isChosen())
+                pool.restart(i);
+        }
+        runFor(0, 60);
+        pool.setAnswersLost(*rc::gen::inRange(0, 4) == 0);
+        submit();
+        pool.setAnswersLost(false);
+        replaceOwner();
+        runFor(0, 100);
+        if (isChosen())
+            submit();
+        const int spared = *rc::gen::inRange(0, Runners);
+        for (int i = 0; i < Runners; ++i) {
+            const bool isCut = i != spared && isChosen();
+            pool.setReachable(i, !isCut);
+            pool.setListed(i, !isCut || isChosen());
+        }
+        replaceOwner();
+        runFor(1, 14'000);
+        for (int i = 0; i < Runners; ++i) {
+            pool.setReachable(i, true);
+            pool.setListed(i, true);
+        }
+        runFor(1, 1'500);
+    }
+    pool.run(seconds(60));
+    RC_LOG() << pool.trace();
+    RC_ASSERT(pool.violations() == "");
+    for (int i = 0; i < jobCount; ++i)
+        RC_ASSERT((pool.phaseOf(name(i)) == jobs::JobPhase::Completed));
+}
+
 } // namespace
 } // namespace sequoiapier
--- a/testing/unit/jobspec_test.cpp
+++ b/testing/unit/jobspec_test.cpp
@@ -1,8 +1,13 @@
 #include "jobs/job.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
+#include <cstdint>
+#include <string>
+#include <vector>
+
 namespace sequoiapier::jobs {
 namespace {
 
@@ -84,6 +89,7 @@
                 task.runner = "i-1";
                 task.failedRuns = {1};
                 task.checkpoint = "saved";
+                task.isLeaseKnown = *rc::gen::arbitrary<bool>();
             }
             step.doneCount += task.phase == TaskPhase::Done ? 1 : 0;
         }
@@ -102,7 +108,8 @@
             if (expected.phase == TaskPhase::Placed) {
                 RC_ASSERT(actual.run == expected.run && actual.runner == expected.runner
                           && actual.failedRuns == expected.failedRuns
-                          && actual.checkpoint == expected.checkpoint);
+                          && actual.checkpoint == expected.checkpoint
+                          && actual.isLeaseKnown == expected.isLeaseKnown);
                 RC_ASSERT(actual.runPhase == RunPhase::Inherited);
             }
         }
@@ -119,6 +126,37 @@
     EXPECT_FALSE(parseJobState("\x80", other));
 }
 
+// An earlier version has read and written the job meanwhile. It leaves out what it doesn't know.
+TEST(JobState, LeaseOfARowOfAnEarlierVersionIsNotKnown)
+{
+    Job job{.id = "a", .spec = {.steps = {{.count = 1}}}};
+    job.occurrences[0] = makeOccurrence(job.spec);
+    Task &task = job.occurrences[0].steps[0].tasks[0];
+    task = {.phase = TaskPhase::Placed, .run = 1, .runner = "i-1", .isLeaseKnown = true};
+    nlohmann::json row = nlohmann::json::from_cbor(encodeJobState(job));
+    nlohmann::json &occurrence = row[8][0];
+    ASSERT_EQ(occurrence.size(), 3U);
+    occurrence.erase(2);
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(row);
+    Job read{.id = "a", .spec = job.spec};
+    ASSERT_TRUE(parseJobState(std::string(bytes.begin(), bytes.end()), read));
+    EXPECT_EQ(read.occurrences[0].steps[0].tasks[0].phase, TaskPhase::Placed);
+    EXPECT_FALSE(read.occurrences[0].steps[0].tasks[0].isLeaseKnown);
+}
+
+TEST(JobState, KnownLeaseOfATaskThatDoesNotExistIsRefused)
+{
+    Job job{.id = "a", .spec = {.steps = {{.count = 1}}}};
+    job.occurrences[0] = makeOccurrence(job.spec);
+    for (const auto &known : {R"([[7]])", R"([[0], [0]])", R"([["x"]])", R"([7])", R"("x")"}) {
+        nlohmann::json row = nlohmann::json::from_cbor(encodeJobState(job));
+        row[8][0].push_back(nlohmann::json::parse(known));
+        const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(row);
+        Job read{.id = "a", .spec = job.spec};
+        EXPECT_FALSE(parseJobState(std::string(bytes.begin(), bytes.end()), read)) << known;
+    }
+}
+
 TEST(TaskName, IsReadBackAndOthersAreRefused)
 {
     const TaskName name{.job = "5c0e7a21d94b36f8", .occurrence = 2, .step = 1, .index = 17};
