A new owner waits for a stop that its runner has accepted from the former one before it moves another task

Callers would see two tasks of a step with a bound of one away at once (AVAIL).

Cause: the new owner's first report shows a task at full work that a stop of the former owner is just ending; it counted that task as at work and moved another one.

Evidence: Evacuation.StopOfTheFormerOwnerThatIsBeingCarriedOutCountsAgainstTheBound failed before (the second task is moved 21 ms after the takeover, both end at 1.654 s).

Why it works: the fence of the new owner's first call keeps later stops of the former one out, and an accepted one is carried out within stopTime. A run that an earlier owner has ordered counts as at work once a report was asked for that much later.

isAtWork looks at the run of its task now; before, it took the stop of any run with the same number on that runner for the task's, which only held moves up.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -101,7 +101,9 @@
     forEachPlaced(job, [&](const TaskName &name, const Task &task) {
         Runner &runner = m_runners[task.runner];
         runner.entry.id = task.runner;
-        addRun(runner, makeRun(job, name, task.run));
+        Run run = makeRun(job, name, task.run);
+        run.isOfEarlierOwner = true;
+        addRun(runner, std::move(run));
         extendLease(runner, m_options.lease, now);
         if (!task.isLeaseKnown)
             runner.runs.at({name, task.run}).leaseEnd = leaseEnd(m_options.maxLease, now);
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -408,9 +408,9 @@
     void placeGang(const Candidate &candidate, TimePoint now);
     Runner *pickRunner(const Candidate &candidate, const Task &task, TimePoint now);
     void moveLastingTasks(TimePoint now);
-    bool isAtWork(const Task &task) const;
+    bool isAtWork(const TaskName &name, const Task &task) const;
     double urgency(const Entry &entry, const StepSpec &step, TimePoint now) const;
-    bool canEndTask(const TaskLocation &location) const;
+    bool canEndTask(const TaskName &name, const TaskLocation &location) const;
     bool isFitFor(const Runner &runner, const Candidate &candidate, TimePoint now) const;
     void clearReservations();
     bool isReservedFor(const Runner &runner, const Candidate &candidate, TimePoint now) const;
--- a/jobs/enginedemand.cpp
+++ b/jobs/enginedemand.cpp
@@ -61,7 +61,7 @@
         if (!runner.isOpen(now))
             continue;
         ++demand.runners;
-        if (runner.runs.empty() && runner.isFenced)
+        if (runner.runs.empty() && runner.isFenced())
             demand.idle.push_back(id);
     }
     for (const auto &[id, live] : m_live) {
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -164,7 +164,7 @@
     for (auto &[id, runner] : m_runners) {
         // The lease ends are those of leases that were renewed when the jobs were loaded.
         const TimePoint renewedUntil = std::min(earlierOwnersUntil, runner.renewedUntil);
-        const TimePoint unextended = runner.isFenced ? now : now - (renewedUntil - m_loadedAt);
+        const TimePoint unextended = runner.isFenced() ? now : now - (renewedUntil - m_loadedAt);
         if (unextended <= runner.leaseEnd)
             continue;
         std::vector<RunKey> expired;
@@ -207,7 +207,7 @@
 bool Engine::isFitFor(const Runner &runner, const Candidate &candidate, TimePoint now) const
 {
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
-    const bool isReachable = runner.isFenced && now >= runner.avoidUntil
+    const bool isReachable = runner.isFenced() && now >= runner.avoidUntil
         && runner.answeredAt + m_options.maxAnswerAge >= now
         && runner.appliedEnds - runner.durableEnds <= m_options.maxUnsavedEnds;
     if (!runner.isOpen(now) || !isListedLately(runner, now) || !isReachable)
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -309,7 +309,9 @@
     }
     runner.answeredAt = std::max(runner.answeredAt, now);
     runner.missedCalls = 0;
-    runner.isFenced = true;
+    if (!runner.isFenced())
+        runner.fencedAt = now;
+    runner.reportSentAt = std::max(runner.reportSentAt, sentAt);
     for (const RunEnd &end : report.ends) {
         if (end.number > runner.appliedEnds + 1
             && (runner.appliedEnds > 0 || runner.hasRestarted()))
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -48,6 +48,7 @@
     std::uint32_t targetMilliseconds = 0;
     std::uint32_t percent = 100; // Percentage that the runner was last told to let the run use.
     TimePoint nextPaceAt{}; // Earliest time of the next pace order.
+    bool isOfEarlierOwner = false; // An earlier owner ordered it.
     bool isInherited = false; // An earlier owner ordered it, and its job has ended since.
     bool isStopRequested = false; // The run is to be stopped.
     bool isStopSent = false; // A stop was sent and has not been answered yet.
@@ -79,7 +80,6 @@
 {
     RunnerEntry entry;
     bool isListed = false; // True if the runner is in the latest live list.
-    bool isFenced = false; // True once the runner has answered a call with this owner's fence.
     std::int64_t bornAt = 0; // Start time of the incarnation that reported last.
     PaceControl pace; // Pace of the filling tasks.
     // Calls that were meant for an earlier incarnation may be carried out until then. They carry
@@ -97,10 +97,14 @@
     // Earlier owners have not renewed the lease since, as far as that is known.
     TimePoint renewedUntil = TimePoint::max();
     TimePoint answeredAt{};
+    TimePoint fencedAt{}; // When the runner first reported to this owner; unset before.
+    TimePoint reportSentAt{}; // When the call that the latest report answers was sent.
     TimePoint avoidUntil{}; // The runner gets no new task before then.
     std::uint32_t missedCalls = 0; // Number of unanswered calls since the last answer.
     std::uint32_t startsUnderWay = 0; // Number of starts sent and not answered.
 
+    // Returns whether the runner has answered a call with this owner's fence.
+    bool isFenced() const { return fencedAt != TimePoint{}; }
     bool hasRestarted() const { return lateCallsUntil != TimePoint{}; }
     // Returns whether the live list names a later incarnation than the one that reported last. The
     // clock and the ends that are known are those of the earlier one.
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -920,7 +920,7 @@
     if (hasUncommittedEnds && now < runner.answeredAt + BusyRunnerWait)
         return;
     LeaseRenewal renewal{.fence = m_epoch, .seenEnds = runner.seenEnds()};
-    if (runner.missedCalls == 0 && runner.isFenced && !runner.isUnreported()
+    if (runner.missedCalls == 0 && runner.isFenced() && !runner.isUnreported()
         && m_silent.mayExtend(id)) {
         renewal.lease = leaseDuration(m_context.settings);
         m_engine.onLeaseSent(id, now);
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -374,7 +374,7 @@
         return;
     SimulatedRunner &runner = *m_runners[std::size_t(index)];
     const TimePoint sentAt = m_time.now();
-    const bool mayRenew = state.isFenced && state.missedCalls == 0;
+    const bool mayRenew = state.isFenced() && state.missedCalls == 0;
     const std::int64_t until = mayRenew ? leaseEnd(index) : 0;
     if (mayRenew)
         m_engine->onLeaseSent(runnerId(index), sentAt);
--- a/testing/unit/engineevacuation_test.cpp
+++ b/testing/unit/engineevacuation_test.cpp
@@ -1,9 +1,11 @@
 // Tests that moving lasting tasks away from runners respects the availability bound of their step
 // when the answers of runners are lost.
 #include "jobs/engine.h"
+#include "testing/support/enginepool.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -13,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint32_t TaskCount = 3;
+constexpr Duration Evacuated = std::chrono::seconds(5);
 
 // Three lasting tasks, one on each runner, of which one may be unavailable.
 class EngineEvacuation : public testing::Test
@@ -82,5 +85,37 @@
         EXPECT_EQ(stop.runner, runnerId(1));
 }
 
+// A stop that the former owner has sent is being carried out while its runner reports to the next
+// owner, which sees the task at work and is asked to empty another runner.
+TEST(Evacuation, StopOfTheFormerOwnerThatIsBeingCarriedOutCountsAgainstTheBound)
+{
+    EnginePool pool({.runners = int(TaskCount), .capacity = {.processors = 4, .memory = 4}});
+    pool.run(milliseconds(500));
+    StepSpec step{.count = TaskCount, .size = {.processors = 3, .memory = 1}};
+    step.isLasting = true;
+    step.maxUnavailable = 1;
+    pool.submit("job", {.payload = R"({"lasts": true})", .steps = {step}});
+    pool.run(milliseconds(1'000));
+    ASSERT_EQ(pool.ledger().runsOf("job").size(), TaskCount) << pool.trace();
+    const auto isEnded = [&](int runner) {
+        const std::vector<RecordedRun> runs = pool.ledger().runsOf("job");
+        return std::any_of(runs.begin(), runs.end(), [&](const RecordedRun &run) {
+            return run.runner == EnginePool::runnerId(runner) && run.end;
+        });
+    };
+    const auto evacuate = [&](int runner) {
+        pool.engine().evacuate(EnginePool::runnerId(runner), pool.time().now() + Evacuated);
+    };
+    evacuate(0);
+    pool.run(milliseconds(20));
+    pool.replaceOwner(milliseconds(1));
+    evacuate(1);
+    while (!isEnded(0))
+        pool.run(milliseconds(1));
+    pool.run(SimulatedRunner::StopTime);
+    EXPECT_FALSE(isEnded(1)) << pool.trace();
+    EXPECT_EQ(pool.violations(), "");
+}
+
 } // namespace
 } // namespace sequoiapier::jobs
