An answer from a runner's former address ends no run that the runner has answered since

An answer 421 released all runs of the runner that the call was meant for, without a stop. It may be late, or come from an address that the runner has left, while the runner has answered a later call and runs on.

Evidence: EngineLease.LateAnswerFromTheFormerAddressEndsNoRun and StartThatAnotherRunnerAnsweredEndsNoRunThatWasAnsweredSince fail with the condition taken back (two runs).

Why it works: an answer to a call that was sent before the runner's latest answer says nothing about the time since. The call counts as missed, so that the next report decides. A start that another runner has answered counts as no answer of this one.

--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -237,9 +237,9 @@
                   TimePoint now);
     // `hasLease` tells whether the call without an answer carried a lease.
     void onMissedCall(const std::string &runner, bool hasLease, TimePoint now);
-    // Called when another incarnation answers at the runner's address: no run of this one exists
-    // any more.
-    void onIncarnationOver(const std::string &runner);
+    // Called when another incarnation has answered at the runner's address, to a call that was sent
+    // at `sentAt`. No run of this one exists any more, unless it has answered a call since.
+    void onIncarnationOver(const std::string &runner, TimePoint sentAt);
     void onStartAnswer(const StartOrder &order, StartOutcome outcome, TimePoint now);
     // If `isAnswered`, the run can't begin any more, and the runner lists its end if it had begun.
     void onStopAnswer(const StopOrder &order, bool isAnswered, TimePoint now);
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -170,9 +170,15 @@
     runner.entry.isDraining = isDraining;
 }
 
-void Engine::onIncarnationOver(const std::string &id)
+// The answer may be late, or come from an address that the runner has left: what the runner has
+// answered since then tells that it goes on.
+void Engine::onIncarnationOver(const std::string &id, TimePoint sentAt)
 {
     const auto found = m_runners.find(id);
+    if (found != m_runners.end() && found->second.answeredAt > sentAt) {
+        ++found->second.missedCalls;
+        return;
+    }
     if (found != m_runners.end())
         releaseRuns(found->second, "the runner's incarnation ended");
     m_advice.forgetRunner(id);
@@ -537,7 +543,9 @@
     note(outcome == StartOutcome::Started ? "run.started" : "run.not-started", start.task,
          std::string(toString(outcome)) + " run " + std::to_string(start.run) + " on "
              + start.runner + describeAges(start, now));
-    if (outcome != StartOutcome::NotSent && outcome != StartOutcome::Unanswered)
+    const bool isAnswered = outcome != StartOutcome::NotSent && outcome != StartOutcome::Unanswered
+        && outcome != StartOutcome::OtherIncarnation;
+    if (isAnswered)
         runner.answeredAt = std::max(runner.answeredAt, now);
     const TaskLocation location = find(start.task);
     Task *task = currentTask(location, start.run);
@@ -566,8 +574,8 @@
             task->runPhase = RunPhase::Unconfirmed;
         return;
     case StartOutcome::OtherIncarnation:
-        onIncarnationOver(start.runner);
-        return;
+        onIncarnationOver(start.runner, start.sentAt);
+        break;
     case StartOutcome::Unhealthy:
     case StartOutcome::NotSent:
     case StartOutcome::NoRoom:
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -844,7 +844,8 @@
         return;
     const RunnerTarget target{order.runner, runner->second.entry.endpoint};
     m_context.runners.stop(
-        target, order, m_epoch, [this, guard = Guard(m_guard), order](CallOutcome outcome) {
+        target, order, m_epoch,
+        [this, guard = Guard(m_guard), order, sentAt = BootClock::now()](CallOutcome outcome) {
             if (guard.expired())
                 return;
             if (outcome == CallOutcome::Fenced) {
@@ -853,7 +854,7 @@
             }
             m_engine.onStopAnswer(order, outcome == CallOutcome::Answered, BootClock::now());
             if (outcome == CallOutcome::OtherIncarnation)
-                m_engine.onIncarnationOver(order.runner);
+                m_engine.onIncarnationOver(order.runner, sentAt);
             requestTick();
         });
 }
@@ -955,7 +956,7 @@
         m_silent.remove(id);
         break;
     case CallOutcome::OtherIncarnation:
-        m_engine.onIncarnationOver(id);
+        m_engine.onIncarnationOver(id, sent.sentAt);
         renewal.dueAt = now + NoAnswerRetry;
         break;
     default:
--- a/testing/unit/enginelease_test.cpp
+++ b/testing/unit/enginelease_test.cpp
@@ -45,6 +45,13 @@
         m_pool.setListed(1, true);
     }
 
+    void expectOneRun()
+    {
+        m_pool.run(seconds(3));
+        EXPECT_EQ(m_pool.ledger().runsOf("a").size(), 1U) << m_pool.trace();
+        EXPECT_EQ(m_pool.violations(), "") << m_pool.trace();
+    }
+
     void expectMovedWithoutOverlap()
     {
         m_pool.run(LongestOutage);
@@ -211,6 +218,28 @@
     EXPECT_EQ(pool.violations(), "") << pool.trace();
 }
 
+// Another runner has answered at the address that the runner had, to a call that was sent before
+// the runner answered elsewhere.
+TEST_F(EngineLease, LateAnswerFromTheFormerAddressEndsNoRun)
+{
+    const TimePoint sentAt = m_pool.time().now();
+    submitLastingTask();
+    m_pool.setListed(1, true);
+    m_pool.engine().onIncarnationOver(EnginePool::runnerId(0), sentAt);
+    expectOneRun();
+}
+
+TEST_F(EngineLease, StartThatAnotherRunnerAnsweredEndsNoRunThatWasAnsweredSince)
+{
+    const TimePoint sentAt = m_pool.time().now();
+    submitLastingTask();
+    m_pool.setListed(1, true);
+    const jobs::StartOrder start{
+        .runner = EnginePool::runnerId(0), .task = {.job = "b"}, .run = 1, .sentAt = sentAt};
+    m_pool.engine().onStartAnswer(start, jobs::StartOutcome::OtherIncarnation, m_pool.time().now());
+    expectOneRun();
+}
+
 // An earlier owner that is cut off from the store renews leases for a while longer. The next owner
 // neither reaches the runner nor sees it listed.
 class EarlierOwner : public EngineLease
