--- a/testing/process/restartandcut_test.cpp
+++ b/testing/process/restartandcut_test.cpp
@@ -4,6 +4,12 @@
 // started elsewhere before that lease has expired, whether the runner is listed or not.
 #include "testing/process/platformtest.h"
 
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <set>
+#include <thread>
+
 namespace sequoiapier {
 namespace {
 
@@ -20,6 +26,10 @@
 
     static constexpr milliseconds LongestOutage{16'000};
 
+    explicit RestartAndCut(const std::string &name = testName())
+        : PlatformTest(name)
+    { }
+
     void SetUp() override
     {
         PlatformTest::SetUp();
@@ -104,5 +114,139 @@
     expectMovedWithoutOverlap(JobA);
 }
 
+unsigned numberFromEnvironment(const char *name, unsigned standard)
+{
+    const char *text = std::getenv(name);
+    return text != nullptr ? unsigned(std::stoul(text)) : standard;
+}
+
+// Restarts, cuts and loses answers of runners, kills and freezes nodes and changes the
+// configuration, in series that overlap, while jobs with short and long tasks are submitted.
+// RESTART_SOAK_SEED and RESTART_SOAK_SECONDS choose another run by hand.
+class RestartSoak : public RestartAndCut
+{
+protected:
+    RestartSoak()
+        : RestartAndCut(testName() + "-" + std::to_string(seed()))
+    { }
+
+    static unsigned seed() { return numberFromEnvironment("RESTART_SOAK_SEED", 1); }
+
+    void run(milliseconds duration)
+    {
+        const auto end = std::chrono::steady_clock::now() + duration;
+        for (unsigned i = 0; std::chrono::steady_clock::now() < end; ++i) {
+            submitJob(std::to_string(1'000'000'000'000'000 + seed() * 10'000 + i));
+            for (std::uint32_t changes = m_random() % 4; changes > 0; --changes) {
+                change();
+                std::this_thread::sleep_for(milliseconds(m_random() % 300));
+            }
+            std::this_thread::sleep_for(milliseconds(m_random() % 900));
+        }
+        wakeNode();
+        setFaults(json::object());
+        for (const std::string &id : m_accepted) {
+            EXPECT_TRUE(LocalSystem::waitUntil([&] { return stateOf("node-1", id) == "completed"; },
+                                               milliseconds(60'000)))
+                << id << " " << stateOf("node-1", id);
+        }
+        std::cout << "seed " << seed() << ": " << m_accepted.size() << " jobs accepted, "
+                  << record()["runs"].size() << " runs\n";
+        EXPECT_FALSE(m_accepted.empty());
+        EXPECT_EQ(violations(), "[]");
+    }
+
+private:
+    std::string pick(const std::vector<std::string> &names)
+    {
+        return names[m_random() % names.size()];
+    }
+
+    void submitJob(const std::string &id)
+    {
+        const json payload{{"runMs", 200 + m_random() % 12'000}, {"failures", m_random() % 2}};
+        const json step{{"count", 1 + m_random() % 3}, {"cpu", 1'000}, {"mem_mb", 256}};
+        const json body{{"spec", payload.dump()}, {"steps", {step}}};
+        const std::string node = pick(nodes());
+        if (node != m_frozenNode
+            && call(node, "POST", "/quotes/" + id, body.dump(), "good-key", 900).response.status
+                == 200) {
+            m_accepted.insert(id);
+        }
+    }
+
+    void toggle(std::set<std::string> &names, std::size_t most)
+    {
+        const std::string name = pick(Runners);
+        if (names.erase(name) == 0 && names.size() < most)
+            names.insert(name);
+    }
+
+    void change()
+    {
+        switch (m_random() % 9) {
+        case 0:
+        case 1:
+            for (const std::string &runner : Runners) {
+                if (m_random() % 2 == 0)
+                    system().post("platform", "/crash", json{{"runner", runner}}.dump());
+            }
+            return;
+        case 2:
+        case 3:
+            toggle(m_silentRunners, 2);
+            break;
+        case 4:
+            toggle(m_hiddenRunners, 2);
+            break;
+        case 5:
+            m_lostStarts = int(m_random() % 3);
+            break;
+        case 6:
+            wakeNode();
+            system().replace(pick(nodes()));
+            return;
+        case 7:
+            if (m_frozenNode.empty())
+                freezeNode(pick(nodes()));
+            else
+                wakeNode();
+            return;
+        default:
+            configure(++m_configurationVersion, {"good-key"});
+            return;
+        }
+        setFaults({{"silentRunners", m_silentRunners},
+                   {"hiddenRunners", m_hiddenRunners},
+                   {"lostStarts", m_lostStarts}});
+    }
+
+    void freezeNode(const std::string &node)
+    {
+        m_frozenNode = node;
+        system().member(node).process.signal(SIGSTOP);
+    }
+
+    void wakeNode()
+    {
+        if (!m_frozenNode.empty())
+            system().member(m_frozenNode).process.signal(SIGCONT);
+        m_frozenNode.clear();
+    }
+
+    std::mt19937 m_random{seed()};
+    std::set<std::string> m_accepted;
+    std::set<std::string> m_silentRunners;
+    std::set<std::string> m_hiddenRunners;
+    int m_lostStarts = 0;
+    int m_configurationVersion = 1;
+    std::string m_frozenNode;
+};
+
+TEST_F(RestartSoak, AcceptedJobsRunOnceWhileRunnersRestartAndAreCutOff)
+{
+    run(milliseconds(1'000 * numberFromEnvironment("RESTART_SOAK_SECONDS", 40)));
+}
+
 } // namespace
 } // namespace sequoiapier
