A task that is at work after all is not stopped because a report once left its run out

Callers would see more tasks of a step away than its bound allows (AVAIL).

Cause: a start that was not answered and that no report lists is given up, and a stop is sent until one is answered. If start and stop are both carried out late, the task is at work by then, and the next stop ends it, whatever else of its step is away.

Evidence: EngineEvacuation.TaskThatIsAtWorkAfterAllIsNotEndedWhileAnotherOneIsAway failed before (the stop is sent again 500 ms after the report that shows the task at full work).

Why it works: a stop that is requested only because a run is missing is withdrawn once a report lists the run.

--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -358,6 +358,7 @@
     void addRun(Runner &runner, Run run);
     void removeRun(Runner &runner, const RunKey &key);
     void requestStop(const std::string &runner, const TaskName &task, std::uint64_t run);
+    void requestStopOfMissing(Run &run);
     void releaseRun(Runner &runner, const RunKey &key, std::string_view why);
     void releaseRuns(Runner &runner, std::string_view why);
     void requeueTask(const TaskName &name, std::uint64_t run);
--- a/jobs/engineevacuation.cpp
+++ b/jobs/engineevacuation.cpp
@@ -29,8 +29,10 @@
         return false;
     const Runner &runner = found->second;
     const auto run = runner.runs.find({name, task.run});
-    if (run == runner.runs.end() || run->second.isStopRequested)
+    if (run == runner.runs.end() || run->second.isStopRequested
+        || runner.reportSentAt < run->second.lateStopUntil) {
         return false;
+    }
     // A stop of the earlier owner may still be carried out.
     return !run->second.isOfEarlierOwner
         || runner.reportSentAt >= runner.fencedAt + m_options.stopTime;
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -102,6 +102,14 @@
     if (run == runner->second.runs.end())
         return;
     run->second.isStopRequested = true;
+    run->second.isMissing = false;
+    m_hasStopRequests = true;
+}
+
+void Engine::requestStopOfMissing(Run &run)
+{
+    run.isMissing = run.isMissing || !run.isStopRequested;
+    run.isStopRequested = true;
     m_hasStopRequests = true;
 }
 
@@ -209,8 +217,7 @@
             gone.push_back(key);
         } else if (task->runPhase == RunPhase::Unconfirmed) {
             run.stopAnsweredAt = {}; // The previous incarnation had answered the stop.
-            run.isStopRequested = true;
-            m_hasStopRequests = true;
+            requestStopOfMissing(run);
         }
     }
     for (const RunKey &key : gone)
@@ -358,8 +365,13 @@
         Run &run = runner.runs.at(key);
         run.leaseEnd = {};
         keepKnownLease(runner, location, now);
-        if (!run.mayBeStopped())
+        // The runner has the run after all, and its task may be needed more now than when it was
+        // given up.
+        const bool isFound = run.isMissing && run.stopAnsweredAt == TimePoint{};
+        if (!run.mayBeStopped() || isFound) {
             run.isStopRequested = false;
+            run.isMissing = false;
+        }
         if (task->runPhase != RunPhase::Running) {
             task->runPhase = RunPhase::Running;
             task->startedAt = now;
@@ -402,10 +414,8 @@
                  "run " + std::to_string(run.number) + " on " + runner.entry.id + ", "
                      + describeContact(runner, runner.answeredAt));
         const bool isUnconfirmed = task != nullptr && task->runPhase == RunPhase::Unconfirmed;
-        if (task == nullptr || isLost || isUnconfirmed) {
-            run.isStopRequested = true;
-            m_hasStopRequests = true;
-        }
+        if (task == nullptr || isLost || isUnconfirmed)
+            requestStopOfMissing(run);
     }
     for (const RunKey &key : gone)
         releaseRun(runner, key, "missing in the report of " + runner.entry.id);
@@ -621,6 +631,7 @@
             if (isEnding || run.isStopSent || now < run.nextStopAt)
                 continue;
             run.isStopSent = true;
+            run.lateStopUntil = now + m_options.lateCallTime;
             stops.push_back({id, run.task, run.number});
         }
     }
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -51,7 +51,9 @@
     bool isOfEarlierOwner = false; // An earlier owner ordered it.
     bool isInherited = false; // An earlier owner ordered it, and its job has ended since.
     bool isStopRequested = false; // The run is to be stopped.
+    bool isMissing = false; // The stop is requested only because a report left the run out.
     bool isStopSent = false; // A stop was sent and has not been answered yet.
+    TimePoint lateStopUntil{}; // The last stop that was sent may be carried out until then.
     TimePoint nextStopAt{}; // Earliest time of the next stop order; unset before the first answer.
     TimePoint stopAnsweredAt{}; // The run can't begin any more from then on.
     // The run may hold a lease until then even if the runner's other runs have expired, since a
--- a/testing/unit/engineevacuation_test.cpp
+++ b/testing/unit/engineevacuation_test.cpp
@@ -85,6 +85,35 @@
         EXPECT_EQ(stop.runner, runnerId(1));
 }
 
+// The start of a task is carried out seconds after it was given up and its stop was sent, neither
+// of them answered. Another task of the step is away by then.
+TEST_F(EngineEvacuation, TaskThatIsAtWorkAfterAllIsNotEndedWhileAnotherOneIsAway)
+{
+    const TaskName late{.job = "job", .index = 1};
+    const auto report = [&](std::uint32_t runner, std::vector<RunReport> running) {
+        engine.onReport(runnerId(runner), {.bornAt = 1, .running = std::move(running)}, now, now);
+    };
+    engine.onReport(
+        runnerId(1),
+        {.bornAt = 1, .ends = {{.number = 1, .task = late, .run = 1, .kind = EndKind::Failed}}},
+        now, now);
+    tick();
+    const std::vector<StartOrder> starts = engine.takeStarts(now);
+    ASSERT_EQ(starts.size(), 1U);
+    const std::uint64_t run = starts[0].run;
+    now += milliseconds(500);
+    engine.onStartAnswer(starts[0], StartOutcome::Unanswered, now);
+    report(1, {});
+    const std::vector<StopOrder> stops = engine.takeStops(now);
+    ASSERT_EQ(stops.size(), 1U);
+    now += milliseconds(500);
+    engine.onStopAnswer(stops[0], false, now);
+    report(1, {{.task = late, .run = run, .percent = 100}});
+    report(0, {{.task = {.job = "job", .index = 0}, .run = 1, .percent = 50}});
+    now += milliseconds(500);
+    EXPECT_TRUE(engine.takeStops(now).empty());
+}
+
 // A stop that the former owner has sent is being carried out while its runner reports to the next
 // owner, which sees the task at work and is asked to empty another runner.
 TEST(Evacuation, StopOfTheFormerOwnerThatIsBeingCarriedOutCountsAgainstTheBound)
