A renewal of the earlier owner counts beyond the runner's first report to the next one

Callers would see a task at work twice (TWICE).

Cause: the allowance for the earlier owner's renewals, up to 1.5 s after its term, ends with the first report, as the fence keeps later ones out. A renewal just before that report was forgotten, and a runner that the fence row names as silent gets no lease of the new owner at first.

Evidence: EngineLease.LeaseOfTheEarlierOwnerOutlivesTheFirstReportToTheNextOne, by the review, fails without the line.

Why it works: the earlier owner's last renewal is before the report, so that a lease counted from there covers it.

--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -316,6 +316,7 @@
             extendLease(runner, m_options.maxLease, now);
             onRunnerRestart(runner, report, sentAt);
         } else {
+            extendLease(runner, m_options.lease, now); // An earlier owner may just have renewed it.
             countEarlierLeases(runner, std::chrono::milliseconds(report.clock), now);
         }
         runner.bornAt = report.bornAt;
--- a/testing/unit/enginelease_test.cpp
+++ b/testing/unit/enginelease_test.cpp
@@ -240,6 +240,25 @@
     expectOneRun();
 }
 
+// The earlier owner renews until just before the first report to the next one, which may not send a
+// lease yet (SilentRunners::mayExtend) and then loses the runner again.
+TEST_F(EngineLease, LeaseOfTheEarlierOwnerOutlivesTheFirstReportToTheNextOne)
+{
+    submitLastingTask();
+    m_pool.run(seconds(2));
+    cutFirstRunner();
+    m_pool.replaceOwner(milliseconds(200), milliseconds(1'500));
+    m_pool.run(milliseconds(1'300));
+    SimulatedRunner &runner = m_pool.runner(0);
+    const TimePoint now = m_pool.time().now();
+    ASSERT_TRUE(runner.renew(1, 0, runner.clock(now) + 5'000, now));
+    const auto report = runner.renew(2, 0, 0, now);
+    ASSERT_TRUE(report);
+    m_pool.engine().onReport(EnginePool::runnerId(0), *report, now, now);
+    m_pool.engine().onMissedCall(EnginePool::runnerId(0), false, now);
+    expectMovedWithoutOverlap();
+}
+
 // An earlier owner that is cut off from the store renews leases for a while longer. The next owner
 // neither reaches the runner nor sees it listed.
 class EarlierOwner : public EngineLease
