--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -327,11 +327,12 @@
         runner.fencedAt = now;
     runner.reportSentAt = std::max(runner.reportSentAt, sentAt);
     for (const RunEnd &end : report.ends) {
-        if (end.number > runner.appliedEnds + 1
-            && (runner.appliedEnds > 0 || runner.hasRestarted()))
+        const bool isGap = end.number > runner.appliedEnds + 1;
+        if (isGap && (runner.appliedEnds > 0 || runner.hasRestarted())) {
             note("runner.ends-missing", {.job = id},
                  std::to_string(runner.appliedEnds) + " is followed by "
                      + std::to_string(end.number));
+        }
         if (end.number > runner.appliedEnds) {
             runner.appliedEnds = end.number;
             applyEnd(runner, end, now);
@@ -410,10 +411,11 @@
         }
         const bool isLost = task != nullptr && task->runPhase == RunPhase::Running
             && task->startedAt < sentAt && ++task->missingReports >= MissingReports;
-        if (isLost && !run.isStopRequested)
+        if (isLost && !run.isStopRequested) {
             note("run.missing", key.first,
                  "run " + std::to_string(run.number) + " on " + runner.entry.id + ", "
                      + describeContact(runner, runner.answeredAt));
+        }
         const bool isUnconfirmed = task != nullptr && task->runPhase == RunPhase::Unconfirmed;
         if (task == nullptr || isLost || isUnconfirmed)
             requestStopOfMissing(run);
