A new owner of the fleet moves hosts at once that the former owner has not ordered lately

Cause: a new owner waited for the holder interval (3 s) before any order. Change: each owner keeps the hosts that it orders in a row of the store before it orders them; the next one waits for these only. Maintenance still waits for the interval, and so do all orders if the row is not of the owner just before.

--- a/node/fleetowner.cpp
+++ b/node/fleetowner.cpp
@@ -46,6 +46,8 @@
 FleetOwner::FleetOwner(FleetContext &context, std::uint64_t epoch)
     : m_context(context)
     , m_epoch(epoch)
+    , m_record(context.store, context.log, context.settings.holderInterval, epoch,
+               [this] { advanceOperations(); })
     , m_timer(context.loop, [this] { tick(); })
 { }
 
@@ -180,6 +182,12 @@
     return m_context.isOwner() && BootClock::now() >= m_ordersAllowedAt;
 }
 
+bool FleetOwner::canMove() const
+{
+    return m_context.isOwner()
+        && (m_record.hasFormerOrders() || BootClock::now() >= m_ordersAllowedAt);
+}
+
 void FleetOwner::tick()
 {
     const TimePoint now = BootClock::now();
@@ -188,7 +196,8 @@
     if (now >= m_nextDemand)
         askDemands();
     completeWaves();
-    if (canOrder())
+    m_record.tick();
+    if (canMove())
         plan();
     advanceOperations();
     m_timer.startAt(now + TickInterval);
@@ -315,7 +324,8 @@
         if (wave.isLoaded && !wave.isCompleted)
             waves[number] = wave.state;
     }
-    beginOperations(planMaintenance(view, waves, {}, now));
+    if (canOrder())
+        beginOperations(planMaintenance(view, waves, {}, now));
     if (now < m_nextMoves)
         return;
     m_nextMoves = now + MovesInterval;
@@ -358,6 +368,13 @@
     std::map<std::string, HostOperation> operations;
     for (const auto &[host, active] : m_operations)
         operations[host] = active.operation;
+    // Hosts that the former owner may have ordered must not be chosen yet. They count as on their
+    // way to the pool that lists them.
+    for (const FleetHost &host : m_listing.hosts()) {
+        if (m_record.isBlocked(host.name, BootClock::now()))
+            operations.try_emplace(
+                host.name, HostOperation{.kind = HostOperationKind::Move, .pool = host.pool});
+    }
     return operations;
 }
 
@@ -377,6 +394,7 @@
                                                         : std::to_string(operation.wave)},
              {"needed", std::to_string(m_pools[host->pool].needed)},
              {"runners", std::to_string(m_pools[host->pool].runners)}});
+        m_record.request(operation.host, BootClock::now());
         const auto pool = m_pools.find(host->pool);
         const bool isOff = pool != m_pools.end() && pool->second.isStandby;
         m_operations[operation.host]
@@ -387,6 +405,7 @@
                .emptyUntil = isOff ? TimePoint::max() : TimePoint{},
                .nextEvacuationCallAt = isOff ? TimePoint::max() : TimePoint{}};
     }
+    m_record.tick();
 }
 
 // The host is kept empty until its order is accepted, which may be long after it was found empty.
@@ -395,7 +414,9 @@
     const TimePoint now = BootClock::now();
     if (active.orderedAt != TimePoint{})
         return;
-    if (!active.isOrderSent && now >= active.retryAt && now < active.emptyUntil && canOrder())
+    const bool isMove = active.operation.kind == HostOperationKind::Move;
+    const bool isAllowed = isMove ? canMove() : canOrder();
+    if (!active.isOrderSent && now >= active.retryAt && now < active.emptyUntil && isAllowed)
         order(host, active);
     else if (!active.isEvacuationPending && now >= active.nextEvacuationCallAt
              && m_context.isOwner())
@@ -454,10 +475,17 @@
             || countInMaintenance(active.operation.wave) >= wave->second.state.order.maxOut)
             return;
     }
+    const TimePoint now = BootClock::now();
+    if (!m_record.isRecorded(host)) {
+        m_record.request(host, now);
+        m_record.tick();
+        return;
+    }
     active.isOrderSent = true;
     active.mayBeApplied = true;
     const FleetHolder holder{m_context.settings.name, m_epoch};
-    const TimePoint deadline = BootClock::now() + CallTimeout;
+    const TimePoint deadline = now + CallTimeout;
+    m_record.onOrderSent(host, deadline);
     auto onAnswer = [this, guard = Guard(m_guard), host](FleetAnswer answer) {
         if (!guard.expired())
             onOrdered(host, answer);
--- a/node/fleetowner.h
+++ b/node/fleetowner.h
@@ -9,6 +9,11 @@
 // The hosts of a wave that have begun their maintenance are kept in the platform's store; after a
 // takeover everything else is learned again from the platform's list of hosts. Orders carry the
 // epoch as their fencing token.
+//
+// Orders of two owners for one host within the holder interval conflict. A new owner therefore
+// waits for the interval, except for moves of hosts that the former one has not ordered lately
+// (OrderRecord): without them a pool at its peak would stay without hosts for seconds. Maintenance
+// waits in any case, since the platform's list shows only later which hosts are out for it.
 #pragma once
 
 #include "fleet/fleetplanner.h"
@@ -16,6 +21,7 @@
 #include "gen/node_types.h"
 #include "net/timer.h"
 #include "node/decisionlog.h"
+#include "node/orderrecord.h"
 #include "platform/fleetclient.h"
 #include "platform/nodesettings.h"
 #include "platform/storeclient.h"
@@ -112,6 +118,7 @@
     std::uint32_t countInMaintenance(std::uint64_t wave) const;
     const FleetHost *findHost(const std::string &name) const;
     bool canOrder() const;
+    bool canMove() const;
 
     FleetContext &m_context;
     std::uint64_t m_epoch;
@@ -121,7 +128,8 @@
     std::map<std::string, FleetPool> m_pools;
     std::map<std::string, TimePoint> m_demandAt; // time of the last demand answer by pool
     std::map<std::string, ActiveOperation> m_operations; // operations in progress by host name
-    TimePoint m_ordersAllowedAt{};
+    OrderRecord m_record;
+    TimePoint m_ordersAllowedAt{}; // All hosts may be ordered from then on.
     bool m_isReadingHosts = false;
     TimePoint m_nextRead{};
     TimePoint m_nextDemand{};
