Interference between images: learned from reports and run times, avoided by placement

Tasks of some images double the tail or the run time of others on the same runner. PaceControl slows filling tasks only after that shows, and placement learned nothing of it.

jobs::Interference learns pairs of images, Engine::pickRunner() ranks runners with room by them, and PoolStateRow keeps the pairs in a row of the pool for the next owner. Nothing is left waiting, and placement is as before while no pair is trusted. Engine::Options::isInterferenceAvoided turns it off.

--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -2,7 +2,8 @@
 // engine are in engineruns.cpp (reports of runners), engineplan.cpp (placement), enginestarts.cpp
 // (sending of starts), enginereservation.cpp (runners kept for lasting tasks), enginedemand.cpp
 // (demand for hosts), engineevacuation.cpp (evacuation of runners), enginehealth.cpp (quarantine of
-// runners), enginepace.cpp (pacing) and engineadvice.cpp (advice of policies).
+// runners), enginepace.cpp (pacing), engineinterference.cpp (images that slow each other down) and
+// engineadvice.cpp (advice of policies).
 #include "jobs/engine.h"
 
 #include "jobs/specrow.h"
@@ -30,6 +31,7 @@
     , m_shares(options.shares)
     , m_advice(options.advice)
     , m_quarantine(options.quarantine)
+    , m_interference(options.interference)
 { }
 
 void Engine::setConfiguration(const Configuration &configuration)
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -28,6 +28,7 @@
 #pragma once
 
 #include "jobs/adviceboard.h"
+#include "jobs/interference.h"
 #include "jobs/job.h"
 #include "jobs/joborder.h"
 #include "jobs/runner.h"
@@ -43,6 +44,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sequoiapier::jobs {
@@ -186,6 +188,9 @@
         // quarantining a good runner costs its capacity for a few seconds only.
         WorkerQuarantine::Options quarantine{
             .minStarts = 4, .maxFraction = 0.25, .halfLife = std::chrono::seconds(5)};
+        // Whether tasks of images that slow each other down are placed apart where there is room.
+        bool isInterferenceAvoided = true;
+        Interference::Options interference;
     };
 
     struct Hooks
@@ -286,6 +291,17 @@
 
     const std::map<std::string, Runner> &runners() const { return m_runners; }
 
+    // Returns the pairs of images that slow each other down, for the next owner's
+    // setInterferencePairs(); empty if there are none.
+    std::string interferencePairs(TimePoint now) const { return m_interference.encode(now); }
+    // Returns false and changes nothing if `pairs` is malformed.
+    bool setInterferencePairs(std::string_view pairs, TimePoint now);
+    // Number of pairs that change placement.
+    std::size_t interferingPairCount() const { return m_interference.interferingCount(); }
+    // Returns the number of placements since the last call that went to another runner because of a
+    // pair.
+    std::uint64_t takeAvoidedInterferenceCount() { return std::exchange(m_avoidedInterference, 0); }
+
 private:
     struct Entry
     {
@@ -376,6 +392,13 @@
     void applyEnd(Runner &runner, const RunEnd &end, TimePoint now);
     static bool isPaced(const Runner &runner);
     void controlPace(Runner &runner, TimePoint now);
+    void beginInterferenceReport(const Runner &runner, const RunnerReport &report, TimePoint now);
+    void observeInterference(const Runner &runner, TimePoint now);
+    void observeRunTime(const Runner &runner, const TaskLocation &location, const RunEnd &end,
+                        TimePoint now);
+    std::vector<Interference::RunSample> runSamples(const Runner &runner) const;
+    void updateInterference(TimePoint now);
+    double interferencePenalty(const StepSpec &step, const Runner &runner, TimePoint now) const;
     void applyMissing(Runner &runner, const RunnerReport &report, TimePoint sentAt);
     void applyProgress(Runner &runner, Run &run, const TaskLocation &location,
                        std::uint32_t percent, TimePoint now);
@@ -446,6 +469,11 @@
     AdviceBoard m_advice;
     WorkerQuarantine m_quarantine; // Runners by identifier.
     TimePoint m_nextQuarantineUpdate{};
+    Interference m_interference;
+    bool m_hasImages = false; // Some run so far has named its image.
+    // The last runner picked is another one than without interference.
+    bool m_isInterferenceAvoided = false;
+    std::uint64_t m_avoidedInterference = 0;
     bool m_hasAdvisedJobs = false; // True if the policy of some job's queue must be asked.
     std::map<std::string, Entry, std::less<>> m_jobs;
     std::map<std::string, Entry *, std::less<>> m_live; // Jobs that have not ended.
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -64,6 +64,7 @@
         beginOccurrences(*live, now);
     moveLastingTasks(now);
     updateQuarantine(now);
+    updateInterference(now);
     clearReservations();
     m_advice.clearRequest();
     m_unplaced.clear();
@@ -289,11 +290,15 @@
 
 Runner *Engine::pickRunner(const Candidate &candidate, const Task &task, TimePoint now)
 {
+    m_isInterferenceAvoided = false;
     if (isKnownNotToFit(candidate))
         return nullptr;
     const StepSpec &step = candidate.entry->job.spec.steps[candidate.step];
     Runner *best = nullptr;
     double bestScore = -std::numeric_limits<double>::infinity();
+    const bool mayInterfere = m_interference.hasEffect(step.image);
+    const Runner *bestOtherwise = nullptr; // If no image interfered.
+    double bestOtherwiseScore = bestScore;
     bool isKeptOut = false; // A reserved runner has room.
     for (auto &[id, runner] : m_runners) {
         if (!fits(step.room(), runner.room()) || !isFitFor(runner, candidate, now)
@@ -315,6 +320,13 @@
             score += 1; // Leaves fewer hosts that can't leave the pool.
         if (id == task.avoidedRunner)
             score -= 4; // Outweighs all other terms.
+        if (mayInterfere) {
+            if (score > bestOtherwiseScore) {
+                bestOtherwise = &runner;
+                bestOtherwiseScore = score;
+            }
+            score -= interferencePenalty(step, runner, now);
+        }
         if (score > bestScore) {
             best = &runner;
             bestScore = score;
@@ -322,6 +334,7 @@
     }
     if (best == nullptr)
         recordNoRoom(candidate, isKeptOut);
+    m_isInterferenceAvoided = mayInterfere && best != bestOtherwise;
     return best;
 }
 
@@ -442,6 +455,7 @@
     task.measurement = 0;
     task.missingReports = 0;
     task.isLeaseKnown = false;
+    m_avoidedInterference += std::exchange(m_isInterferenceAvoided, false) ? 1 : 0;
     addRun(runner, makeRun(job, name, run));
     m_planned.push_back({.runner = runner.entry.id,
                          .task = name,
--- a/jobs/engineruns.cpp
+++ b/jobs/engineruns.cpp
@@ -61,6 +61,7 @@
     const StepSpec &step = job.spec.steps[task.step];
     Run run{.task = task, .number = number, .room = step.room(), .charge = step.size};
     run.team = job.team;
+    run.image = step.image;
     run.isFilling = step.isFilling;
     run.isLasting = step.isLasting;
     run.targetMilliseconds = step.targetMilliseconds;
@@ -77,6 +78,7 @@
     if (run.isLasting)
         m_teamLasting[run.team] += run.charge;
     m_fillingRuns += run.isFilling ? 1 : 0;
+    m_hasImages = m_hasImages || !run.image.empty();
     runner.runs.emplace(key, std::move(run));
 }
 
@@ -158,8 +160,10 @@
             note("runner.unlisted", {.job = next->first});
         runner.isListed = listed.contains(next->first);
         const bool isForgotten = !runner.isListed && runner.runs.empty();
-        if (isForgotten)
+        if (isForgotten) {
             m_quarantine.forget(next->first);
+            m_interference.forgetRunner(next->first);
+        }
         next = isForgotten ? m_runners.erase(next) : std::next(next);
     }
 }
@@ -326,6 +330,7 @@
     if (!runner.isFenced())
         runner.fencedAt = now;
     runner.reportSentAt = std::max(runner.reportSentAt, sentAt);
+    beginInterferenceReport(runner, report, now);
     for (const RunEnd &end : report.ends) {
         const bool isGap = end.number > runner.appliedEnds + 1;
         if (isGap && (runner.appliedEnds > 0 || runner.hasRestarted())) {
@@ -343,6 +348,7 @@
     }
     applyRunning(runner, report, now);
     applyMissing(runner, report, sentAt);
+    observeInterference(runner, now);
     controlPace(runner, now);
 }
 
@@ -446,6 +452,7 @@
         return;
     applyCheckpoint(location, end);
     if (end.kind == EndKind::Done && !location.spec->isLasting) {
+        observeRunTime(runner, location, end, now);
         recordSuccess(runner, location, end.run, now);
         finishTask(end.task, location);
     } else if (end.kind == EndKind::Failed) {
--- a/jobs/runner.h
+++ b/jobs/runner.h
@@ -42,6 +42,7 @@
     Resources room; // Resources taken on the runner.
     Resources charge; // Resources counted against the team's ceiling.
     std::string team;
+    std::string image; // Image that the task runs; empty if none was named.
     bool isFilling = false; // Uses only processor time that the other tasks leave.
     bool isLasting = false; // Keeps its runner's host in the pool.
     // Target for the tail of a serving task's response times; 0 if none.
--- a/node/poolmetrics.cpp
+++ b/node/poolmetrics.cpp
@@ -36,8 +36,26 @@
                      .Help("Jobs whose rows the store has refused, which are kept in memory")
                      .Register(metrics)
                      .Add({}))
+    , m_interferencePairs(prometheus::BuildGauge()
+                              .Name("sequoiapier_interference_pairs")
+                              .Help("Pairs of images that slow each other down on one runner")
+                              .Register(metrics))
+    , m_interferenceAvoided(prometheus::BuildCounter()
+                                .Name("sequoiapier_interference_avoided_total")
+                                .Help("Tasks placed on another runner because of such a pair")
+                                .Register(metrics))
 { }
 
+void PoolMetrics::observeInterference(const std::string &pool, std::size_t pairs,
+                                      std::uint64_t avoided)
+{
+    const prometheus::Labels labels{{"pool", pool}};
+    if (pairs > 0 || m_interferencePairs.Has(labels))
+        m_interferencePairs.Add(labels).Set(double(pairs));
+    if (avoided > 0)
+        m_interferenceAvoided.Add(labels).Increment(double(avoided));
+}
+
 void PoolMetrics::observeStart(const jobs::StartOrder &order)
 {
     m_listAge.Observe(seconds(order.sentAt - order.listedAt));
--- a/node/poolmetrics.h
+++ b/node/poolmetrics.h
@@ -9,11 +9,14 @@
 #include "jobs/engine.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace sequoiapier {
 
@@ -32,6 +35,9 @@
     // Records a job whose rows the store has refused.
     void countSetApart() { m_setApart.Increment(); }
     void observePlan(Duration duration) { m_planTime.Observe(seconds(duration)); }
+    // Records the number of pairs of images that interfere, and of placements that have avoided
+    // one since the last call.
+    void observeInterference(const std::string &pool, std::size_t pairs, std::uint64_t avoided);
 
 private:
     static double seconds(Duration duration)
@@ -44,6 +50,8 @@
     prometheus::Histogram &m_planTime; // seconds
     prometheus::Counter &m_carriedCalls;
     prometheus::Counter &m_setApart;
+    prometheus::Family<prometheus::Gauge> &m_interferencePairs;
+    prometheus::Family<prometheus::Counter> &m_interferenceAvoided;
 };
 
 } // namespace sequoiapier
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -31,6 +31,8 @@
 constexpr const char *SpecTable = "jobspecs";
 constexpr const char *StateTable = "jobstates";
 constexpr const char *AddressTable = "runneraddresses";
+constexpr const char *LearnedTable = "poolstates";
+constexpr const char *InterferenceKey = "interference";
 constexpr std::size_t MaxTransactionEntries = 100; // bound of the store
 
 // The two rows of a job, encoded as base64, fit a transaction of 1 MB.
@@ -97,6 +99,8 @@
     , m_ceilings(context.store, context.log, m_pool, m_epoch, [this] { requestTick(); })
     , m_homes(context.store, context.log, m_pool, [this] { resumeParkedCalls(); })
     , m_engine(engineOptions(context.settings), engineHooks())
+    , m_interferenceRow(poolStateStore(context.store), {.key = key(LearnedTable, InterferenceKey)},
+                        interferenceHooks())
     , m_silent(resource.observed)
     , m_takenFrom(resource.takenFrom)
     , m_claimTimer(context.loop, [this] { claim(); })
@@ -115,6 +119,18 @@
             .wallMilliseconds = wallMilliseconds};
 }
 
+PoolStateRow::Hooks PoolOwner::interferenceHooks()
+{
+    return {.isOwner = [this] { return m_isReady && isOwner(); },
+            .encode = [this](TimePoint now) { return m_engine.interferencePairs(now); },
+            .decode = [this](std::string_view content,
+                             TimePoint now) { return m_engine.setInterferencePairs(content, now); },
+            .warn =
+                [this](std::string_view event, std::string_view detail) {
+                    m_context.log.warn(event, {{"pool", m_pool}, {"detail", std::string(detail)}});
+                }};
+}
+
 // Events about a job or a runner name only the job or runner; events about a run name its task.
 void PoolOwner::logEvent(std::string_view event, const jobs::TaskName &subject,
                          std::string_view detail)
@@ -142,6 +158,7 @@
 void PoolOwner::leave()
 {
     m_hasLeft = true;
+    m_context.poolMetrics.observeInterference(m_pool, 0, 0);
     if (std::exchange(m_isReady, false))
         m_context.log.info("pool.left", {{"pool", m_pool}, {"epoch", std::to_string(m_epoch)}});
 }
@@ -219,6 +236,7 @@
     readTable(StateTable, rows, rows->states);
     readTable(SpecTable, rows, rows->specs);
     readTable(AddressTable, rows, rows->addresses);
+    m_interferenceRow.load(BootClock::now());
 }
 
 void PoolOwner::readTable(const char *table, const std::shared_ptr<PoolRows> &rows,
@@ -621,6 +639,7 @@
     else
         scheduleTick(planDue);
     m_homes.retry();
+    m_interferenceRow.update(now);
     writeBatch();
     askAdvice();
     sendOrders();
@@ -636,6 +655,8 @@
     m_earliestPlan = end + PlanShare * (end - now);
     m_latestPlan = std::max(now + TickInterval, m_earliestPlan);
     m_context.poolMetrics.observePlan(end - now);
+    m_context.poolMetrics.observeInterference(m_pool, m_engine.interferingPairCount(),
+                                              m_engine.takeAvoidedInterferenceCount());
 }
 
 void PoolOwner::writeBatch()
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -22,6 +22,7 @@
 #include "node/ceilingallocator.h"
 #include "node/decisionlog.h"
 #include "node/poolmetrics.h"
+#include "node/poolstaterow.h"
 #include "node/queuehomes.h"
 #include "node/runneraddresses.h"
 #include "node/silentrunners.h"
@@ -124,6 +125,7 @@
     using Guard = std::weak_ptr<bool>; // expires with this object
 
     jobs::Engine::Hooks engineHooks();
+    PoolStateRow::Hooks interferenceHooks();
     void logEvent(std::string_view event, const jobs::TaskName &subject, std::string_view detail);
     StoreKey key(const char *table, std::string name) const;
     void claim();
@@ -186,6 +188,7 @@
     CeilingAllocator m_ceilings;
     QueueHomes m_homes;
     jobs::Engine m_engine;
+    PoolStateRow m_interferenceRow; // pairs of images that slow each other down
     std::vector<jobs::RunnerEntry> m_listed; // listed runners of the pool
     bool m_isReady = false;
     bool m_hasLeft = false; // leave() was called
--- a/testing/standin/simulatedrunner.cpp
+++ b/testing/standin/simulatedrunner.cpp
@@ -43,6 +43,13 @@
             run.checkpoint.resize(checkpointBytes, '.');
         }
         run.disturbance = payload.value("disturbMs", 0U);
+        run.tailWindow = std::chrono::milliseconds(payload.value("tailWindowMs", 0));
+        run.slowdown = payload.value("slowPercent", 0U);
+        std::uint32_t slowdown = 0;
+        for (const Running &other : m_runs)
+            slowdown = std::max(slowdown, other.slowdown);
+        if (payload.value("isSlowed", false))
+            run.endsAt += (run.endsAt - now) * slowdown / FullPercent;
     }
     run.willFail = run.willFail || m_isFailing;
     return run;
@@ -111,6 +118,25 @@
     return tailLatency;
 }
 
+std::uint32_t SimulatedRunner::reportedTailLatency(const Running &run) const
+{
+    std::uint32_t longest = tailLatencyOf(run);
+    for (const auto &[at, tail] : run.tails)
+        longest = std::max(longest, tail);
+    return longest;
+}
+
+void SimulatedRunner::recordTailLatencies(TimePoint now)
+{
+    for (Running &run : m_runs) {
+        if (run.tailWindow == Duration{})
+            continue;
+        run.tails.emplace_back(now, tailLatencyOf(run));
+        while (run.tails.front().first < now - run.tailWindow)
+            run.tails.pop_front();
+    }
+}
+
 std::uint32_t SimulatedRunner::longestTailLatency() const
 {
     std::uint32_t longest = 0;
@@ -147,7 +173,7 @@
                                   .run = run.start.run,
                                   .checkpoint = run.checkpoint,
                                   .percent = percentOf(run, now),
-                                  .measurement = tailLatencyOf(run)});
+                                  .measurement = reportedTailLatency(run)});
     }
     const std::size_t reported = std::min(m_ends.size(), MaxReportedEnds);
     report.ends.assign(m_ends.begin(), m_ends.begin() + std::ptrdiff_t(reported));
@@ -197,6 +223,7 @@
             remaining.push_back(std::move(run));
     }
     m_runs = std::move(remaining);
+    recordTailLatencies(now);
 }
 
 void SimulatedRunner::crash(TimePoint now)
--- a/testing/standin/simulatedrunner.h
+++ b/testing/standin/simulatedrunner.h
@@ -3,11 +3,14 @@
 // it works under virtual time in tests and in real time in the stand-in.
 //
 // A task's payload is JSON, all fields optional: {"runMs": 100, "fail": true, "failures": 1,
-// "lasts": true, "tailMs": 50, "disturbMs": 80, "checkpointBytes": 16}. With "failures", runs of
+// "lasts": true, "tailMs": 50, "disturbMs": 80, "checkpointBytes": 16, "tailWindowMs": 500,
+// "isSlowed": true, "slowPercent": 100}. With "failures", runs of
 // each task fail until that many have. With "checkpointBytes", a task always has a checkpoint,
 // which is its name and padding. A task with "lasts" never ends by itself and works at its full
 // pace after SettleTime. A serving task has a tail latency of tailMs, plus disturbMs of every
-// disturbing task, scaled by that task's pace.
+// disturbing task, scaled by that task's pace; with "tailWindowMs", reports have the longest one in
+// that time. A task with "isSlowed" that starts beside a task with "slowPercent" takes that much
+// longer.
 #pragma once
 
 #include "jobs/runner.h"
@@ -18,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sequoiapier {
@@ -93,10 +97,15 @@
         std::uint32_t tailLatency = 0; // Tail latency without disturbance, in milliseconds.
         std::uint32_t disturbance = 0; // Milliseconds added to others at full pace.
         std::uint32_t percent = 100; // Pace of the task.
+        std::uint32_t slowdown = 0; // Percentage by which slowed tasks take longer beside it.
+        Duration tailWindow{};
+        std::deque<std::pair<TimePoint, std::uint32_t>> tails; // Tail latencies in tailWindow.
         std::optional<TimePoint> stopsAt;
     };
 
     std::uint32_t tailLatencyOf(const Running &run) const;
+    std::uint32_t reportedTailLatency(const Running &run) const;
+    void recordTailLatencies(TimePoint now);
     std::uint32_t percentOf(const Running &run, TimePoint now) const;
     void end(const Running &run, jobs::EndKind kind, TimePoint now);
     Running makeRunning(const Start &start, TimePoint now) const;
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -44,6 +44,7 @@
     jobs::Engine::Options options;
     options.lease = Lease;
     options.maxRowBytes = m_options.maxRowBytes;
+    options.isInterferenceAvoided = m_options.isInterferenceAvoided;
     m_engine = std::make_unique<jobs::Engine>(
         options,
         jobs::Engine::Hooks{.note =
@@ -69,6 +70,7 @@
             loaded.push_back(std::move(job));
     }
     m_engine->load(std::move(loaded), m_time.now());
+    m_engine->setInterferencePairs(m_interferencePairs, m_time.now());
     listRunners();
 }
 
@@ -115,6 +117,7 @@
 
 void EnginePool::replaceOwner(Duration gap, Duration renewedFor)
 {
+    m_interferencePairs = m_engine->interferencePairs(m_time.now());
     m_engine.reset();
     m_batch.reset();
     for (RunnerStatus &runner : m_runnerStatus)
--- a/testing/support/enginepool.h
+++ b/testing/support/enginepool.h
@@ -46,6 +46,7 @@
         std::vector<TeamConfig> teams{}; // Teams that have a share.
         std::size_t maxRowBytes = 65'536; // Maximum size of a row in the store.
         Duration renewInterval = std::chrono::milliseconds(50);
+        bool isInterferenceAvoided = true;
         QueueConfig queue{.name = "queue", .service = "pool", .maxAttempts = 3, .stretch = 2};
     };
 
@@ -155,6 +156,7 @@
     std::unique_ptr<jobs::Engine> m_engine;
     std::uint64_t m_epoch = 1;
     std::map<std::string, StoredJob> m_storedJobs;
+    std::string m_interferencePairs; // What the last owner has learned.
     std::optional<jobs::Batch> m_batch;
     bool m_isStoreDown = false;
     bool m_isListReadable = true;
