--- a/jobs/engine.cpp
+++ b/jobs/engine.cpp
@@ -2,7 +2,8 @@
 // engine are in engineruns.cpp (reports of runners), engineplan.cpp (placement), enginestarts.cpp
 // (sending of starts), enginereservation.cpp (runners kept for lasting tasks), enginedemand.cpp
 // (demand for hosts), engineevacuation.cpp (evacuation of runners), enginehealth.cpp (quarantine of
-// runners), enginepace.cpp (pacing) and engineadvice.cpp (advice of policies).
+// runners), enginepace.cpp (pacing), engineadvice.cpp (advice of policies) and engineadmission.cpp
+// (refusal of jobs that would end too late).
 #include "jobs/engine.h"
 
 #include "jobs/specrow.h"
@@ -29,6 +30,7 @@
     , m_arrivals(options.arrivals)
     , m_shares(options.shares)
     , m_advice(options.advice)
+    , m_admission(options.admission)
     , m_quarantine(options.quarantine)
 { }
 
@@ -61,6 +63,7 @@
 void Engine::load(std::vector<Job> jobs, TimePoint now)
 {
     m_loadedAt = now;
+    m_admission.start(now);
     for (Job &job : jobs) {
         Entry entry;
         entry.durable = job.phase;
@@ -135,10 +138,12 @@
     }
 }
 
-SubmitVerdict Engine::submit(SubmitRequest request, TimePoint now)
+SubmitResult Engine::submit(SubmitRequest request, TimePoint now)
 {
     if (m_jobs.contains(request.id))
-        return SubmitVerdict::Duplicate;
+        return {.verdict = SubmitVerdict::Duplicate};
+    if (const std::optional<Duration> rest = m_admission.repeatedRefusal(request.id, now))
+        return {.verdict = SubmitVerdict::Refused, .retryAfter = *rest};
     Entry entry;
     entry.job.id = request.id;
     entry.job.queue = std::move(request.queue);
@@ -151,6 +156,8 @@
         entry.job.terms = termsOf(*queue);
     const TeamConfig *team = m_configuration.findTeam(entry.job.team);
     entry.job.terms.isBeyondShare = team != nullptr && !m_shares.take(team->name, team->share, now);
+    if (const std::optional<Duration> retryAfter = refusal(entry, now))
+        return {.verdict = SubmitVerdict::Refused, .retryAfter = *retryAfter};
     m_hasAdvisedJobs = m_hasAdvisedJobs || entry.job.terms.advice.isNeeded;
     entry.isSpecDirty = true;
     Entry &stored = m_jobs.emplace(request.id, std::move(entry)).first->second;
@@ -161,7 +168,7 @@
          stored.job.queue + ": " + summary(stored.job.spec)
              + (stored.job.terms.isBeyondShare ? ", exceeds the share of team " + stored.job.team
                                                : ""));
-    return SubmitVerdict::Accepted;
+    return {};
 }
 
 bool Engine::cancel(std::string_view job)
@@ -255,6 +262,8 @@
             job.remainingRuns.push_back(std::move(run));
     });
     m_advice.forgetJob(job.id);
+    if (entry.prediction && phase == JobPhase::Completed)
+        m_endedPredictions.push_back(*entry.prediction);
     job.phase = phase;
     job.endedAt = m_hooks.wallMilliseconds();
     job.occurrences.clear();
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -27,6 +27,7 @@
 // jobs that ended within endedJobRetention.
 #pragma once
 
+#include "jobs/admission.h"
 #include "jobs/adviceboard.h"
 #include "jobs/job.h"
 #include "jobs/joborder.h"
@@ -58,6 +59,13 @@
 enum class SubmitVerdict : std::uint8_t {
     Accepted, // A new job; it is durable once the next batch is written.
     Duplicate, // A job with this identifier was submitted before.
+    Refused, // The job was not accepted; nothing of it is kept and it never runs.
+};
+
+struct SubmitResult
+{
+    SubmitVerdict verdict = SubmitVerdict::Accepted;
+    Duration retryAfter{}; // Time to return of a refused job, in whole seconds.
 };
 
 struct RowChange
@@ -182,6 +190,12 @@
         WorkRate::Options arrivals;
         ShareMeter::Options shares;
         AdviceBoard::Options advice;
+        // Jobs are refused only in queues with an objective (QueueConfig::objectiveMilliseconds).
+        Admission::Options admission;
+        // Time between snapshots of the backlog, so that a plan of 1,000 jobs costs little more.
+        Duration snapshotInterval = std::chrono::milliseconds(100);
+        // Number of unanswered calls after which a runner's capacity is not counted on.
+        std::uint32_t maxMissedCalls = 1;
         // A few tasks are enough evidence: tasks on a bad runner are certain to be late, whereas
         // quarantining a good runner costs its capacity for a few seconds only.
         WorkerQuarantine::Options quarantine{
@@ -211,7 +225,7 @@
     // Sets where a runner with loaded runs is reached while the live list doesn't have it.
     void setAddress(const std::string &runner, const Endpoint &endpoint);
 
-    SubmitVerdict submit(SubmitRequest request, TimePoint now);
+    SubmitResult submit(SubmitRequest request, TimePoint now);
     // Returns false if there is no such job.
     bool cancel(std::string_view job);
     // Returns the job's phase as stored; nullopt if there is no such job.
@@ -285,6 +299,7 @@
                   TimePoint now);
 
     const std::map<std::string, Runner> &runners() const { return m_runners; }
+    const Admission &admission() const { return m_admission; }
 
 private:
     struct Entry
@@ -300,6 +315,9 @@
         // True once a stalled task of the job has been counted against a runner.
         bool hasCountedStall = false;
         TimePoint arrivedAt{};
+        // When the job was first refused, if it was. Such a job goes before others of its rank.
+        TimePoint firstRefusedAt = TimePoint::max();
+        std::optional<Admission::Prediction> prediction; // Set if the job may have been refused.
         // Room of its state row as defined by jobs::rowBytes(); 0 if unknown.
         std::size_t rowBytes = 0;
         // The store has refused a batch that contains the job, which is now written by itself.
@@ -391,6 +409,13 @@
     void endJob(Entry &entry, JobPhase phase);
     void failTask(const TaskName &name, const TaskLocation &location, std::uint64_t run);
 
+    static bool isRefusable(const Job &job);
+    std::optional<Duration> refusal(Entry &entry, TimePoint now);
+    Admission::Request admissionRequest(const Job &job) const;
+    Admission::Room admissionRoom(TimePoint now) const;
+    void addBacklog(const Entry &entry, const Resources &capacity, double &running, TimePoint now);
+    void updateAdmission(TimePoint now);
+
     void beginOccurrences(Entry &entry, TimePoint now);
     double runnerSeconds(const Job &job) const;
     Resources runnerCapacity() const;
@@ -444,6 +469,9 @@
     WorkRate m_arrivals; // Runner-seconds of arriving work.
     ShareMeter m_shares;
     AdviceBoard m_advice;
+    Admission m_admission;
+    TimePoint m_nextSnapshot{}; // When to show m_admission the backlog next.
+    std::vector<Admission::Prediction> m_endedPredictions; // Of jobs completed since then.
     WorkerQuarantine m_quarantine; // Runners by identifier.
     TimePoint m_nextQuarantineUpdate{};
     bool m_hasAdvisedJobs = false; // True if the policy of some job's queue must be asked.
--- a/jobs/enginehealth.cpp
+++ b/jobs/enginehealth.cpp
@@ -77,6 +77,7 @@
         const std::chrono::duration<double, std::milli> took = now - task.startedAt;
         isSlow = took.count() > SlowFactor * m_order.runTime(queue, *location.spec);
         m_order.recordRunTime(queue, took.count());
+        m_admission.recordRunTime(queue, took.count() / 1000);
     }
     m_quarantine.record(runner.entry.id, isSlow, now);
 }
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace sequoiapier::jobs {
@@ -68,14 +69,17 @@
     m_advice.clearRequest();
     m_unplaced.clear();
     std::vector<Candidate> waiting = candidates(now);
-    std::stable_sort(waiting.begin(), waiting.end(),
-                     [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
+    std::stable_sort(waiting.begin(), waiting.end(), [](const Candidate &a, const Candidate &b) {
+        return std::tie(a.rank, a.entry->firstRefusedAt)
+            < std::tie(b.rank, b.entry->firstRefusedAt);
+    });
     for (const Candidate &candidate : waiting) {
         const bool isGang = candidate.entry->job.spec.steps[candidate.step].isGang;
         isGang ? placeGang(candidate, now) : place(candidate, now);
     }
     requestAdviceAhead(now);
     countTeams(waiting, now);
+    updateAdmission(now);
 }
 
 void Engine::countTeams(std::span<const Candidate> candidates, TimePoint now)
--- a/node/jobrelay.cpp
+++ b/node/jobrelay.cpp
@@ -122,6 +122,12 @@
         }
         call->mayBeAccepted = true; // The other pool may know the job.
     }
+    // An earlier owner may have accepted the call, so that the job may run after all.
+    const bool isRefused = reply != nullptr && reply->code == std::int32_t(ResultCode::Overloaded);
+    if (isRefused && call->mayBeAccepted) {
+        finish(call, replyOf(ResultCode::OutcomeUnknown));
+        return;
+    }
     if (reply != nullptr && isFinal(*reply)) {
         finish(call, *reply);
         return;
--- a/node/jobrelay.h
+++ b/node/jobrelay.h
@@ -7,7 +7,8 @@
 //
 // If no owner has answered by the deadline, the reply is NoUpstream if none can have accepted the
 // call and OutcomeUnknown if one may have. A call about a queue that has been sent to another pool
-// meanwhile goes on there; the reply is QueueUnknown if the queue has been removed.
+// meanwhile goes on there; the reply is QueueUnknown if the queue has been removed. A refusal for
+// lack of capacity becomes OutcomeUnknown if an earlier attempt of the call may have been accepted.
 #pragma once
 
 #include "gen/node_types.h"
--- a/node/poolmetrics.cpp
+++ b/node/poolmetrics.cpp
@@ -36,6 +36,11 @@
                      .Help("Jobs whose rows the store has refused, which are kept in memory")
                      .Register(metrics)
                      .Add({}))
+    , m_admissions(prometheus::BuildCounter()
+                       .Name("sequoiapier_admission_total")
+                       .Help("Jobs accepted and refused for lack of capacity, and such decisions "
+                             "that proved wrong")
+                       .Register(metrics))
 { }
 
 void PoolMetrics::observeStart(const jobs::StartOrder &order)
--- a/node/poolmetrics.h
+++ b/node/poolmetrics.h
@@ -9,11 +9,13 @@
 #include "jobs/engine.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/family.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace sequoiapier {
 
@@ -31,6 +33,11 @@
     }
     // Records a job whose rows the store has refused.
     void countSetApart() { m_setApart.Increment(); }
+    // Records `count` jobs with this outcome of their admission.
+    void countAdmissions(const std::string &pool, const std::string &outcome, std::uint64_t count)
+    {
+        m_admissions.Add({{"pool", pool}, {"outcome", outcome}}).Increment(double(count));
+    }
     void observePlan(Duration duration) { m_planTime.Observe(seconds(duration)); }
 
 private:
@@ -44,6 +51,7 @@
     prometheus::Histogram &m_planTime; // seconds
     prometheus::Counter &m_carriedCalls;
     prometheus::Counter &m_setApart;
+    prometheus::Family<prometheus::Counter> &m_admissions;
 };
 
 } // namespace sequoiapier
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -97,6 +97,7 @@
     , m_ceilings(context.store, context.log, m_pool, m_epoch, [this] { requestTick(); })
     , m_homes(context.store, context.log, m_pool, [this] { resumeParkedCalls(); })
     , m_engine(engineOptions(context.settings), engineHooks())
+    , m_admissions(context.poolMetrics, m_pool)
     , m_silent(resource.observed)
     , m_takenFrom(resource.takenFrom)
     , m_claimTimer(context.loop, [this] { claim(); })
@@ -470,9 +471,13 @@
         answer(reply(ResultCode::RequestTooLarge));
         return;
     }
-    m_engine.submit(
+    const jobs::SubmitResult result = m_engine.submit(
         {.id = call.job, .queue = call.queue, .team = call.team, .spec = std::move(spec.value())},
         BootClock::now());
+    if (result.verdict == jobs::SubmitVerdict::Refused) {
+        answer(AdmissionReport::refusal(result.retryAfter, isOwner()));
+        return;
+    }
     answerWhenDurable(call.job, m_engine.mayBeStored(call.job), std::move(answer));
 }
 
@@ -632,6 +637,7 @@
 {
     m_engine.plan(now);
     m_ceilings.update(m_engine.teamDemands(), m_context.configuration());
+    m_admissions.update(m_engine.admission().counts());
     const TimePoint end = BootClock::now();
     m_earliestPlan = end + PlanShare * (end - now);
     m_latestPlan = std::max(now + TickInterval, m_earliestPlan);
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -19,6 +19,7 @@
 #include "gen/node_types.h"
 #include "jobs/engine.h"
 #include "net/timer.h"
+#include "node/admissionreport.h"
 #include "node/ceilingallocator.h"
 #include "node/decisionlog.h"
 #include "node/poolmetrics.h"
@@ -186,6 +187,7 @@
     CeilingAllocator m_ceilings;
     QueueHomes m_homes;
     jobs::Engine m_engine;
+    AdmissionReport m_admissions;
     std::vector<jobs::RunnerEntry> m_listed; // listed runners of the pool
     bool m_isReady = false;
     bool m_hasLeft = false; // leave() was called
--- a/testing/support/enginepool.cpp
+++ b/testing/support/enginepool.cpp
@@ -44,6 +44,7 @@
     jobs::Engine::Options options;
     options.lease = Lease;
     options.maxRowBytes = m_options.maxRowBytes;
+    options.admission = m_options.admission;
     m_engine = std::make_unique<jobs::Engine>(
         options,
         jobs::Engine::Hooks{.note =
@@ -88,6 +89,12 @@
 
 jobs::SubmitVerdict EnginePool::submit(const std::string &id, jobs::JobSpec spec,
                                        const std::string &team, const std::string &queue)
+{
+    return submitForResult(id, std::move(spec), team, queue).verdict;
+}
+
+jobs::SubmitResult EnginePool::submitForResult(const std::string &id, jobs::JobSpec spec,
+                                               const std::string &team, const std::string &queue)
 {
     return m_engine->submit({.id = id,
                              .queue = queue.empty() ? m_options.queue.name : queue,
--- a/testing/support/enginepool.h
+++ b/testing/support/enginepool.h
@@ -46,6 +46,7 @@
         std::vector<TeamConfig> teams{}; // Teams that have a share.
         std::size_t maxRowBytes = 65'536; // Maximum size of a row in the store.
         Duration renewInterval = std::chrono::milliseconds(50);
+        jobs::Admission::Options admission{};
         QueueConfig queue{.name = "queue", .service = "pool", .maxAttempts = 3, .stretch = 2};
     };
 
@@ -54,6 +55,10 @@
     // Submits to Options::queue if `queue` is empty.
     jobs::SubmitVerdict submit(const std::string &id, jobs::JobSpec spec,
                                const std::string &team = "team", const std::string &queue = {});
+    // Like submit(), but also returns the time to return of a refused job.
+    jobs::SubmitResult submitForResult(const std::string &id, jobs::JobSpec spec,
+                                       const std::string &team = "team",
+                                       const std::string &queue = {});
     // Changes the queues of the configuration, for this owner and the next ones.
     void setQueues(std::vector<QueueConfig> queues);
     bool cancel(const std::string &id) { return m_engine->cancel(id); }
