A team's backlog is no reason to refuse until it has lasted two seconds

The rule held for the pool only, so that a peak of one team at its ceiling was refused at once; seen when whole nodes refused the first job less than a second after the load began.

--- a/jobs/admission.cpp
+++ b/jobs/admission.cpp
@@ -44,8 +44,10 @@
 void Admission::beginSnapshot(const Room &room, TimePoint now)
 {
     // After a pause it is not known how long the backlog has lasted.
-    if (now - m_snapshotAt > m_options.maxSnapshotAge)
+    if (now - m_snapshotAt > m_options.maxSnapshotAge) {
         m_backloggedSince = {};
+        m_teamsBackloggedSince.clear();
+    }
     m_room = room;
     m_snapshotAt = now;
     m_backlog = {};
@@ -103,16 +105,40 @@
 void Admission::endSnapshot(double running, TimePoint now)
 {
     m_running = running;
-    const bool isShort = m_backlog.total <= m_room.runners * toSeconds(m_options.shortBacklog);
-    if (isShort)
-        m_backloggedSince = {};
-    else if (m_backloggedSince == TimePoint{})
-        m_backloggedSince = now;
+    updateBacklogged(now);
     forgetRefusals(now);
     if (m_backlog.total <= 0 && m_room.runners > 0)
         countRoom(now);
 }
 
+void Admission::updateBacklogged(TimePoint now)
+{
+    const double shortBacklog = toSeconds(m_options.shortBacklog);
+    if (m_backlog.total <= m_room.runners * shortBacklog)
+        m_backloggedSince = {};
+    else if (m_backloggedSince == TimePoint{})
+        m_backloggedSince = now;
+    std::erase_if(m_teamsBackloggedSince,
+                  [&](const auto &item) { return teamBacklog(item.first) <= shortBacklog; });
+    for (const auto &[team, backlog] : m_teamBacklogs) {
+        if (backlog.total > shortBacklog)
+            m_teamsBackloggedSince.try_emplace(team, now);
+    }
+}
+
+// Returns whether the pool or the job's team has been behind for longer than a peak that is
+// absorbed.
+bool Admission::isBacklogged(const Request &request, TimePoint now) const
+{
+    const auto hasLasted = [&](TimePoint since) {
+        return since != TimePoint{} && now >= since + m_options.shortBacklog;
+    };
+    const auto team = m_teamsBackloggedSince.find(request.team);
+    return hasLasted(m_backloggedSince)
+        || (request.load.teamSeconds > 0 && team != m_teamsBackloggedSince.end()
+            && hasLasted(team->second));
+}
+
 void Admission::recordRunTime(std::string_view queue, double length)
 {
     Learned &learned = m_learned.try_emplace(std::string(queue)).first->second;
@@ -184,11 +210,7 @@
     const auto learned = m_learned.find(request.queue);
     if (learned == m_learned.end() || learned->second.runs == 0)
         return false; // The run times are not known.
-    const bool isTeamBehind = request.load.teamSeconds > 0
-        && teamBacklog(request.team) > toSeconds(m_options.shortBacklog);
-    const bool isPoolBehind
-        = m_backloggedSince != TimePoint{} && now >= m_backloggedSince + m_options.shortBacklog;
-    return (isTeamBehind || isPoolBehind) && decision.predictedSeconds > decision.limitSeconds;
+    return isBacklogged(request, now) && decision.predictedSeconds > decision.limitSeconds;
 }
 
 Admission::Decision Admission::decide(const Request &request, TimePoint now)
--- a/jobs/admission.h
+++ b/jobs/admission.h
@@ -204,6 +204,8 @@
     double teamBacklog(std::string_view team) const;
     Wait waitOf(const Request &request, bool isLate) const;
     Decision predict(const Request &request, TimePoint now) const;
+    void updateBacklogged(TimePoint now);
+    bool isBacklogged(const Request &request, TimePoint now) const;
     bool mayRefuse(const Request &request, const Decision &decision, TimePoint now) const;
     void refuse(const Request &request, Decision &decision, TimePoint now);
     void forgetRefusals(TimePoint now);
@@ -219,6 +221,8 @@
     std::map<std::string, Backlog, std::less<>> m_teamBacklogs; // Of teams with a ceiling.
     // Since when the backlog has exceeded Options::shortBacklog; unset if it doesn't.
     TimePoint m_backloggedSince{};
+    // The same for the teams whose backlog takes longer than that within their ceiling.
+    std::map<std::string, TimePoint, std::less<>> m_teamsBackloggedSince;
     // No refused job that is not counted yet could start later than this.
     TimePoint m_latestStart{};
     TimePoint m_nextReturn{}; // When capacity is expected for the next job to be refused.
--- a/testing/unit/admission_test.cpp
+++ b/testing/unit/admission_test.cpp
@@ -122,6 +122,17 @@
     EXPECT_FALSE(accepts(job("b")));
 }
 
+// Guards against refusals of a team's jobs for a short peak of that team.
+TEST_F(AdmissionTest, BacklogOfATeamIsNoReasonUntilItHasLastedTwoSeconds)
+{
+    Admission::Request capped = job("a");
+    capped.load.teamSeconds = 1;
+    show(10, milliseconds(1'900), {.work = 500, .teamSeconds = 8}, "team");
+    EXPECT_TRUE(accepts(capped));
+    show(10, milliseconds(200), {.work = 500, .teamSeconds = 8}, "team");
+    EXPECT_FALSE(accepts(capped));
+}
+
 TEST_F(AdmissionTest, BacklogOfTwoSecondsIsNoReason)
 {
     show(2 * Runners, seconds(10), m_inTime);
