--- a/node/poolmetrics.cpp
+++ b/node/poolmetrics.cpp
@@ -44,6 +44,11 @@
                                 .Name("sequoiapier_interference_avoided_total")
                                 .Help("Tasks placed on another runner because of such a pair")
                                 .Register(metrics))
+    , m_admissions(prometheus::BuildCounter()
+                       .Name("sequoiapier_admission_total")
+                       .Help("Jobs accepted and refused for lack of capacity, and such decisions "
+                             "that proved wrong")
+                       .Register(metrics))
 { }
 
 void PoolMetrics::observeInterference(const std::string &pool, std::size_t pairs,
--- a/node/poolmetrics.h
+++ b/node/poolmetrics.h
@@ -34,6 +34,11 @@
     }
     // Records a job whose rows the store has refused.
     void countSetApart() { m_setApart.Increment(); }
+    // Records `count` jobs with this outcome of their admission.
+    void countAdmissions(const std::string &pool, const std::string &outcome, std::uint64_t count)
+    {
+        m_admissions.Add({{"pool", pool}, {"outcome", outcome}}).Increment(double(count));
+    }
     void observePlan(Duration duration) { m_planTime.Observe(seconds(duration)); }
     // Records the number of pairs of images that interfere, and of placements that have avoided
     // one since the last call.
@@ -52,6 +57,7 @@
     prometheus::Counter &m_setApart;
     prometheus::Family<prometheus::Gauge> &m_interferencePairs;
     prometheus::Family<prometheus::Counter> &m_interferenceAvoided;
+    prometheus::Family<prometheus::Counter> &m_admissions;
 };
 
 } // namespace sequoiapier
