--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -42,7 +42,7 @@
     arguments.insert(arguments.end(), {"--name", name, "--port", std::to_string(adminPort)});
     m_members.erase(name);
     m_members.emplace(name,
-                      Member{adminPort, workPort, arguments,
+                      Member{adminPort, workPort, 0, arguments,
                              ChildProcess(arguments, m_directory + "/" + name + ".log")});
     return waitListening(name);
 }
@@ -56,7 +56,8 @@
     arguments.insert(arguments.end(), moreFlags.begin(), moreFlags.end());
     m_members.erase(name);
     m_members.emplace(name,
-                      Member{replaced.adminPort, replaced.workPort, replaced.arguments,
+                      Member{replaced.adminPort, replaced.workPort, replaced.readyPort,
+                             replaced.arguments,
                              ChildProcess(arguments, m_directory + "/" + name + ".log")});
 }
 
@@ -167,6 +168,7 @@
 {
     const std::uint16_t peerPort = freePort();
     const std::uint16_t callerPort = freePort();
+    const std::uint16_t readyPort = freePort();
     const auto endpoint
         = [](std::uint16_t port) { return std::string(Loopback) + ":" + std::to_string(port); };
     const auto link = m_links.find(name);
@@ -175,17 +177,18 @@
     const nlohmann::json settings{
         {"node", name},
         {"zone", "zone-1"},
-        {"listen", {{"front", endpoint(callerPort)}, {"ready", endpoint(freePort())}}},
+        {"listen", {{"front", endpoint(callerPort)}, {"ready", endpoint(readyPort)}}},
         {"port_range", {peerPort, peerPort}},
         {"platform", {{"addr", platform}}},
         {"cloud", {{"addr", platform}}},
-        {"bounds", nlohmann::json::parse(m_bounds)}};
+        {"bounds", nlohmann::json::parse(m_bounds)},
+        {"limits", nlohmann::json::parse(m_limits)}};
     const std::string file = m_directory + "/" + name + ".json";
     std::ofstream(file) << settings.dump();
     const std::vector<std::string> arguments{SEQUOIAPIER_BINARY, "node", "--config", file};
     m_members.erase(name);
     m_members.emplace(name,
-                      Member{peerPort, callerPort, arguments,
+                      Member{peerPort, callerPort, readyPort, arguments,
                              ChildProcess(arguments, m_directory + "/" + name + ".log")});
     return waitListening(name);
 }
--- a/testing/support/localsystem.h
+++ b/testing/support/localsystem.h
@@ -23,6 +23,7 @@
 {
     std::uint16_t adminPort = 0;
     std::uint16_t workPort = 0; // port for callers or for work; 0 if it has none
+    std::uint16_t readyPort = 0; // port of a node's readiness address; 0 if it has none
     std::vector<std::string> arguments; // command line that started it
     ChildProcess process;
 };
@@ -61,6 +62,8 @@
     bool configureOneQueue() const;
     // Sets the field "bounds" in the settings of the nodes that are started from now on.
     void setBounds(std::string json) { m_bounds = std::move(json); }
+    // Sets the field "limits" in the settings of the nodes that are started from now on.
+    void setLimits(std::string json) { m_limits = std::move(json); }
     // Starts a node on that platform.
     bool startNode(const std::string &name);
 
@@ -119,6 +122,7 @@
     std::map<std::string, Member> m_members;
     std::map<std::string, std::uint16_t> m_links; // the platform's ports for single nodes
     std::string m_bounds = "{}"; // JSON
+    std::string m_limits = "{}"; // JSON
     std::string m_output;
 };
 
