HttpServer: a budget of memory and connections for clients

Bodies of legal size on many connections, slow clients and pipelined requests could take more memory than a host has. A body now grows with the bytes received, and a server with a ClientBudget refuses the largest and slowest incomplete requests, closes slow clients and reads one request of a connection at a time. Servers without a budget are unchanged but for the growth of bodies.

--- a/net/httpexchange.h
+++ b/net/httpexchange.h
@@ -33,6 +33,8 @@
     lws *m_connection;
     bool m_dispatched = false;
     bool m_replied = false;
+    bool m_isReadPaused = false; // until the reply
+    std::size_t m_announcedBytes = 0; // length of the body
     HttpRequest m_request;
     HttpResponse m_response;
     std::function<void()> m_closedHook;
--- a/net/httpserver.h
+++ b/net/httpserver.h
@@ -4,12 +4,16 @@
 //                     [](std::shared_ptr<HttpExchange> exchange) { exchange->reply({}); });
 //   if (!server.isListening()) ...
 //
-// The server uses at most maxConnections * (maxHeaderBytes of the loop + maxBodyBytes) of memory
-// for requests. A body longer than maxBodyBytes is answered with RequestTooLarge and a chunked body
-// with RequestMalformed. A connection beyond maxConnections is closed at once, and so is that of a
-// sender who takes longer than readTimeoutSeconds.
+// The memory of a body grows with the bytes received. Without a ClientBudget, the server uses at
+// most maxConnections * (maxHeaderBytes of the loop + maxBodyBytes) of memory for requests. With
+// one, the budget bounds the memory of all its servers, slow senders and readers are closed, and
+// no further request of a connection is read while one is open. A body longer than maxBodyBytes is
+// answered with RequestTooLarge and a chunked body with RequestMalformed. A connection beyond
+// maxConnections is closed at once, and so is that of a sender who takes longer than
+// readTimeoutSeconds.
 #pragma once
 
+#include "net/clientbudget.h"
 #include "net/httpexchange.h"
 #include "net/timer.h"
 #include "sequoiapier/result.h"
@@ -42,6 +46,11 @@
         // Makes the response to a request that the server itself refuses. The default response has
         // the status and the detail of the error.
         std::function<HttpResponse(const Error &)> refusal;
+        // Shared by the servers that clients can reach. Must outlive them. May be null.
+        ClientBudget *budget = nullptr;
+        // With a budget: whether a connection beyond maxConnections replaces the oldest one
+        // without a request that is being handled.
+        bool isOldestReplaced = false;
     };
 
     HttpServer(Loop &loop, Options options, Handler handler);
@@ -77,11 +86,18 @@
     int onWriteable(lws *connection);
     int writeResponse(lws *connection, const HttpResponse &response);
     int closeAfterFlush(lws *connection);
-    bool onIncomingConnection(lws *listener);
+    bool onIncomingConnection(lws *listener, int socket);
+    void onConnected(lws *connection);
     void closeListener();
     void onClosed(lws *connection);
     void readHeaders(lws *connection, HttpRequest &request) const;
-    void refuse(HttpExchange &exchange, const Error &error) const;
+    void refuse(HttpExchange &exchange, const Error &error);
+    void refuseForMemory(lws *connection);
+    static void refuseAll(const std::vector<ClientBudget::Id> &ids);
+    static HttpServer *serverOf(lws *connection);
+    bool acceptBody(HttpExchange &exchange, std::size_t bytes);
+    void completeResponse(lws *connection, std::size_t responseBytes);
+    void check();
     void dispatch(const std::shared_ptr<HttpExchange> &exchange);
 
     Loop &m_loop;
@@ -98,6 +114,9 @@
     std::unordered_map<lws *, std::shared_ptr<HttpExchange>> m_exchanges;
     std::unordered_set<lws *> m_flushingConnections; // close once their output is written
     std::vector<unsigned char> m_buffer;
+    int m_budgetServer = -1; // number of this server in the budget
+    Timer m_checkTimer; // runs while there is a budget
+    std::unordered_set<lws *> m_unsentConnections; // wait until their answer is sent
 };
 
 } // namespace sequoiapier
