Node: limits for clients, as settings with counters and log lines

A crowd of clients could use up a node's memory and descriptors: 512 KiB on each of max_fds / 4 connections, and JSON bodies of very many values that take many times their size when parsed.

--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -78,7 +78,8 @@
     , m_admin(m_loop,
               {.address = settings.address,
                .port = std::uint16_t(settings.port),
-               .maxBodyBytes = MaxAdminBodyBytes},
+               .maxBodyBytes = MaxAdminBodyBytes,
+               .maxConnections = std::size_t(settings.adminConnections)},
               [this](const std::shared_ptr<HttpExchange> &exchange) { serve(exchange); })
     , m_drainTimer(m_loop, [this] { finish(ResultCode::DrainTimeout); })
     , m_adminShutdown(m_loop, m_admin)
--- a/cli/daemon.h
+++ b/cli/daemon.h
@@ -38,6 +38,7 @@
     bool isLogToStandardOutput = false;
     std::int64_t drainMilliseconds = 10'000;
     std::int64_t maxDescriptors = 4096;
+    std::int64_t adminConnections = 1024; // most connections to the admin port
     std::int64_t readTimeoutSeconds = 10; // longest wait for the next part of a request
 };
 
--- a/node/ingress.cpp
+++ b/node/ingress.cpp
@@ -1,6 +1,7 @@
 #include "node/ingress.h"
 
 #include "jobs/queuehome.h"
+#include "sequoiapier/boundedjson.h"
 
 #include <algorithm>
 #include <utility>
@@ -56,6 +57,12 @@
     m_routes = QueueRoutes(m_configuration);
 }
 
+void Ingress::setJsonLimit(std::size_t maxValues, std::function<void()> onExceeded)
+{
+    m_maxJsonValues = maxValues;
+    m_onJsonLimit = std::move(onExceeded);
+}
+
 void Ingress::serve(const std::shared_ptr<HttpExchange> &exchange)
 {
     const TimePoint now = BootClock::now();
@@ -117,8 +124,11 @@
         return;
     }
     if (call.verb == api::JobVerb::SUBMIT) {
-        const Result<jobs::JobSpec> spec = parseSubmission(request->exchange->request().body);
+        const std::string &body = request->exchange->request().body;
+        const Result<jobs::JobSpec> spec = parseSubmission(body, m_maxJsonValues);
         if (!spec) {
+            if (m_onJsonLimit && countJsonValues(body) > m_maxJsonValues)
+                m_onJsonLimit();
             answer(request, {.code = spec.error().code, .detail = spec.error().detail});
             return;
         }
--- a/node/ingress.h
+++ b/node/ingress.h
@@ -19,6 +19,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -30,6 +31,9 @@
     Ingress(JobRelay &relay, const OperatorWatch &operators, DecisionLog &log,
             prometheus::Registry &metrics);
 
+    // Sets the number of values that a body may have, and a hook for each body that has more.
+    void setJsonLimit(std::size_t maxValues, std::function<void()> onExceeded);
+
     void serve(const std::shared_ptr<HttpExchange> &exchange);
     // Sets the time by which all requests are answered, since this process ends.
     void setAnswerDeadline(TimePoint end) { m_answerDeadline = end; }
@@ -69,6 +73,8 @@
     Configuration m_configuration;
     QueueRoutes m_routes;
     TimePoint m_answerDeadline = TimePoint::max();
+    std::size_t m_maxJsonValues = DefaultMaxJsonValues;
+    std::function<void()> m_onJsonLimit;
     prometheus::Family<prometheus::Counter> &m_answers;
     prometheus::Histogram &m_latency;
 };
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -36,6 +36,7 @@
 constexpr Duration FinalAnswersTime = milliseconds(250);
 constexpr Duration AnswerMargin = milliseconds(300); // time for answers in transit at the end
 constexpr std::size_t MaxCallerBodyBytes = 512 * 1024;
+constexpr std::size_t MaxReadinessBodyBytes = 1024;
 
 // A pool changes its owner when the old owner's row has not changed for the term. One lost answer
 // to a renewal does not exhaust the term.
@@ -49,18 +50,37 @@
     return std::string(PoolResourcePrefix) + pool;
 }
 
-HttpServer::Options callerOptions(const NodeSettings &settings)
+HttpServer::Options callerOptions(const NodeSettings &settings, const ClientLimits &limits,
+                                  ClientBudget &budget)
 {
     return {.address = settings.callers.address,
             .port = settings.callers.port,
             .maxBodyBytes = MaxCallerBodyBytes,
-            .maxConnections = std::size_t(settings.maxDescriptors) / 4,
-            .keptHeaders = callerHeaders()};
+            .maxConnections = std::size_t(limits.connections),
+            // libwebsockets closes a connection only after the budget would.
+            .readTimeoutSeconds = unsigned(limits.headerMilliseconds / 1'000) + 1,
+            .keptHeaders = callerHeaders(),
+            .budget = &budget};
+}
+
+// Clients that hold all connections of this server must not keep out the load balancer's checks,
+// which send a short request at once.
+HttpServer::Options readinessOptions(const NodeSettings &settings, const ClientLimits &limits,
+                                     ClientBudget &budget)
+{
+    return {.address = settings.readiness.address,
+            .port = settings.readiness.port,
+            .maxBodyBytes = MaxReadinessBodyBytes,
+            .maxConnections = std::size_t(limits.readinessConnections),
+            .readTimeoutSeconds = unsigned(limits.headerMilliseconds / 1'000) + 1,
+            .budget = &budget,
+            .isOldestReplaced = true};
 }
 
 } // namespace
 
-Node::Node(Daemon &daemon, NodeSettings settings, const FleetWeights &weights)
+Node::Node(Daemon &daemon, NodeSettings settings, const FleetWeights &weights,
+           const ClientLimits &limits)
     : m_daemon(daemon)
     , m_settings(std::move(settings))
     , m_log(daemon.logger(), {})
@@ -157,18 +177,21 @@
                                         const auto &callback) { evacuate(call, callback); },
                      .demand = [this](const api::DemandCall &call,
                                       const auto &callback) { demand(call, callback); }}
+    , m_clientBudget(limits.budgetOptions())
     , m_callers(
-          daemon.loop(), callerOptions(m_settings),
+          daemon.loop(), callerOptions(m_settings, limits, m_clientBudget),
           [this](const std::shared_ptr<HttpExchange> &exchange) { m_ingress.serve(exchange); })
     , m_readiness(
-          daemon.loop(),
-          {.address = m_settings.readiness.address, .port = m_settings.readiness.port},
+          daemon.loop(), readinessOptions(m_settings, limits, m_clientBudget),
           [this](const std::shared_ptr<HttpExchange> &exchange) { serveReadiness(exchange); })
+    , m_clientLimitReport(daemon, m_clientBudget)
     , m_tickTimer(daemon.loop(), [this] { tick(); })
     , m_joinTimer(daemon.loop(), [this] { join(); })
     , m_closeTimer(daemon.loop(), [this] { closeCallers(); })
     , m_callersShutdown(daemon.loop(), m_callers)
 {
+    m_ingress.setJsonLimit(std::size_t(limits.jsonValues),
+                           [this] { m_clientBudget.count(ClientLimit::JsonValues); });
     addPeerMethods();
     daemon.route(PeerPath, [this](const std::shared_ptr<HttpExchange> &exchange) {
         m_peerMethods.serve(exchange);
--- a/node/node.h
+++ b/node/node.h
@@ -14,6 +14,7 @@
 #include "net/rpcserver.h"
 #include "net/servershutdown.h"
 #include "node/carrierclient.h"
+#include "node/clientlimits.h"
 #include "node/fleetowner.h"
 #include "node/ingress.h"
 #include "node/jobrelay.h"
@@ -39,7 +40,8 @@
 class Node
 {
 public:
-    Node(Daemon &daemon, NodeSettings settings, const FleetWeights &weights);
+    Node(Daemon &daemon, NodeSettings settings, const FleetWeights &weights,
+         const ClientLimits &limits);
     ~Node();
 
     bool isListening() const { return m_callers.isListening() && m_readiness.isListening(); }
@@ -105,8 +107,10 @@
     FleetContext m_fleetContext;
     std::unique_ptr<FleetOwner> m_fleetOwner; // set if this node owns the fleet
     std::optional<Ownership> m_ownership; // set once this process has an incarnation
+    ClientBudget m_clientBudget; // shared by the two servers
     HttpServer m_callers;
     HttpServer m_readiness;
+    ClientLimitReport m_clientLimitReport;
     Timer m_tickTimer;
     Timer m_joinTimer;
     Timer m_closeTimer;
--- a/node/runnode.cpp
+++ b/node/runnode.cpp
@@ -3,6 +3,8 @@
 #include "fleet/fleetweights.h"
 #include "node/node.h"
 
+#include <malloc.h>
+
 #include <iostream>
 #include <utility>
 
@@ -15,6 +17,7 @@
     std::string config; // path of the platform's settings file
     std::string logLevel = "info";
     std::string profile = "association"; // name of the FleetWeights profile
+    ClientLimits clientLimits;
 };
 
 Result<ParseAction> parseFlags(CommandArgs args, NodeFlags &flags)
@@ -31,6 +34,7 @@
     parser.addText(
         "profile", flags.profile,
         {.allowed = profiles, .help = "What hosts beyond the need, hosts short and moves cost"});
+    addClientLimitSettings(parser, flags.clientLimits);
     return parser.parse(args, processEnvironment);
 }
 
@@ -53,9 +57,20 @@
     common.drainMilliseconds
         = std::chrono::duration_cast<milliseconds>(settings.grace).count() - 300;
     common.maxDescriptors = settings.maxDescriptors;
+    common.adminConnections = flags.clientLimits.adminConnections;
     return common;
 }
 
+// glibc keeps freed blocks below a threshold, which by default rises to 32 MiB with the blocks
+// freed. With a fixed threshold, the memory of large bodies is returned when they are freed.
+void limitAllocatorReserve()
+{
+    constexpr int MapThreshold = 64 * 1024;
+    constexpr int TrimThreshold = 512 * 1024;
+    mallopt(M_MMAP_THRESHOLD, MapThreshold);
+    mallopt(M_TRIM_THRESHOLD, TrimThreshold);
+}
+
 } // namespace
 
 int runNode(CommandArgs args)
@@ -69,8 +84,13 @@
     Result<NodeSettings> settings = readNodeSettings(flags.config);
     if (!settings)
         return fail(settings.error());
+    const Result<void> limits = flags.clientLimits.resolve(settings.value());
+    if (!limits)
+        return fail(limits.error());
+    limitAllocatorReserve();
     Daemon daemon(commonSettings(settings.value(), flags));
-    Node node(daemon, std::move(settings.value()), *findFleetProfile(flags.profile));
+    Node node(daemon, std::move(settings.value()), *findFleetProfile(flags.profile),
+              flags.clientLimits);
     if (!node.isListening())
         return fail({ResultCode::ListenFailed, "can't listen for callers"});
     daemon.onReload([&] {
--- a/sequoiapier/boundedjson.cpp
+++ b/sequoiapier/boundedjson.cpp
@@ -11,9 +11,10 @@
 
 using nlohmann::json;
 
-bool isWithinDepth(std::string_view text)
+// Calls `visit` for each character outside of strings until it returns false. Returns false then.
+template<typename Visit>
+bool visitStructure(std::string_view text, Visit visit)
 {
-    int depth = 0;
     bool isInString = false;
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char c = text[i];
@@ -24,16 +25,23 @@
                 isInString = false;
         } else if (c == '"') {
             isInString = true;
-        } else if (c == '[' || c == '{') {
-            if (++depth > MaxJsonDepth)
-                return false;
-        } else if (c == ']' || c == '}') {
-            --depth;
+        } else if (!visit(c)) {
+            return false;
         }
     }
     return true;
 }
 
+bool isWithinDepth(std::string_view text)
+{
+    int depth = 0;
+    return visitStructure(text, [&depth](char c) {
+        if (c == ']' || c == '}')
+            --depth;
+        return (c != '[' && c != '{') || ++depth <= MaxJsonDepth;
+    });
+}
+
 // SAX handler that stops the parser at the first container that is nested too deeply.
 class DepthCheck : public nlohmann::json_sax<json>
 {
@@ -75,6 +83,18 @@
     return json::parse(text, nullptr, false);
 }
 
+// Every value but the first follows a comma or opens a container.
+std::size_t countJsonValues(std::string_view text)
+{
+    std::size_t count = 1;
+    visitStructure(text, [&count](char c) {
+        if (c == ',' || c == '[' || c == '{')
+            ++count;
+        return true;
+    });
+    return count;
+}
+
 json parseCbor(std::string_view bytes)
 {
     DepthCheck check;
