--- a/node/clientlimits.cpp
+++ b/node/clientlimits.cpp
@@ -82,7 +82,7 @@
     if (readinessConnections == 0)
         readinessConnections = std::clamp<std::int64_t>(descriptors / 32, 8, 64);
     if (adminConnections == 0)
-        adminConnections = std::clamp<std::int64_t>(descriptors / 8, 8, 1'024);
+        adminConnections = std::clamp<std::int64_t>(descriptors / 4, 8, 1'024);
     // Half of the descriptors are for the node's own calls.
     if (connections > descriptors / 2)
         return invalid("client-connections", connections, "more than half of limits.max_fds");
