Admission waits until the pool has stopped growing

Cause: the pool's owner doesn't know of hosts on their way to it, and refused jobs for a backlog of 2 s. Change: the pool's backlog counts after 4 s without growth of the pool; a team's ceiling as before.

--- a/jobs/admission.cpp
+++ b/jobs/admission.cpp
@@ -17,6 +17,9 @@
         std::chrono::duration<double>(std::clamp(length, -MaxSeconds, MaxSeconds)));
 }
 
+// A smaller change of the number of usable runners is no growth of the pool.
+constexpr double GrowthFactor = 1.05;
+
 double toSeconds(Duration length)
 {
     return std::chrono::duration<double>(length).count();
@@ -114,10 +117,13 @@
 void Admission::updateBacklogged(TimePoint now)
 {
     const double shortBacklog = toSeconds(m_options.shortBacklog);
-    if (m_backlog.total <= m_room.runners * shortBacklog)
+    const bool hasGrown = m_room.runners > m_backloggedRunners * GrowthFactor;
+    if (m_backlog.total <= m_room.runners * shortBacklog) {
         m_backloggedSince = {};
-    else if (m_backloggedSince == TimePoint{})
+    } else if (m_backloggedSince == TimePoint{} || hasGrown) {
         m_backloggedSince = now;
+        m_backloggedRunners = m_room.runners;
+    }
     std::erase_if(m_teamsBackloggedSince,
                   [&](const auto &item) { return teamBacklog(item.first) <= shortBacklog; });
     for (const auto &[team, backlog] : m_teamBacklogs) {
@@ -130,13 +136,13 @@
 // absorbed.
 bool Admission::isBacklogged(const Request &request, TimePoint now) const
 {
-    const auto hasLasted = [&](TimePoint since) {
-        return since != TimePoint{} && now >= since + m_options.shortBacklog;
+    const auto hasLasted = [&](TimePoint since, Duration length) {
+        return since != TimePoint{} && now >= since + length;
     };
     const auto team = m_teamsBackloggedSince.find(request.team);
-    return hasLasted(m_backloggedSince)
+    return hasLasted(m_backloggedSince, std::max(m_options.shortBacklog, m_options.growthTime))
         || (request.load.teamSeconds > 0 && team != m_teamsBackloggedSince.end()
-            && hasLasted(team->second));
+            && hasLasted(team->second, m_options.shortBacklog));
 }
 
 void Admission::recordRunTime(std::string_view queue, double length)
--- a/jobs/admission.h
+++ b/jobs/admission.h
@@ -47,6 +47,10 @@
         // A backlog that is cleared within this time is no reason to refuse, nor is a larger one
         // that has not lasted for as long.
         Duration shortBacklog = std::chrono::seconds(2);
+        // A pool that is short of hosts gets them from other pools within this time: a move takes
+        // 1.5 s, and the plan of moves and the live list up to a second each. Its backlog is no
+        // reason to refuse before it has stopped growing for as long.
+        Duration growthTime = std::chrono::seconds(4);
         // A new owner whose runners have not all answered refuses nothing for this long.
         Duration startTime = std::chrono::seconds(2);
         // An older snapshot says nothing, as after a pause of the process.
@@ -219,8 +223,10 @@
     double m_running = 0; // Work left in the runs, in runner-seconds.
     Backlog m_backlog;
     std::map<std::string, Backlog, std::less<>> m_teamBacklogs; // Of teams with a ceiling.
-    // Since when the backlog has exceeded Options::shortBacklog; unset if it doesn't.
+    // Since when the backlog has exceeded Options::shortBacklog and the pool has not grown; unset
+    // if the backlog doesn't.
     TimePoint m_backloggedSince{};
+    double m_backloggedRunners = 0; // Usable runners at that time.
     // The same for the teams whose backlog takes longer than that within their ceiling.
     std::map<std::string, TimePoint, std::less<>> m_teamsBackloggedSince;
     // No refused job that is not counted yet could start later than this.
