Process test of moves right after a change of the fleet's owner

The next owner moves hosts that the former one has not ordered before the holder interval is over, and no host is ordered by both within it.

--- a/testing/process/holderinterval_test.cpp
+++ b/testing/process/holderinterval_test.cpp
@@ -5,7 +5,11 @@
 
 #include <algorithm>
 #include <ctime>
+#include <limits>
+#include <map>
 #include <sstream>
+#include <string>
+#include <vector>
 
 namespace sequoiapier {
 namespace {
@@ -89,5 +93,83 @@
 INSTANTIATE_TEST_SUITE_P(Settings, HolderInterval, testing::Values(500, 1'500, 6'000),
                          [](const auto &info) { return std::to_string(info.param) + "Ms"; });
 
+// A pool that needs hosts and a spare pool that has them.
+class MoveHolderInterval : public PlatformTest
+{
+protected:
+    static constexpr int IntervalMilliseconds = 6'000;
+
+    void SetUp() override
+    {
+        system().setBounds(json{{"lease_ms", IntervalMilliseconds}}.dump());
+        ASSERT_TRUE(system().startPlatform("vanload:1,sundries:7", 8, 8, nodes()));
+        configureQueues(1, {{"/quotes/", "vanload"}}, {"vanload"}, 0);
+        for (const std::string &node : nodes())
+            ASSERT_TRUE(system().startNode(node));
+        for (const std::string &node : nodes())
+            ASSERT_TRUE(system().waitReady(node)) << node;
+        ASSERT_TRUE(LocalSystem::waitUntil([&] { return get("/quotes/").response.status == 200; }));
+    }
+
+    // Times of the node's accepted orders by host.
+    std::map<std::string, std::vector<double>> ordersOf(const std::string &node)
+    {
+        std::map<std::string, std::vector<double>> orders;
+        for (const json &line : logOf(node)) {
+            if (line.value("event", "") == "host.ordered"
+                && line.value("outcome", "") == "accepted")
+                orders[line.value("host", "")].push_back(secondsOf(line));
+        }
+        return orders;
+    }
+};
+
+// Guards against a pool at its peak that gets no hosts for the whole interval because the owner of
+// the fleet has died, and against orders of two holders for one host within it.
+TEST_F(MoveHolderInterval, NextHolderMovesHostsThatTheFormerOneHasNotOrderedAtOnce)
+{
+    ASSERT_EQ(submit("node-1", "00000000000000a1", 16, 20'000), 200);
+    std::string former;
+    ASSERT_TRUE(LocalSystem::waitUntil(
+        [&] {
+            for (const std::string &node : nodes()) {
+                if (!ordersOf(node).empty())
+                    former = node;
+            }
+            return !former.empty();
+        },
+        WaveTimeout));
+    const auto formerOrders = ordersOf(former);
+    system().member(former).process.signal(SIGKILL);
+    const std::string alive = former == "node-1" ? "node-2" : "node-1";
+    ASSERT_TRUE(LocalSystem::waitUntil(
+        [&] { return submit(alive, "00000000000000a2", 40, 20'000) == 200; }, WaveTimeout));
+    std::string next;
+    ASSERT_TRUE(LocalSystem::waitUntil(
+        [&] {
+            for (const std::string &node : nodes()) {
+                if (node != former && !ordersOf(node).empty())
+                    next = node;
+            }
+            return !next.empty();
+        },
+        WaveTimeout));
+    double acquiredAt = 0;
+    for (const json &line : logOf(next)) {
+        if (line.value("event", "") == "resource.acquired" && line.value("resource", "") == "fleet")
+            acquiredAt = secondsOf(line);
+    }
+    double firstAt = std::numeric_limits<double>::max();
+    for (const auto &[host, times] : ordersOf(next)) {
+        firstAt = std::min(firstAt, times.front());
+        const auto before = formerOrders.find(host);
+        if (before != formerOrders.end())
+            EXPECT_GE(times.front() - before->second.back(), IntervalMilliseconds / 1'000.0)
+                << host;
+    }
+    EXPECT_LT(firstAt - acquiredAt, IntervalMilliseconds / 1'000.0);
+    EXPECT_EQ(violations(), "[]");
+}
+
 } // namespace
 } // namespace sequoiapier
