--- a/testing/unit/httpserver_test.cpp
+++ b/testing/unit/httpserver_test.cpp
@@ -256,6 +256,7 @@
     serveWhile({.maxConnections = 4, .isOldestReplaced = true}, {}, replyToAll,
                [&](std::uint16_t port, ClientBudget &budget) {
                    std::vector<std::unique_ptr<RawConnection>> silent;
+                   silent.reserve(4);
                    for (int i = 0; i < 4; ++i)
                        silent.push_back(std::make_unique<RawConnection>(port));
                    const RawConnection probe(port);
