A host that the former owner of the fleet records before the row is claimed is waited for

Cause: a new owner inherited the hosts of the first row that it read. The former one may still write between that read and the claim, and order the host; the new owner read the row again but did not look at its hosts, and could order the same host at once. Change: each row that is read before the claim counts; moves begin only once the row is claimed; an operation that began before waits as well.

--- a/node/fleetowner.cpp
+++ b/node/fleetowner.cpp
@@ -46,11 +46,28 @@
 FleetOwner::FleetOwner(FleetContext &context, std::uint64_t epoch)
     : m_context(context)
     , m_epoch(epoch)
-    , m_record(context.store, context.log, context.settings.holderInterval, epoch,
-               [this] { advanceOperations(); })
+    , m_record(poolStateStore(context.store),
+               {.epoch = epoch, .interval = context.settings.holderInterval}, recordHooks())
     , m_timer(context.loop, [this] { tick(); })
 { }
 
+OrderRecord::Hooks FleetOwner::recordHooks()
+{
+    return {.now = BootClock::now,
+            .onWritten = [this] { advanceOperations(); },
+            .onClaimed =
+                [this](std::uint64_t writer, std::size_t hosts) {
+                    m_context.log.info("fleet.orders-inherited",
+                                       {{"epoch", std::to_string(m_epoch)},
+                                        {"writer", std::to_string(writer)},
+                                        {"hosts", std::to_string(hosts)},
+                                        {"detail",
+                                         m_record.knowsFormerOrders()
+                                             ? "other hosts may be moved at once"
+                                             : "the last holder's orders are not known"}});
+                }};
+}
+
 void FleetOwner::start()
 {
     const TimePoint now = BootClock::now();
@@ -185,7 +202,7 @@
 bool FleetOwner::canMove() const
 {
     return m_context.isOwner()
-        && (m_record.hasFormerOrders() || BootClock::now() >= m_ordersAllowedAt);
+        && (m_record.knowsFormerOrders() || BootClock::now() >= m_ordersAllowedAt);
 }
 
 void FleetOwner::tick()
@@ -371,7 +388,7 @@
     // Hosts that the former owner may have ordered must not be chosen yet. They count as on their
     // way to the pool that lists them.
     for (const FleetHost &host : m_listing.hosts()) {
-        if (m_record.isBlocked(host.name, BootClock::now()))
+        if (m_record.isBlocked(host.name))
             operations.try_emplace(
                 host.name, HostOperation{.kind = HostOperationKind::Move, .pool = host.pool});
     }
@@ -394,7 +411,7 @@
                                                         : std::to_string(operation.wave)},
              {"needed", std::to_string(m_pools[host->pool].needed)},
              {"runners", std::to_string(m_pools[host->pool].runners)}});
-        m_record.request(operation.host, BootClock::now());
+        m_record.request(operation.host);
         const auto pool = m_pools.find(host->pool);
         const bool isOff = pool != m_pools.end() && pool->second.isStandby;
         m_operations[operation.host]
@@ -475,16 +492,17 @@
             || countInMaintenance(active.operation.wave) >= wave->second.state.order.maxOut)
             return;
     }
-    const TimePoint now = BootClock::now();
+    if (m_record.isBlocked(host))
+        return; // The former owner recorded it after this operation began.
     if (!m_record.isRecorded(host)) {
-        m_record.request(host, now);
+        m_record.request(host);
         m_record.tick();
         return;
     }
     active.isOrderSent = true;
     active.mayBeApplied = true;
     const FleetHolder holder{m_context.settings.name, m_epoch};
-    const TimePoint deadline = now + CallTimeout;
+    const TimePoint deadline = BootClock::now() + CallTimeout;
     m_record.onOrderSent(host, deadline);
     auto onAnswer = [this, guard = Guard(m_guard), host](FleetAnswer answer) {
         if (!guard.expired())
--- a/node/fleetowner.h
+++ b/node/fleetowner.h
@@ -117,6 +117,7 @@
     void finishOperations(TimePoint askedAt);
     std::uint32_t countInMaintenance(std::uint64_t wave) const;
     const FleetHost *findHost(const std::string &name) const;
+    OrderRecord::Hooks recordHooks();
     bool canOrder() const;
     bool canMove() const;
 
--- a/node/orderrecord.cpp
+++ b/node/orderrecord.cpp
@@ -6,12 +6,6 @@
 
 namespace {
 
-using std::chrono::milliseconds;
-
-constexpr Duration StoreTimeout = milliseconds(1'000);
-// Time for which a host stays in the row between the request and its order.
-constexpr Duration RequestTime = milliseconds(2'000);
-
 StoreKey recordKey()
 {
     return {.table = "fleet", .part = "fleet", .key = "orders"};
@@ -19,13 +13,11 @@
 
 } // namespace
 
-OrderRecord::OrderRecord(StoreClient &store, DecisionLog &log, Duration interval,
-                         std::uint64_t epoch, std::function<void()> onWritten)
-    : m_store(store)
-    , m_log(log)
-    , m_epoch(epoch)
-    , m_onWritten(std::move(onWritten))
-    , m_orders(interval)
+OrderRecord::OrderRecord(PoolStateStore store, Options options, Hooks hooks)
+    : m_store(std::move(store))
+    , m_options(options)
+    , m_hooks(std::move(hooks))
+    , m_orders(options.interval)
 { }
 
 void OrderRecord::tick()
@@ -43,9 +35,9 @@
     return m_recorded.contains(host) && (!m_isBusy || m_writing.contains(host));
 }
 
-void OrderRecord::request(const std::string &host, TimePoint now)
+void OrderRecord::request(const std::string &host)
 {
-    m_orders.add(host, now + RequestTime);
+    m_orders.add(host, m_hooks.now() + m_options.requestTime);
     m_isWriteNeeded = true;
 }
 
@@ -53,13 +45,15 @@
 {
     m_isBusy = true;
     m_writing.clear();
-    m_store.readRow(recordKey(), BootClock::now() + StoreTimeout,
-                    [this, guard = Guard(m_guard)](const Result<std::optional<StoreRow>> &row) {
-                        if (!guard.expired())
-                            onRead(row);
-                    });
+    m_store.read(recordKey(), m_hooks.now() + m_options.storeTimeout,
+                 [this, guard = Guard(m_guard)](const Result<std::optional<StoreRow>> &row) {
+                     if (!guard.expired())
+                         onRead(row);
+                 });
 }
 
+// The former holder may write until the row is claimed, so that each row of its that is read before
+// counts.
 void OrderRecord::onRead(const Result<std::optional<StoreRow>> &row)
 {
     m_isBusy = false;
@@ -68,44 +62,32 @@
     const std::optional<StoreRow> &found = row.value();
     m_version = found ? found->version : 0;
     m_isVersionKnown = true;
-    onFormerRow(found);
-    tick();
-}
-
-// The row of a holder that isn't the one just before this one does not tell what that one ordered.
-void OrderRecord::onFormerRow(const std::optional<StoreRow> &row)
-{
-    const Result<RecentOrdersRow> parsed
-        = row ? parseRecentOrders(row->value) : Result<RecentOrdersRow>(RecentOrdersRow{});
-    const std::uint64_t writer = parsed ? parsed.value().epoch : 0;
-    if (writer > m_epoch) {
+    const Result<RecentOrdersRow> former
+        = found ? parseRecentOrders(found->value) : Result<RecentOrdersRow>(RecentOrdersRow{});
+    if (!former) {
+        m_writer.reset();
+    } else if (former.value().epoch < m_options.epoch) {
+        m_writer = former.value().epoch;
+        m_orders.inherit(former.value().hosts, m_hooks.now());
+    } else if (former.value().epoch == m_options.epoch) {
+        onClaimed(); // The answer to the claim was lost.
+    } else {
         m_isDeposed = true;
         m_recorded.clear();
-        return;
     }
-    if (std::exchange(m_isClaimed, true))
-        return;
-    m_hasFormerOrders = writer + 1 == m_epoch;
-    const std::set<std::string> hosts = parsed ? parsed.value().hosts : std::set<std::string>();
-    m_orders.inherit(hosts, BootClock::now());
-    m_log.info("fleet.orders-inherited",
-               {{"epoch", std::to_string(m_epoch)},
-                {"writer", std::to_string(writer)},
-                {"hosts", std::to_string(hosts.size())},
-                {"detail",
-                 m_hasFormerOrders ? "other hosts may be moved at once"
-                                   : "the last holder's orders are not known"}});
+    tick();
 }
 
 void OrderRecord::write()
 {
     m_isBusy = true;
     m_isWriteNeeded = false;
-    m_writing = m_orders.hosts(BootClock::now());
+    m_writing = m_orders.hosts(m_hooks.now());
     const StoreTransaction transaction{
         .expected = {{recordKey(), m_version}},
-        .writes = {{recordKey(), encodeRecentOrders({.epoch = m_epoch, .hosts = m_writing})}}};
-    m_store.commit(transaction, BootClock::now() + StoreTimeout,
+        .writes
+        = {{recordKey(), encodeRecentOrders({.epoch = m_options.epoch, .hosts = m_writing})}}};
+    m_store.commit(transaction, m_hooks.now() + m_options.storeTimeout,
                    [this, guard = Guard(m_guard)](const StoreCommit &commit) {
                        if (!guard.expired())
                            onWriteAnswer(commit);
@@ -118,7 +100,8 @@
     if (commit.outcome == CommitOutcome::Committed) {
         m_version = commit.version;
         m_recorded = std::move(m_writing);
-        m_onWritten();
+        onClaimed();
+        m_hooks.onWritten();
         tick();
         return;
     }
@@ -127,4 +110,10 @@
     m_recorded.clear();
 }
 
+void OrderRecord::onClaimed()
+{
+    if (!std::exchange(m_isClaimed, true))
+        m_hooks.onClaimed(m_writer.value_or(0), m_orders.blockedHosts(m_hooks.now()).size());
+}
+
 } // namespace sequoiapier
--- a/testing/unit/poolstaterow_test.cpp
+++ b/testing/unit/poolstaterow_test.cpp
@@ -1,5 +1,5 @@
 #include "node/poolstaterow.h"
-#include "testing/support/virtualtime.h"
+#include "testing/support/onerowstore.h"
 
 #include <gtest/gtest.h>
 
@@ -13,85 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration Latency = milliseconds(4);
-
-// A store with one row, in virtual time.
-class OneRowStore
-{
-public:
-    explicit OneRowStore(VirtualTime &time)
-        : m_time(time)
-    { }
-
-    PoolStateStore hooks()
-    {
-        return {.read =
-                    [this](const StoreKey &key, TimePoint deadline,
-                           const StoreClient::RowCallback &callback) {
-                        ++reads;
-                        if (isDown) {
-                            m_time.at(deadline, [callback] {
-                                callback(Error{ResultCode::TableTimeout, "no answer"});
-                            });
-                            return;
-                        }
-                        m_time.after(Latency, [this, key, callback] {
-                            callback(value ? std::optional(
-                                         StoreRow{.key = key, .value = *value, .version = version})
-                                           : std::nullopt);
-                        });
-                    },
-                .commit =
-                    [this](const StoreTransaction &transaction, TimePoint deadline,
-                           const StoreClient::CommitCallback &callback) {
-                        ++commits;
-                        m_time.after(Latency, [this, transaction, deadline, callback] {
-                            commit(transaction, deadline, callback);
-                        });
-                    }};
-    }
-
-    void set(const std::string &text)
-    {
-        value = text;
-        version = ++lastVersion;
-    }
-
-    std::optional<std::string> value;
-    std::uint64_t version = 0;
-    std::uint64_t lastVersion = 7;
-    bool isDown = false;
-    int answersToLose = 0;
-    int reads = 0;
-    int commits = 0;
-
-private:
-    void commit(const StoreTransaction &transaction, TimePoint deadline,
-                const StoreClient::CommitCallback &callback)
-    {
-        const auto unanswered = [callback] { callback({.outcome = CommitOutcome::Unknown}); };
-        if (isDown) {
-            m_time.at(deadline, unanswered);
-            return;
-        }
-        if (transaction.expected.front().version != version) {
-            callback({.outcome = CommitOutcome::Conflict});
-            return;
-        }
-        value = transaction.writes.front().value;
-        ++lastVersion;
-        version = value ? lastVersion : 0;
-        if (answersToLose > 0) {
-            --answersToLose;
-            m_time.at(deadline, unanswered);
-            return;
-        }
-        callback({.outcome = CommitOutcome::Committed, .version = lastVersion});
-    }
-
-    VirtualTime &m_time;
-};
-
 class PoolStateRowTest : public testing::Test
 {
 protected:
