--- a/fleet/recentorders.h
+++ b/fleet/recentorders.h
@@ -1,16 +1,16 @@
-// RecentOrders: which hosts the holders of the orders for hosts may have ordered lately.
+// RecentOrders: the hosts that the holders of the orders for hosts may have ordered lately.
 //
 //   RecentOrders recent(interval);
-//   recent.inherit(hostsOfTheRow, now);          // by a new holder
-//   if (!recent.isBlocked(host, now)) ...        // it may order the host
-//   recent.add(host, until);                     // before an order: it may arrive until then
-//   write(recent.encode(now));                   // the order is sent once this is in the store
+//   recent.inherit(hostsOfTheRow, now);              // by a new holder
+//   if (!recent.isBlocked(host, now)) ...            // it may order the host
+//   recent.add(host, deadline);                      // its order may arrive until the deadline
+//   row = encodeRecentOrders({epoch, recent.hosts(now)});   // for the next holder
 //
-// Orders of two holders for one host within the holder interval conflict. A holder that waited for
-// the interval before its first order would leave each pool without further hosts for so long: when
-// all nodes are lost in a peak, the queue at its peak has a twentieth of the hosts that it needs.
-// So each holder keeps the names of the hosts that it orders in a row of the store, and the next
-// one waits only for these. Cost: O(log n) for each order in n hosts of the last seconds.
+// Orders of two holders for one host within the holder interval conflict. A new holder that waited
+// for the interval before its first order would leave a pool at its peak short of hosts for that
+// time. It therefore waits only for the hosts that the former one has recorded.
+//
+// Cost: O(log n) for each order and O(n) for a row, in n hosts ordered within the interval.
 #pragma once
 
 #include "sequoiapier/bootclock.h"
@@ -41,12 +41,12 @@
         : m_interval(interval)
     { }
 
-    // The hosts that earlier holders may have ordered until now.
+    // Blocks the hosts that earlier holders may have ordered until now.
     void inherit(const std::set<std::string> &hosts, TimePoint now);
     // Whether an earlier holder may have ordered the host within the interval.
     bool isBlocked(const std::string &host, TimePoint now) const;
     std::set<std::string> blockedHosts(TimePoint now) const;
-    // An order of this holder may reach the host until then.
+    // An order of this holder may reach the host until `until`.
     void add(const std::string &host, TimePoint until);
     // Hosts that the next holder would have to wait for. Forgets the others.
     std::set<std::string> hosts(TimePoint now);
--- a/node/clientlimits.h
+++ b/node/clientlimits.h
@@ -29,7 +29,7 @@
     std::int64_t connections = 0; // a quarter of limits.max_fds
     std::int64_t connectionsPerAddress = 0; // 0 if unlimited
     std::int64_t readinessConnections = 0; // 1/32 of limits.max_fds, 8 to 64
-    std::int64_t adminConnections = 0; // an eighth of limits.max_fds, at most 1,024
+    std::int64_t adminConnections = 0; // a quarter of limits.max_fds, 8 to 1,024
     std::int64_t headerMilliseconds = 10'000;
     std::int64_t rateGraceMilliseconds = 10'000;
     std::int64_t minBytesPerSecond = 1'024;
