--- a/review/support-2/world.hh
+++ b/review/support-2/world.hh
@@ -615,6 +615,8 @@
     void advance();
     // Loses all that it knows, as a crash does.
     void crash(const char *why);
+    // Its machine is lost: runs nothing, and calls get no answer and no reset.
+    void loseDark();
 
     const std::string id;
     const std::string machine;
@@ -623,7 +625,8 @@
     std::vector<std::string> labels;
     std::int64_t maxLeaseMs = 10'000;
     std::int64_t stopMs = 150;
-    bool isGone = false; // answers nothing and runs nothing
+    std::atomic<bool> isGone{false}; // answers nothing and runs nothing
+    std::atomic<bool> isDark{false}; // if gone: calls hang
     bool isAdvised = false; // starts need a ticket
     std::int64_t bornAt = 0;
 
@@ -632,6 +635,7 @@
     Response start(const json &body);
     Response stop(const json &body);
     Response hold(const json &body);
+    Response leave();
     bool isFenced(const json &body);
     void takeLease(const json &body);
     void end(const Run &run, const char *how);
@@ -661,6 +665,7 @@
     std::int64_t backAt = 0;
     std::string nextPool;
     std::set<std::uint64_t> waves;
+    bool isDown = false; // lost for good
 };
 
 struct NodeProcess
@@ -754,6 +759,13 @@
             while (!isOver) {
                 {
                     const std::lock_guard lock(mutex);
+                    // The store drops entries after three heartbeats of silence.
+                    for (const Machine &machine : machines) {
+                        if (machine.isDown && m_droppedAt.try_emplace(machine.runner->id, nowMs()
+                                + 3 * heartbeatMs).first->second < nowMs()
+                            && m_dropped.insert(machine.runner->id).second)
+                            store.put("servers", machine.runner->id, "");
+                    }
                     for (const auto &runner : runners)
                         runner->advance();
                     for (Machine &machine : machines) {
@@ -784,6 +796,8 @@
         if (request.path == "/v1/machines") {
             json list = json::array();
             for (const Machine &machine : machines) {
+                if (machine.isDown)
+                    continue;
                 const bool isOff = m_isOff[machine.pool];
                 list.push_back({{"machine", machine.name},
                                 {"pool", machine.pool},
@@ -991,6 +1005,8 @@
                                                         : std::to_string(answer.status);
     }
 
+    std::map<std::string, std::int64_t> m_droppedAt;
+    std::set<std::string> m_dropped;
     std::map<std::string, bool> m_isAdvised;
     std::map<std::string, bool> m_isOff;
     int m_runnerCount = 0;
@@ -1088,6 +1104,13 @@
     m_changed.notify_all();
 }
 
+inline void Runner::loseDark()
+{
+    isDark = true;
+    isGone = true;
+    crash("lost");
+}
+
 inline bool Runner::isFenced(const json &body)
 {
     const auto fence = body.value("fence", std::uint64_t(0));
@@ -1104,10 +1127,18 @@
                            std::min(body["until_ms"].get<std::int64_t>(), clock() + maxLeaseMs));
 }
 
+// A machine without power answers nothing; one whose process has ended resets connections.
+inline Response Runner::leave()
+{
+    while (isDark && !m_world.isOver)
+        sleepMs(50);
+    return {0, ""};
+}
+
 inline Response Runner::serve(const Request &request)
 {
     if (isGone)
-        return {0, ""};
+        return leave();
     const json body = request.parsed();
     const auto expected = request.headers.find("expect-instance");
     if (expected == request.headers.end() || expected->second != id)
@@ -1187,8 +1218,10 @@
     const auto until
         = Clock::now() + std::chrono::milliseconds(body.value("wait_ms", std::int64_t(0)));
     m_changed.wait_until(lock, until, [&] { return isGone || !m_ends.empty(); });
-    if (isGone)
-        return {0, ""};
+    if (isGone) {
+        lock.unlock();
+        return leave();
+    }
     json running = json::array();
     for (const Run &run : m_runs) {
         const std::int64_t age = nowMs() - run.beganAt;
