--- a/review/support-2/world.hh
+++ b/review/support-2/world.hh
@@ -615,6 +615,8 @@
     void advance();
     // Loses all that it knows, as a crash does.
     void crash(const char *why);
+    // Begins another life after crash(): its clock and the time of its start are new.
+    void startAgain();
     // Its machine is lost: runs nothing, and calls get no answer and no reset.
     void loseDark();
 
@@ -1104,6 +1106,13 @@
     m_changed.notify_all();
 }
 
+inline void Runner::startAgain()
+{
+    const std::lock_guard lock(m_mutex);
+    m_clockZero = nowMs();
+    bornAt = unixMs();
+}
+
 inline void Runner::loseDark()
 {
     isDark = true;
