--- a/review/support-2/world.hh
+++ b/review/support-2/world.hh
@@ -617,6 +617,8 @@
     void crash(const char *why);
     // Begins another life after crash(): its clock and the time of its start are new.
     void startAgain();
+    // Carries out the holds that the last crash left without an answer.
+    void carryOutLateHolds();
     // Its machine is lost: runs nothing, and calls get no answer and no reset.
     void loseDark();
 
@@ -630,6 +632,7 @@
     std::atomic<bool> isGone{false}; // answers nothing and runs nothing
     std::atomic<bool> isDark{false}; // if gone: calls hang
     bool isAdvised = false; // starts need a ticket
+    bool keepsLateHolds = false; // holds that a crash leaves unanswered may be carried out later
     std::int64_t bornAt = 0;
 
 private:
@@ -653,6 +656,9 @@
     std::deque<End> m_ends;
     std::uint64_t m_endCount = 0;
     std::map<std::string, std::uint64_t> m_highest; // highest run that was stopped or has ended
+    std::uint64_t m_holdCount = 0;
+    std::map<std::uint64_t, json> m_openHolds; // calls that wait for an end
+    std::vector<json> m_lateHolds;
 
 public:
     Server server;
@@ -1097,6 +1103,10 @@
         end(run, why);
     m_runs.clear();
     m_ends.clear();
+    if (keepsLateHolds) {
+        for (const auto &[number, call] : m_openHolds)
+            m_lateHolds.push_back(call);
+    }
     m_endCount = 0;
     m_highest.clear();
     m_fence = 0;
@@ -1113,6 +1123,24 @@
     bornAt = unixMs();
 }
 
+inline void Runner::carryOutLateHolds()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const json &body : std::exchange(m_lateHolds, {})) {
+        if (isFenced(body))
+            continue;
+        takeLease(body);
+        const auto seen = body.value("last_seen", std::uint64_t(0));
+        std::string forgotten;
+        while (!m_ends.empty() && m_ends.front().number <= seen) {
+            forgotten += " " + std::to_string(m_ends.front().number) + ":" + m_ends.front().task;
+            m_ends.pop_front();
+        }
+        record.line("late hold with last_seen " + std::to_string(seen) + " is carried out on " + id
+                    + ", ends forgotten:" + (forgotten.empty() ? " none" : forgotten));
+    }
+}
+
 inline void Runner::loseDark()
 {
     isDark = true;
@@ -1226,7 +1254,10 @@
         m_ends.pop_front();
     const auto until
         = Clock::now() + std::chrono::milliseconds(body.value("wait_ms", std::int64_t(0)));
+    const std::uint64_t self = ++m_holdCount;
+    m_openHolds[self] = body;
     m_changed.wait_until(lock, until, [&] { return isGone || !m_ends.empty(); });
+    m_openHolds.erase(self);
     if (isGone) {
         lock.unlock();
         return leave();
