--- a/review/support-2/world.hh
+++ b/review/support-2/world.hh
@@ -617,11 +617,19 @@
     void crash(const char *why);
     // Begins another life after crash(): its clock and the time of its start are new.
     void startAgain();
-    // Carries out the holds that the last crash left without an answer.
-    void carryOutLateHolds();
+    // Carries out the holds that the last crash left without an answer, if the runner has an end
+    // that no answer has told yet, or if `isDue`. Returns whether none is left.
+    bool carryOutLateHolds(bool isDue);
     // Its machine is lost: runs nothing, and calls get no answer and no reset.
     void loseDark();
 
+    // Whether a hold waits here for an end.
+    bool hasOpenHold()
+    {
+        const std::lock_guard lock(m_mutex);
+        return !m_openHolds.empty();
+    }
+
     const std::string id;
     const std::string machine;
     std::string service;
@@ -659,6 +667,7 @@
     std::uint64_t m_holdCount = 0;
     std::map<std::uint64_t, json> m_openHolds; // calls that wait for an end
     std::vector<json> m_lateHolds;
+    std::uint64_t m_toldEnds = 0; // number of the last end that an answer has listed
 
 public:
     Server server;
@@ -1108,6 +1117,7 @@
             m_lateHolds.push_back(call);
     }
     m_endCount = 0;
+    m_toldEnds = 0;
     m_highest.clear();
     m_fence = 0;
     m_until = 0;
@@ -1123,9 +1133,11 @@
     bornAt = unixMs();
 }
 
-inline void Runner::carryOutLateHolds()
+inline bool Runner::carryOutLateHolds(bool isDue)
 {
     const std::lock_guard lock(m_mutex);
+    if (!isDue && (m_ends.empty() || m_ends.back().number <= m_toldEnds))
+        return m_lateHolds.empty();
     for (const json &body : std::exchange(m_lateHolds, {})) {
         if (isFenced(body))
             continue;
@@ -1137,8 +1149,10 @@
             m_ends.pop_front();
         }
         record.line("late hold with last_seen " + std::to_string(seen) + " is carried out on " + id
-                    + ", ends forgotten:" + (forgotten.empty() ? " none" : forgotten));
+                    + ", told so far " + std::to_string(m_toldEnds) + ", ends forgotten:"
+                    + (forgotten.empty() ? " none" : forgotten));
     }
+    return true;
 }
 
 inline void Runner::loseDark()
@@ -1272,8 +1286,10 @@
     }
     json ended = json::array();
     for (const End &end : m_ends) {
-        if (ended.size() < 500)
-            ended.push_back({end.number, end.task, end.run, end.how, ""});
+        if (ended.size() == 500)
+            break;
+        ended.push_back({end.number, end.task, end.run, end.how, ""});
+        m_toldEnds = std::max(m_toldEnds, end.number);
     }
     return reply(200, {{"clock_ms", clock()}, {"born", bornAt}, {"running", running},
                        {"ended", ended}});
