--- a/review/support-2/world.hh
+++ b/review/support-2/world.hh
@@ -751,6 +751,13 @@
         }
     }
 
+    int liveRunners()
+    {
+        const std::lock_guard lock(mutex);
+        return int(std::count_if(runners.begin(), runners.end(),
+                                 [](const auto &runner) { return !runner->isGone; }));
+    }
+
     void startRunner(Machine &machine, bool isAdvised)
     {
         auto runner = std::make_shared<Runner>(
