--- a/review/7/case.cc
+++ b/review/support-2/standstill.cc
@@ -1,5 +1,9 @@
-// Upkeep of the only host of a pool, which has all tasks of a lasting step: see claim.txt.
-#include "../support-2/world.hh"
+// Upkeep of the only host of a pool, which has all tasks of a lasting step: REPORT-2.md, Withdrawn. It
+// is no case: the other service is at its peak for some 60 s, where the sheet says "some seconds".
+//
+//   g++ -std=c++20 -O1 -g -pthread review/support-2/standstill.cc -o target/standstill
+//   target/standstill "$(mktemp -d)" target/standstill.txt target/sequoiapier
+#include "world.hh"
 
 using namespace world;
 
