--- a/review/standin-3/cases.cc
+++ b/review/standin-3/cases.cc
@@ -166,12 +166,74 @@
                      + " accepted jobs have not begun 20 s after the end of the traffic");
 }
 
+// A queue of large tasks and one of small tasks share a pool whose runners need tickets. Large jobs
+// come at once for which no runner has room.
+void largeJobs(World &world)
+{
+    constexpr int DecideMs = 500;
+    constexpr int EachMs = 50;
+    const json policy{{"recommendation",
+                       {{"decide_ms", DecideMs}, {"each_ms", EachMs}, {"valid_ms", 3'000}}}};
+    json urgent = policy;
+    urgent["priority"] = 0;
+    json normal = policy;
+    normal["priority"] = 1;
+    const std::vector<Queue> queues{{"/rounds/", "vanload", urgent}, {"/quotes/", "vanload", normal}};
+    world.configure(queues, 0);
+    for (int i = 1; i <= 8; ++i) {
+        Runner &runner
+            = world.addRunner({.id = "i-" + std::to_string(i), .service = "vanload"});
+        runner.needsTicket = true;
+        runner.isTicketValid = Advice::isValid;
+    }
+    Advice first(DecideMs, EachMs, 3'000);
+    Advice second(DecideMs, EachMs, 3'000);
+    world.addNode("node-1", first.port());
+    world.addNode("node-2", second.port());
+    world.begin(queues);
+    json lasting = oneStep(8, 3'600'000, 3'000);
+    lasting["spec"] = json{{"ms", 3'600'000}, {"cpu", 3'000}, {"lasting", true}}.dump();
+    lasting["steps"][0]["long_running"] = true;
+    lasting["steps"][0]["anti_affinity"] = 1;
+    if (!world.submit("/rounds/", jobId(1), lasting))
+        world.giveUp("the lasting job isn't accepted");
+    const std::int64_t until = nowMs() + 15'000;
+    while (spans().size() < 8 && nowMs() < until)
+        sleepMs(100);
+    if (spans().size() < 8)
+        world.giveUp("the lasting job isn't at work");
+    if (isTroubled()) {
+        for (int i = 0; i < 5; ++i)
+            world.submit("/rounds/", jobId(100 + i), oneStep(2, 1'000, 6'000));
+        sleepMs(3'000);
+    }
+    std::vector<std::string> accepted;
+    for (int i = 0; i < 5; ++i) {
+        if (world.submit("/quotes/", jobId(200 + i), oneStep(1, 500)))
+            accepted.push_back(jobId(200 + i));
+        sleepMs(1'000);
+    }
+    record("traffic ends");
+    if (accepted.empty())
+        world.giveUp("no job was accepted");
+    sleepMs(14'000 + 6'000);
+    std::set<std::string> begun;
+    for (const RunSpan &span : spans())
+        begun.insert(span.task.substr(0, span.task.find('.')));
+    std::size_t missing = 0;
+    for (const std::string &id : accepted)
+        missing += begun.contains(id) ? 0 : 1;
+    world.finish(missing > 0,
+                 std::to_string(missing) + " of " + std::to_string(accepted.size())
+                     + " accepted small jobs have not begun 20 s after the end of the traffic");
+}
+
 } // namespace
 
 int main(int count, char **words)
 {
     const std::map<std::string, void (*)(World &)> all{
-        {"late-start", lateStart}, {"other-kind", otherKind}, {"advice", advice}};
+        {"late-start", lateStart}, {"other-kind", otherKind}, {"advice", advice}, {"large-jobs", largeJobs}};
     const auto found = count == 3 ? all.find(words[1]) : all.end();
     if (found == all.end()) {
         std::cerr << "usage: cases CASE FOLDER\n";
--- a/review/standin-3/sim.cc
+++ b/review/standin-3/sim.cc
@@ -728,6 +728,7 @@
     span.beganAt = nowMs();
     Active active{.task = task, .run = run, .beganAt = nowMs()};
     active.lastsMs = work.value("ms", 1'000);
+    active.isLasting = work.value("lasting", false);
     active.cpu = cpu;
     {
         const std::lock_guard spansLock(spanMutex);
@@ -780,8 +781,10 @@
     advance();
     json running = json::array();
     for (const Active &active : m_active) {
-        const std::int64_t percent
-            = std::min<std::int64_t>(100 * (nowMs() - active.beganAt) / active.lastsMs, 99);
+        // A task that lasts is at work after a short startup.
+        const std::int64_t percent = active.isLasting
+            ? std::min<std::int64_t>((nowMs() - active.beganAt) / 5, 100)
+            : std::min<std::int64_t>(100 * (nowMs() - active.beganAt) / active.lastsMs, 99);
         running.push_back({active.task, active.run, "", percent, active.cpu});
     }
     json ended = json::array();
@@ -861,9 +864,6 @@
 
 Node::Node(Options options)
     : m_options(std::move(options))
-    , m_front(freePort())
-    , m_ready(freePort())
-    , m_peer(freePort())
 { }
 
 Node::~Node()
@@ -878,6 +878,9 @@
 
 void Node::start()
 {
+    m_front = freePort();
+    m_ready = freePort();
+    m_peer = freePort();
     const auto local = [](int port) { return "127.0.0.1:" + std::to_string(port); };
     json settings{{"node", m_options.name},
                   {"role", "node"},
--- a/review/standin-3/sim.hh
+++ b/review/standin-3/sim.hh
@@ -147,7 +147,8 @@
 
 std::vector<RunSpan> spans();
 
-// A runner. The spec of a task is JSON; its field "ms" is the time that the task takes.
+// A runner. The spec of a task is JSON; its field "ms" is the time that the task takes,
+// and "lasting" says that it serves until it is stopped.
 class Runner
 {
 public:
@@ -190,6 +191,7 @@
         std::uint64_t run = 0;
         std::int64_t beganAt = 0;
         std::int64_t lastsMs = 0;
+        bool isLasting = false;
         std::int64_t stopAt = -1;
         int cpu = 0;
     };
--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -128,7 +128,14 @@
     for (const auto &node : m_nodes)
         node->start();
     for (const auto &node : m_nodes) {
-        if (!waitReady(*node, 15'000))
+        bool isReady = waitReady(*node, 5'000);
+        // Another process may have taken one of the free ports meanwhile.
+        for (int attempt = 0; attempt < 3 && !isReady; ++attempt) {
+            if (!node->isRunning())
+                node->start();
+            isReady = waitReady(*node, 5'000);
+        }
+        if (!isReady)
             giveUp(node->name() + " doesn't become ready");
     }
     const std::int64_t until = nowMs() + 15'000;
