--- a/review/standin-3/sim.cc
+++ b/review/standin-3/sim.cc
@@ -701,7 +701,9 @@
         return conflict("old");
     }
     const std::string spec = body.value("spec", "");
-    const json work = json::parse(spec, nullptr, false);
+    json work = json::parse(spec, nullptr, false);
+    if (!work.is_object())
+        work = json::object();
     const int cpu = work.value("cpu", 1'000);
     int used = cpu;
     for (const Active &active : m_active)
