--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of cases 11 to 15 into target/review-3/. The header of nlohmann-json3-dev, a
+# Builds the stand-ins of cases 11 to 13 into target/review-3/. The header of nlohmann-json3-dev, a
 # package of the deploy file, is all that they need.
 set -e
 cd "$(dirname "$0")/.."
