--- a/review/standin-3/sim.cc
+++ b/review/standin-3/sim.cc
@@ -27,6 +27,11 @@
 std::mutex spanMutex;
 std::vector<RunSpan> allSpans;
 
+std::mutex measureMutex;
+std::vector<std::int64_t> allOrders;
+std::vector<LateCall> allLateCalls;
+std::vector<Outage> allOutages;
+
 const char *Digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 std::string encodeBase64(const std::string &bytes)
@@ -272,7 +277,12 @@
             }
             at = next;
         }
-        const Response response = m_handler(request);
+        Response response;
+        try {
+            response = m_handler(request);
+        } catch (const std::exception &) { // A request of no protocol of ours.
+            response = {400, "{}", false};
+        }
         if (response.isSilent) {
             char byte = 0;
             while (recv(socket, &byte, 1, 0) > 0)
@@ -485,6 +495,24 @@
     return allSpans;
 }
 
+std::vector<std::int64_t> orderTimes()
+{
+    const std::lock_guard lock(measureMutex);
+    return allOrders;
+}
+
+std::vector<LateCall> lateCalls()
+{
+    const std::lock_guard lock(measureMutex);
+    return allLateCalls;
+}
+
+std::vector<Outage> outages()
+{
+    const std::lock_guard lock(measureMutex);
+    return allOutages;
+}
+
 Runner::Runner(Store &store, Options options)
     : m_store(store)
     , m_options(std::move(options))
@@ -528,6 +556,11 @@
     } else {
         beat();
         m_server.start();
+        const std::lock_guard lock(measureMutex);
+        for (Outage &outage : allOutages) {
+            if (outage.runner == id() && outage.to < 0)
+                outage.to = nowMs();
+        }
     }
     if (!m_worker.joinable())
         m_worker = std::thread([this] { work(); });
@@ -538,6 +571,8 @@
     {
         const std::lock_guard lock(m_mutex);
         record("runner " + id() + ": crashes");
+        const std::lock_guard measureLock(measureMutex);
+        allOutages.push_back({id(), nowMs(), -1});
         m_isUp = false;
         while (!m_active.empty())
             end(0, "crashed");
@@ -636,11 +671,23 @@
         return {421, "{}"};
     const json body = json::parse(request.body);
     const std::int64_t late = lateness ? lateness(request.path, body) : 0;
+    std::size_t lateNumber = 0;
+    {
+        const std::lock_guard lock(measureMutex);
+        allOrders.push_back(nowMs());
+        lateNumber = allLateCalls.size();
+        if (late > 0)
+            allLateCalls.push_back({nowMs(), -1});
+    }
     if (late > 0) {
         record("runner " + id() + ": " + request.path + " " + request.body
                + " gets no answer and is carried out " + std::to_string(late) + " ms later");
-        std::thread([this, path = request.path, body, late] {
+        std::thread([this, path = request.path, body, late, lateNumber] {
             sleepMs(late);
+            {
+                const std::lock_guard lock(measureMutex);
+                allLateCalls[lateNumber].doneAt = nowMs();
+            }
             if (!isUp()) {
                 record("runner " + id() + ": is down, a late order is lost");
                 return;
--- a/review/standin-3/sim.hh
+++ b/review/standin-3/sim.hh
@@ -147,6 +147,22 @@
 
 std::vector<RunSpan> spans();
 
+// What the cases measure to see that a disruption stays inside the pages' limits.
+struct LateCall
+{
+    std::int64_t sentAt = 0;
+    std::int64_t doneAt = -1;
+};
+struct Outage
+{
+    std::string runner;
+    std::int64_t from = 0;
+    std::int64_t to = -1; // -1 while it lasts
+};
+std::vector<std::int64_t> orderTimes(); // of all orders to all runners
+std::vector<LateCall> lateCalls();
+std::vector<Outage> outages();
+
 // A runner. The spec of a task is JSON; its field "ms" is the time that the task takes,
 // and "lasting" says that it serves until it is stopped.
 class Runner
