--- a/node/node.cpp
+++ b/node/node.cpp
@@ -148,7 +148,8 @@
            = [this](const Endpoint &endpoint, const api::JobCall &call, TimePoint deadline,
                     const JobRelay::SendCallback &sent) { send(endpoint, call, deadline, sent); }})
     , m_ingress(m_relay, m_operators, m_log, daemon.metrics())
-    , m_advice(daemon.httpClient(), m_settings.advice)
+    , m_adviceClient(daemon.httpClient(), m_settings.advice)
+    , m_advice(m_adviceClient, m_log)
     , m_poolMetrics(daemon.metrics())
     , m_poolContext{
           .loop = daemon.loop(),
--- a/node/node.h
+++ b/node/node.h
@@ -13,6 +13,7 @@
 #include "net/rpcclient.h"
 #include "net/rpcserver.h"
 #include "net/servershutdown.h"
+#include "node/advicecalls.h"
 #include "node/carrierclient.h"
 #include "node/clientlimits.h"
 #include "node/fleetowner.h"
@@ -96,7 +97,8 @@
     RunnerWatch m_runnerWatch;
     JobRelay m_relay;
     Ingress m_ingress;
-    AdviceClient m_advice;
+    AdviceClient m_adviceClient;
+    AdviceCalls m_advice; // calls of all pools owned by this node
     PoolMetrics m_poolMetrics;
     PoolContext m_poolContext;
     std::vector<std::string> m_carrierNames; // carriers chosen last
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -833,7 +833,7 @@
     const auto question = m_engine.takeAdviceQuestion(BootClock::now());
     if (!question)
         return;
-    m_context.advice.ask(*question,
+    m_context.advice.ask(m_pool, *question,
                          [this, guard = Guard(m_guard),
                           asked = *question](const std::optional<jobs::Advice> &advice) {
                              if (guard.expired())
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -20,6 +20,7 @@
 #include "jobs/engine.h"
 #include "net/timer.h"
 #include "node/admissionreport.h"
+#include "node/advicecalls.h"
 #include "node/ceilingallocator.h"
 #include "node/decisionlog.h"
 #include "node/poolmetrics.h"
@@ -27,7 +28,6 @@
 #include "node/queuehomes.h"
 #include "node/runneraddresses.h"
 #include "node/silentrunners.h"
-#include "platform/adviceclient.h"
 #include "platform/nodesettings.h"
 #include "platform/runnerclient.h"
 #include "platform/storeclient.h"
@@ -49,7 +49,7 @@
     Loop &loop;
     StoreClient &store;
     RunnerClient &runners;
-    AdviceClient &advice;
+    AdviceCalls &advice;
     DecisionLog &log;
     PoolMetrics &poolMetrics;
     const NodeSettings &settings;
