--- a/net/httpclient.cpp
+++ b/net/httpclient.cpp
@@ -72,11 +72,24 @@
         , slot(slot)
         , call(std::move(call))
         , callback(std::move(callback))
-        , timer(owner.m_loop, [this] { onDeadline(); })
+        , timer(owner.m_loop, [this] { onTimer(); })
     { }
 
-    void onDeadline()
+    // Fires before the content timeout, so that only the call's own deadline ends it.
+    void startTimer()
     {
+        timer.startAt(
+            std::min(call.deadline, BootClock::now() + client.m_loop.contentTimeout() / 2));
+    }
+
+    void onTimer()
+    {
+        if (BootClock::now() < call.deadline) {
+            if (sent && connection != nullptr)
+                lws_set_timeout(connection, NO_PENDING_TIMEOUT, 0);
+            startTimer();
+            return;
+        }
         client.finish(*this, sent ? HttpOutcome::Lost : HttpOutcome::NotSent, true);
     }
 
@@ -232,7 +245,7 @@
     info.protocol = "http";
     info.opaque_user_data = &transaction;
     info.keep_warm_secs = idleSeconds(transaction.call.connectionUse);
-    transaction.timer.startAt(transaction.call.deadline);
+    transaction.startTimer();
     // A connection that fails at once is reported through the callback during this call. If an idle
     // connection fails while it is written to, libwebsockets reads its state after freeing it.
     const DeferredFrees frees;
--- a/net/loop.h
+++ b/net/loop.h
@@ -48,6 +48,11 @@
     void onPause(std::function<void(const Pause &pause)> hook);
 
     lws_context *context() const { return m_context; }
+    // Time after which libwebsockets ends a connection that waits for a part of a message.
+    Duration contentTimeout() const
+    {
+        return std::chrono::seconds(m_options.contentTimeoutSeconds);
+    }
     // Due times of the running timers.
     DueTimes &dueTimes() { return m_dueTimes; }
 
--- a/testing/unit/httpclient_test.cpp
+++ b/testing/unit/httpclient_test.cpp
@@ -332,5 +332,20 @@
     EXPECT_EQ(answers[0].response.body, "b");
 }
 
+// A call waits for its answer until its own deadline. The time limit of the loop is for receiving
+// requests; it ended calls whose answer took longer.
+TEST(HttpClient, AnswerThatTakesLongerThanTheContentTimeoutIsReceived)
+{
+    ScriptedUpstream upstream([](const UpstreamRequest &request) {
+        return UpstreamScript{.parts = {{milliseconds(3'500), wholeAnswer(request.body)}}};
+    });
+    Loop loop({.contentTimeoutSeconds = 1});
+    HttpClient client(loop, {});
+    CallSequence calls(loop, client, upstream.port(), 1, [](int) {});
+    const std::vector<HttpAnswer> answers = calls.run();
+    EXPECT_EQ(answers[0].outcome, HttpOutcome::Answered);
+    EXPECT_EQ(answers[0].response.body, CallSequence::body(0));
+}
+
 } // namespace
 } // namespace sequoiapier
