--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -74,7 +74,7 @@
     , m_httpClient(m_loop,
                    {.maxConnections = std::size_t(settings.maxDescriptors) / 2,
                     .maxResponseBytes = MaxScanBytes,
-                    .keptHeaders = {"x-run-state", "x-runner-state", "content-type"}})
+                    .keptHeaders = {"x-run-state", "x-runner-state", "content-type", "retry-after"}})
     , m_admin(m_loop,
               {.address = settings.address,
                .port = std::uint16_t(settings.port),
--- a/jobs/adviceboard.h
+++ b/jobs/adviceboard.h
@@ -1,19 +1,20 @@
-// AdviceBoard: caches on which runners an external policy allows a step to run, and decides what to
-// ask the policy next.
+// AdviceBoard: caches on which runners an external policy allows the steps of one pool to run, and
+// decides which step is asked about next, and for how many runners.
 //
-//   board.request(step, runners, timeout);           // in order of rank; the first is asked
-//   if (auto question = board.takeQuestion(now)) ... // send it to the policy, then:
-//   board.onAdvice(*question, advice, now);          // nullopt if there was no answer
+//   board.clearRequest();                            // in each plan, then for each step:
+//   if (board.accepts(need))
+//       board.request({.step = step, .need = need, .runners = runners, ...});
+//   if (auto question = board.takeQuestion()) ...    // in the pool's turn, see AdviceSchedule
+//   board.onAnswer(*question, answer, now);
 //   std::string_view ticket = board.ticket(step, runner, now);
 //
-// The policy answers slowly, with a fixed time for each call and an additional time for each runner
-// named, and it answers calls one after the other. So only one question is outstanding at a time.
-// It concerns the step with the highest rank and all its undecided runners together, up to
-// maxRunners. A refused runner is never asked about again, an approved one only when its ticket
-// expires. Steps whose turn has not come are asked about while there is no other question. Memory:
-// one decision for each step and runner until the job ends.
+// Steps whose turn has not come are asked about while no other step needs advice.
+//
+// A refused runner is never asked about again, an approved one only when its ticket expires.
+// Memory: one decision for each step and runner until the job ends. Cost: O(log n) in steps.
 #pragma once
 
+#include "jobs/advice.h"
 #include "sequoiapier/bootclock.h"
 
 #include <cstddef>
@@ -26,35 +27,26 @@
 
 namespace sequoiapier::jobs {
 
-struct AdviceQuestion
-{
-    std::string step; // Job, occurrence and step number, as in the names of the step's tasks.
-    std::vector<std::string> runners;
-    Duration timeout{}; // Maximum time for the answer.
-};
-
-struct Approval
-{
-    std::string runner;
-    std::string ticket; // Must be sent with a start on the runner.
-};
-
-struct Advice
-{
-    std::vector<Approval> approvals; // Runners that are missing here may not run the step.
-    Duration validity{}; // Lifetime of the tickets.
-};
-
 class AdviceBoard
 {
 public:
     struct Options
     {
         std::size_t maxRunners = 30; // Maximum number of runners in one question.
-        // Time for a start to reach the runner before the ticket expires.
+        // Time for a start to reach the runner before the ticket expires. At most half of the
+        // ticket's lifetime.
         Duration ticketMargin = std::chrono::milliseconds(300);
-        // Pause after a question without an answer.
-        Duration retryDelay = std::chrono::milliseconds(200);
+    };
+
+    struct Request
+    {
+        std::string step;
+        AdviceNeed need = AdviceNeed::Room;
+        std::span<const std::string> runners; // The most useful ones first.
+        std::size_t wantedRunners = 1; // Number of runners that the waiting tasks would fill.
+        // Time that the service takes for an answer, and for each runner in the question.
+        Duration baseTime{};
+        Duration runnerTime{};
     };
 
     explicit AdviceBoard(Options options)
@@ -68,11 +60,14 @@
 
     // Discards the request for a question; requests are made anew in each plan.
     void clearRequest() { m_request.reset(); }
-    bool hasRequest() const { return m_request.has_value(); }
-    void request(std::string_view step, std::span<const std::string> runners, Duration timeout);
-    std::optional<AdviceQuestion> takeQuestion(TimePoint now);
-    void onAdvice(const AdviceQuestion &question, const std::optional<Advice> &advice,
-                  TimePoint now);
+    // Returns whether a request with this need would be made now.
+    bool accepts(AdviceNeed need) const { return !m_request || need < m_request->need; }
+    // Replaces an earlier request. Ignored without runners.
+    void request(const Request &request);
+    // The need of the step to be asked about next; nullopt if there is none.
+    std::optional<AdviceNeed> need() const;
+    std::optional<AdviceQuestion> takeQuestion();
+    void onAnswer(const AdviceQuestion &question, const AdviceAnswer &answer, TimePoint now);
 
     // Forgets the ticket that the runner refused.
     void forgetTicket(std::string_view step, std::string_view runner);
@@ -86,15 +81,19 @@
         std::string ticket;
         TimePoint validUntil;
     };
-    using Decisions = std::map<std::string, Decision, std::less<>>; // Decisions by runner.
+    struct StepRecord
+    {
+        std::map<std::string, Decision, std::less<>> decisions; // Decisions by runner.
+    };
 
     const Decision *find(std::string_view step, std::string_view runner) const;
+    std::size_t runnerCount(const Request &request) const;
+    void record(StepRecord &step, const AdviceQuestion &question, const Advice &advice,
+                TimePoint now) const;
 
     Options m_options;
-    std::map<std::string, Decisions, std::less<>> m_steps;
+    std::map<std::string, StepRecord, std::less<>> m_steps;
     std::optional<AdviceQuestion> m_request;
-    bool m_isAsking = false;
-    TimePoint m_nextQuestionAt{};
 };
 
 } // namespace sequoiapier::jobs
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -294,14 +294,12 @@
     std::vector<StartOrder> takeStarts(TimePoint now);
     std::vector<StopOrder> takeStops(TimePoint now);
     std::vector<PaceOrder> takePaces(TimePoint now);
-    // Returns the next question for the policy of a queue that needs its advice; nullopt if there
-    // is none now.
-    std::optional<AdviceQuestion> takeAdviceQuestion(TimePoint now)
-    {
-        return m_advice.takeQuestion(now);
-    }
-    void onAdvice(const AdviceQuestion &question, const std::optional<Advice> &advice,
-                  TimePoint now);
+    // Returns why the next question for the policy of a queue that needs its advice is asked;
+    // nullopt if there is none.
+    std::optional<AdviceNeed> adviceNeed() const { return m_advice.need(); }
+    // Returns the next question. It must be followed by onAdvice().
+    std::optional<AdviceQuestion> takeAdviceQuestion() { return m_advice.takeQuestion(); }
+    void onAdvice(const AdviceQuestion &question, const AdviceAnswer &answer, TimePoint now);
 
     const std::map<std::string, Runner> &runners() const { return m_runners; }
     const Admission &admission() const { return m_admission; }
@@ -364,6 +362,18 @@
         JobOrder::Rank rank;
     };
 
+    // Runners about which the policy may be asked for a step.
+    struct AdviceTargets
+    {
+        std::vector<std::string> runners; // Those with room for a task first.
+        std::size_t withRoom = 0; // Number of runners with room for a task.
+        std::size_t room = 0; // Number of tasks for which `runners` have room.
+        // Number of tasks for which these and the runners with a ticket have room.
+        std::size_t roomInAll = 0;
+        std::size_t neededRunners = 0; // Number of the first runners that have room for all tasks.
+        std::size_t waiting = 0; // Number of waiting tasks.
+    };
+
     // Size of a task for which no runner has room, although any runner would do.
     struct UnplacedSize
     {
@@ -466,8 +476,12 @@
     void reserveRunner(const Candidate &candidate, TimePoint now);
     TimePoint expectedRoomAt(const Runner &runner, const Resources &size, TimePoint now) const;
     bool hasAdvice(const Runner &runner, const Candidate &candidate, TimePoint now) const;
+    AdviceTargets adviceTargets(const Candidate &candidate, const std::string &step,
+                                TimePoint now) const;
     void requestAdvice(const Candidate &candidate, TimePoint now);
     void requestAdviceAhead(TimePoint now);
+    void offerQuestion(const Candidate &candidate, const std::string &step, AdviceNeed need,
+                       const AdviceTargets &targets);
     bool isWithinCeiling(const std::string &team, const Resources &size) const;
     bool hasRowRoom(Entry &entry, std::size_t bytes) const;
     std::size_t growthIfPlaced(const Candidate &candidate, const Task &task,
--- a/jobs/engineadvice.cpp
+++ b/jobs/engineadvice.cpp
@@ -1,9 +1,24 @@
 // Advice for queues whose policy decides which runners may run a step. A runner is used only with
-// the ticket that the policy issued.
+// the ticket that the policy issued. Steps are offered in order of rank.
 #include "jobs/engine.h"
 
+#include <algorithm>
+
 namespace sequoiapier::jobs {
 
+namespace {
+
+// Returns how many tasks of the size have room, at most `most`.
+std::size_t taskCount(Resources room, const Resources &size, std::size_t most)
+{
+    std::size_t count = 0;
+    for (; count < most && fits(size, room); ++count)
+        room -= size;
+    return count;
+}
+
+} // namespace
+
 bool Engine::hasAdvice(const Runner &runner, const Candidate &candidate, TimePoint now) const
 {
     const Job &job = candidate.entry->job;
@@ -13,56 +28,97 @@
     return !m_advice.ticket(step, runner.entry.id, now).empty();
 }
 
-// Requests a question about the runners that could take the step and for which the policy has not
-// decided yet or has issued a ticket that has expired.
-void Engine::requestAdvice(const Candidate &candidate, TimePoint now)
+// Returns the runners that the policy may approve and for which there is no valid ticket, those
+// with room for a task first.
+Engine::AdviceTargets Engine::adviceTargets(const Candidate &candidate, const std::string &step,
+                                            TimePoint now) const
 {
     const Job &job = candidate.entry->job;
-    const AdvicePolicy &policy = job.terms.advice;
-    if (!policy.isNeeded || m_advice.hasRequest())
-        return;
-    const std::string step = stepName({job.id, candidate.occurrence, candidate.step, 0});
-    std::vector<std::string> open;
+    const StepSpec &spec = job.spec.steps[candidate.step];
+    const std::size_t waiting
+        = job.occurrences.at(candidate.occurrence).steps[candidate.step].waitingCount();
+    const std::size_t perRunner
+        = spec.maxPerRunner > 0 ? std::min<std::size_t>(waiting, spec.maxPerRunner) : waiting;
+    AdviceTargets targets{.waiting = waiting};
+    std::vector<std::string> full;
     for (const auto &[id, runner] : m_runners) {
-        if (isFitFor(runner, candidate, now) && m_advice.canBeApproved(step, id)
-            && m_advice.ticket(step, id, now).empty()) {
-            open.push_back(id);
+        if (!isFitFor(runner, candidate, now) || !m_advice.canBeApproved(step, id))
+            continue;
+        const std::size_t room = isReservedFor(runner, candidate, now)
+            ? 0
+            : taskCount(runner.room(), spec.room(), perRunner);
+        const bool isOpen = m_advice.ticket(step, id, now).empty();
+        targets.roomInAll += room;
+        if (isOpen && room > 0) {
+            targets.runners.push_back(id);
+            if (targets.room < waiting)
+                targets.neededRunners = targets.runners.size();
+            targets.room += room;
+        } else if (isOpen) {
+            full.push_back(id);
         }
     }
-    const std::int64_t timeout
-        = policy.baseMilliseconds + policy.perRunnerMilliseconds * std::int64_t(open.size());
-    m_advice.request(step, open, std::chrono::milliseconds(timeout));
+    targets.withRoom = targets.runners.size();
+    targets.runners.insert(targets.runners.end(), full.begin(), full.end());
+    return targets;
+}
+
+// Offers a question about a step whose turn has come.
+void Engine::requestAdvice(const Candidate &candidate, TimePoint now)
+{
+    const Job &job = candidate.entry->job;
+    if (!job.terms.advice.isNeeded)
+        return;
+    const std::string step = stepName({job.id, candidate.occurrence, candidate.step, 0});
+    offerQuestion(candidate, step, AdviceNeed::Room, adviceTargets(candidate, step, now));
+}
+
+void Engine::offerQuestion(const Candidate &candidate, const std::string &step, AdviceNeed need,
+                           const AdviceTargets &targets)
+{
+    if (!m_advice.accepts(need))
+        return;
+    const AdvicePolicy &policy = candidate.entry->job.terms.advice;
+    m_advice.request(
+        {.step = step,
+         .need = need,
+         .runners = targets.runners,
+         .wantedRunners = need == AdviceNeed::Room ? targets.neededRunners : targets.waiting,
+         .baseTime = std::chrono::milliseconds(policy.baseMilliseconds),
+         .runnerTime = std::chrono::milliseconds(policy.perRunnerMilliseconds)});
 }
 
-// Requests questions about steps whose turn has not come, while no step that could start waits for
-// advice.
+// Offers questions about steps that will soon be due, unless one with room waits already.
 void Engine::requestAdviceAhead(TimePoint now)
 {
     if (!m_hasAdvisedJobs)
         return;
     for (const auto &[id, live] : m_live) {
         Entry &entry = *live;
-        if (!entry.job.terms.advice.isNeeded)
+        if (!entry.job.terms.advice.isNeeded || entry.isSetApart)
             continue;
         for (const auto &[number, occurrence] : entry.job.occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                if (m_advice.hasRequest())
+                if (m_advice.need() && *m_advice.need() <= AdviceNeed::Ahead)
                     return;
-                if (occurrence.steps[step].waitingCount() > 0)
-                    requestAdvice({&entry, number, step, {}}, now);
+                const Candidate candidate{&entry, number, step, {}};
+                const std::string name = stepName({id, number, step, 0});
+                if (occurrence.steps[step].waitingCount() > 0) {
+                    offerQuestion(candidate, name, AdviceNeed::Ahead,
+                                  adviceTargets(candidate, name, now));
+                }
             }
         }
     }
 }
 
-void Engine::onAdvice(const AdviceQuestion &question, const std::optional<Advice> &advice,
-                      TimePoint now)
+void Engine::onAdvice(const AdviceQuestion &question, const AdviceAnswer &answer, TimePoint now)
 {
     note("step.advised", {.job = question.step},
-         advice ? std::to_string(advice->approvals.size()) + " of "
-                 + std::to_string(question.runners.size()) + " runners approved"
-                : "no answer");
-    m_advice.onAdvice(question, advice, now);
+         answer.outcome == AdviceOutcome::Answered ? std::to_string(answer.advice.approvals.size())
+                 + " of " + std::to_string(question.runners.size()) + " runners approved"
+                                                   : std::string(toString(answer.outcome)));
+    m_advice.onAnswer(question, answer, now);
     const std::string job = question.step.substr(0, question.step.find('.'));
     if (!m_live.contains(job)) // The job has ended meanwhile.
         m_advice.forgetJob(job);
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -149,7 +149,7 @@
                     const JobRelay::SendCallback &sent) { send(endpoint, call, deadline, sent); }})
     , m_ingress(m_relay, m_operators, m_log, daemon.metrics())
     , m_adviceClient(daemon.httpClient(), m_settings.advice)
-    , m_advice(m_adviceClient, m_log)
+    , m_advice(daemon.loop(), m_adviceClient, m_log, daemon.metrics())
     , m_poolMetrics(daemon.metrics())
     , m_poolContext{
           .loop = daemon.loop(),
--- a/node/poolowner.cpp
+++ b/node/poolowner.cpp
@@ -102,6 +102,7 @@
     , m_interferenceRow(poolStateStore(context.store), {.key = key(LearnedTable, InterferenceKey)},
                         interferenceHooks())
     , m_admissions(context.poolMetrics, m_pool)
+    , m_advice(context.advice, m_pool, adviceHooks())
     , m_silent(resource.observed)
     , m_takenFrom(resource.takenFrom)
     , m_claimTimer(context.loop, [this] { claim(); })
@@ -120,6 +121,19 @@
             .wallMilliseconds = wallMilliseconds};
 }
 
+// Tickets expire, and no start is sent without a term.
+AdviceCalls::Hooks PoolOwner::adviceHooks()
+{
+    return {.need
+            = [this] { return m_isReady && isOwner() ? m_engine.adviceNeed() : std::nullopt; },
+            .takeQuestion = [this] { return m_engine.takeAdviceQuestion(); },
+            .onAnswer =
+                [this](const jobs::AdviceQuestion &question, const jobs::AdviceAnswer &answer) {
+                    m_engine.onAdvice(question, answer, BootClock::now());
+                    requestTick();
+                }};
+}
+
 PoolStateRow::Hooks PoolOwner::interferenceHooks()
 {
     return {.isOwner = [this] { return m_isReady && isOwner(); },
@@ -646,7 +660,7 @@
     m_homes.retry();
     m_interferenceRow.update(now);
     writeBatch();
-    askAdvice();
+    m_context.advice.update();
     sendOrders();
     renewLeases();
     scheduleTick(now + TickInterval);
@@ -828,21 +842,6 @@
         sendPace(order);
 }
 
-void PoolOwner::askAdvice()
-{
-    const auto question = m_engine.takeAdviceQuestion(BootClock::now());
-    if (!question)
-        return;
-    m_context.advice.ask(m_pool, *question,
-                         [this, guard = Guard(m_guard),
-                          asked = *question](const std::optional<jobs::Advice> &advice) {
-                             if (guard.expired())
-                                 return;
-                             m_engine.onAdvice(asked, advice, BootClock::now());
-                             requestTick();
-                         });
-}
-
 void PoolOwner::sendStart(const jobs::StartOrder &order)
 {
     m_context.poolMetrics.observeStart(order);
--- a/node/poolowner.h
+++ b/node/poolowner.h
@@ -126,6 +126,7 @@
     using Guard = std::weak_ptr<bool>; // expires with this object
 
     jobs::Engine::Hooks engineHooks();
+    AdviceCalls::Hooks adviceHooks();
     PoolStateRow::Hooks interferenceHooks();
     void logEvent(std::string_view event, const jobs::TaskName &subject, std::string_view detail);
     StoreKey key(const char *table, std::string name) const;
@@ -173,7 +174,6 @@
     void onBatchWritten(std::uint64_t version);
     void onBatchRefused(std::string_view detail);
     void sendOrders();
-    void askAdvice();
     void sendStart(const jobs::StartOrder &order);
     void sendStop(const jobs::StopOrder &order);
     void sendPace(const jobs::PaceOrder &order);
@@ -191,6 +191,7 @@
     jobs::Engine m_engine;
     PoolStateRow m_interferenceRow; // pairs of images that slow each other down
     AdmissionReport m_admissions;
+    AdviceCalls::Pool m_advice; // this pool's place among those that ask for advice
     std::vector<jobs::RunnerEntry> m_listed; // listed runners of the pool
     bool m_isReady = false;
     bool m_hasLeft = false; // leave() was called
--- a/testing/standin/platformstandin.cpp
+++ b/testing/standin/platformstandin.cpp
@@ -19,6 +19,7 @@
 constexpr Duration HeartbeatInterval = milliseconds(300);
 constexpr std::size_t MaxRowBytes = 65'536;
 constexpr int StatusMalformed = 400;
+constexpr int StatusConflict = 409;
 
 StoreKey keyOf(const json &entry)
 {
@@ -127,6 +128,7 @@
 {
     addRoutes();
     addLinks();
+    addAdviceRoutes();
     addHosts(settings.pools);
     tick();
 }
@@ -168,11 +170,24 @@
     }
 }
 
+void PlatformStandin::addAdviceRoutes()
+{
+    m_daemon.route("/v1/advise", [this](const ExchangePtr &e) { m_advice.serve({}, e); });
+    m_daemon.route("/advice", [this](const ExchangePtr &exchange) {
+        m_advice.configure(parseBody(exchange->request().body));
+        exchange->reply({});
+    });
+}
+
 void PlatformStandin::serveLink(const std::string &node, const ExchangePtr &exchange)
 {
+    const std::string &path = exchange->request().path;
+    if (path == "/v1/advise") {
+        m_advice.serve(node, exchange);
+        return;
+    }
     if (applyStoreFaults(exchange, node))
         return;
-    const std::string &path = exchange->request().path;
     if (path == "/v1/rows-tx")
         commit(exchange);
     else if (path == "/v1/rows-get")
@@ -278,6 +293,7 @@
         return !renewal.exchange->isOpen() || answerRenewal(renewal, now >= renewal.deadline);
     });
     answerWatches();
+    m_advice.advance(now);
     m_timer.startAt(now + TickInterval);
 }
 
@@ -443,6 +459,12 @@
         return;
     }
     const TimePoint now = BootClock::now();
+    const std::string ticket = textField(body, "ticket").value_or("");
+    if (!m_advice.isValid(jobs::stepName(task.value()), host.runner->id(), ticket, now)) {
+        answer(exchange, StatusConflict,
+               {{"clock_ms", host.runner->clock(now)}, {"reason", "ticket"}});
+        return;
+    }
     const jobs::StartOutcome outcome
         = host.runner->start({.task = task.value(),
                               .run = std::uint64_t(numberField(body, "run_id").value_or(0)),
@@ -589,6 +611,7 @@
     answer(exchange, 200,
            {{"runs", runs},
             {"breaches", m_ledger.violations()},
+            {"advice", m_advice.record()},
             {"statuses", statuses},
             {"hosts", hosts}});
 }
--- a/testing/standin/platformstandin.h
+++ b/testing/standin/platformstandin.h
@@ -8,6 +8,8 @@
 //   POST /entry {"key": "i-9", "text": "..."}          writes a row of the runners' table
 //   POST /crash {"runner": "i-0"}                      the runner loses its state and restarts
 //   POST /drain {"runner": "i-0"}                      the runner announces that it is leaving
+//   POST /advice {...}                                 configures the recommendation service, see
+//                                                      AdviceStandin::configure()
 //   GET /record                                        runs, and violations of the run rules
 //   POST /faults {...}                                 replaces all earlier faults:
 //     "storeDown": true          every call to the store gets 503
@@ -31,6 +33,7 @@
 
 #include "cli/daemon.h"
 #include "fleet/fleethost.h"
+#include "testing/standin/advicestandin.h"
 #include "testing/standin/memoryrows.h"
 #include "testing/standin/runledger.h"
 #include "testing/standin/simulatedrunner.h"
@@ -112,6 +115,7 @@
     void addHosts(const std::string &pools);
     void addRoutes();
     void addLinks();
+    void addAdviceRoutes();
     void serveLink(const std::string &node, const ExchangePtr &exchange);
     void startIncarnation(std::size_t host);
     void writeHeartbeat(const Host &host);
@@ -147,6 +151,7 @@
     Daemon &m_daemon;
     PlatformStandinSettings m_settings;
     MemoryRows m_rows;
+    AdviceStandin m_advice;
     RunLedger m_ledger;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::vector<std::unique_ptr<HttpServer>> m_links;
--- a/testing/support/localsystem.cpp
+++ b/testing/support/localsystem.cpp
@@ -181,6 +181,7 @@
         {"port_range", {peerPort, peerPort}},
         {"platform", {{"addr", platform}}},
         {"cloud", {{"addr", platform}}},
+        {"recommendation", platform},
         {"bounds", nlohmann::json::parse(m_bounds)},
         {"limits", nlohmann::json::parse(m_limits)}};
     const std::string file = m_directory + "/" + name + ".json";
--- a/testing/unit/adviceboard_test.cpp
+++ b/testing/unit/adviceboard_test.cpp
@@ -8,31 +8,44 @@
 namespace {
 
 using jobs::Advice;
+using jobs::AdviceAnswer;
 using jobs::AdviceBoard;
+using jobs::AdviceNeed;
+using jobs::AdviceOutcome;
 using jobs::AdviceQuestion;
+using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 class AdviceBoardTest : public testing::Test
 {
 protected:
-    AdviceQuestion askFor(const std::string &step, std::vector<std::string> runners)
+    // Requests a question about the step after the ones before it.
+    void request(const std::string &step, const std::vector<std::string> &runners,
+                 AdviceNeed need = AdviceNeed::Room)
+    {
+        if (m_board.accepts(need))
+            m_board.request({.step = step, .need = need, .runners = runners});
+    }
+    AdviceQuestion askFor(const std::string &step, const std::vector<std::string> &runners,
+                          AdviceNeed need = AdviceNeed::Room)
     {
         m_board.clearRequest();
-        m_board.request(step, runners, milliseconds(10));
-        return m_board.takeQuestion(m_now).value_or(AdviceQuestion{});
+        request(step, runners, need);
+        return m_board.takeQuestion().value_or(AdviceQuestion{});
     }
-
-    void approve(const AdviceQuestion &question, const std::vector<std::string> &runners)
+    // Approves the question for `runners`, with tickets for 3 s.
+    void approve(const AdviceQuestion &question, const std::vector<std::string> &runners,
+                 Duration validity = seconds(3))
     {
-        Advice advice{.validity = seconds(3)};
+        AdviceAnswer answer{.outcome = AdviceOutcome::Answered, .advice = {.validity = validity}};
         for (const std::string &runner : runners)
-            advice.approvals.push_back({runner, "ticket of " + runner});
-        m_board.onAdvice(question, advice, m_now);
+            answer.advice.approvals.push_back({runner, "ticket of " + runner});
+        m_board.onAnswer(question, answer, m_now);
     }
 
+    TimePoint m_now{hours(1)};
     AdviceBoard m_board{{}};
-    TimePoint m_now{seconds(100)};
 };
 
 TEST_F(AdviceBoardTest, ApprovedRunnersHaveTheirTicketUntilShortlyBeforeItRunsOut)
@@ -45,6 +58,17 @@
     EXPECT_TRUE(m_board.canBeApproved("a.0.0", "i-2"));
 }
 
+// A ticket whose whole lifetime is less than the usual margin would never be used, and asked for
+// again and again.
+TEST_F(AdviceBoardTest, TicketOfShortLifetimeIsUsedForHalfOfIt)
+{
+    approve(askFor("a.0.0", {"i-1"}), {"i-1"}, milliseconds(200));
+    m_now += milliseconds(90);
+    EXPECT_EQ(m_board.ticket("a.0.0", "i-1", m_now), "ticket of i-1");
+    m_now += milliseconds(20);
+    EXPECT_EQ(m_board.ticket("a.0.0", "i-1", m_now), "");
+}
+
 TEST_F(AdviceBoardTest, RefusedRunnersCanNotBeApprovedInTheSameIncarnation)
 {
     approve(askFor("a.0.0", {"i-1", "i-2"}), {"i-2"});
@@ -53,35 +77,102 @@
     EXPECT_TRUE(m_board.canBeApproved("a.0.0", "i-1"));
 }
 
-TEST_F(AdviceBoardTest, OneQuestionIsOutAtATimeAndAskedAgainAfterAPause)
+// Guards against steps without room that keep the questions from steps that can start.
+TEST_F(AdviceBoardTest, StepsWithRoomAreAskedAboutFirst)
 {
-    const AdviceQuestion first = askFor("a.0.0", {"i-1"});
-    EXPECT_EQ(first.step, "a.0.0");
-    EXPECT_EQ(askFor("b.0.0", {"i-1"}).step, "");
-    m_board.onAdvice(first, std::nullopt, m_now);
-    EXPECT_EQ(askFor("a.0.0", {"i-1"}).step, "");
-    m_now += milliseconds(200);
+    request("a.0.0", {"i-1"}, AdviceNeed::NoRoom);
+    request("b.0.1", {"i-1"}, AdviceNeed::Ahead);
+    request("c.0.0", {"i-1"}, AdviceNeed::Room);
+    request("d.0.0", {"i-1"}, AdviceNeed::Room);
+    EXPECT_EQ(m_board.need(), AdviceNeed::Room);
+    EXPECT_EQ(m_board.takeQuestion()->step, "c.0.0");
+    EXPECT_FALSE(m_board.need());
+}
+
+TEST_F(AdviceBoardTest, QuestionWithoutAnswerIsAskedAgain)
+{
+    for (const AdviceOutcome outcome :
+         {AdviceOutcome::Unanswered, AdviceOutcome::Busy, AdviceOutcome::NotSent}) {
+        m_board.onAnswer(askFor("a.0.0", {"i-1"}), {.outcome = outcome}, m_now);
+        EXPECT_TRUE(m_board.canBeApproved("a.0.0", "i-1"));
+    }
     EXPECT_EQ(askFor("a.0.0", {"i-1"}).step, "a.0.0");
 }
 
+// The fixed time of an answer pays for some runners; more are named for tasks that need them.
+TEST_F(AdviceBoardTest, NamesAsManyRunnersAsTheFixedTimePaysForOrTheTasksNeed)
+{
+    std::vector<std::string> runners;
+    for (int i = 0; i < 40; ++i)
+        runners.push_back("i-" + std::to_string(i));
+    const auto ask = [&](Duration base, Duration each, std::size_t wanted) {
+        m_board.clearRequest();
+        m_board.request({.step = "a.0.0",
+                         .runners = runners,
+                         .wantedRunners = wanted,
+                         .baseTime = base,
+                         .runnerTime = each});
+        return *m_board.takeQuestion();
+    };
+    EXPECT_EQ(ask(milliseconds(500), milliseconds(0), 1).runners.size(), 30U);
+    EXPECT_EQ(ask(milliseconds(500), milliseconds(50), 1).runners.size(), 10U);
+    EXPECT_EQ(ask(milliseconds(500), milliseconds(50), 12).runners.size(), 12U);
+    EXPECT_EQ(ask(milliseconds(10), milliseconds(50), 1).runners.size(), 1U);
+    EXPECT_EQ(ask(milliseconds(500), milliseconds(50), 12).serviceTime, milliseconds(1'100));
+}
+
 TEST_F(AdviceBoardTest, AnEndedJobIsForgottenWhole)
 {
     approve(askFor("a.0.0", {"i-1"}), {"i-1"});
     approve(askFor("ab.0.0", {"i-1"}), {"i-1"});
+    request("a.0.1", {"i-1"});
     m_board.forgetJob("a");
     EXPECT_EQ(m_board.ticket("a.0.0", "i-1", m_now), "");
     EXPECT_NE(m_board.ticket("ab.0.0", "i-1", m_now), "");
+    EXPECT_FALSE(m_board.need());
 }
 
 TEST(Advice, RowsOfOtherFormsAreLeftOut)
 {
-    const Advice advice
+    const Result<Advice> parsed
         = parseAdvice(R"({"approved": [["i-1", "t-1"], ["i-2"], 7, [1, 2]], "valid_ms": 3000})");
+    ASSERT_TRUE(parsed);
+    const Advice &advice = parsed.value();
     ASSERT_EQ(advice.approvals.size(), 1U);
     EXPECT_EQ(advice.approvals[0].runner, "i-1");
     EXPECT_EQ(advice.approvals[0].ticket, "t-1");
     EXPECT_EQ(advice.validity, seconds(3));
-    EXPECT_TRUE(parseAdvice("not JSON").approvals.empty());
+}
+
+// An answer that can't be read must not count as the refusal of all runners.
+TEST(Advice, AnswerThatCanNotBeReadIsNoAnswer)
+{
+    for (const char *body : {"not JSON", "{}", R"({"approved": 7, "valid_ms": 3000})",
+                             R"({"approved": [["i-1", "t-1"]]})"})
+        EXPECT_FALSE(parseAdvice(body)) << body;
+    EXPECT_TRUE(parseAdvice(R"({"approved": []})"));
+}
+
+TEST(Advice, EndOfACallTellsWhetherTheQuestionOrTheServiceIsAtFault)
+{
+    const TimePoint now{hours(1)};
+    const auto answer = [&](int status, const std::string &retryAfter = {}) {
+        HttpAnswer http{.outcome = HttpOutcome::Answered, .response = {.status = status}};
+        http.response.body = R"({"approved": [], "valid_ms": 3000})";
+        if (!retryAfter.empty())
+            http.response.headers.push_back({"retry-after", retryAfter});
+        return detail::adviceAnswer(http, now);
+    };
+    EXPECT_EQ(answer(200).outcome, AdviceOutcome::Answered);
+    EXPECT_EQ(answer(400).outcome, AdviceOutcome::Rejected);
+    EXPECT_EQ(answer(503).outcome, AdviceOutcome::Busy);
+    EXPECT_EQ(answer(429, "2").outcome, AdviceOutcome::Busy);
+    EXPECT_EQ(answer(429, "2").retryAt, now + seconds(2));
+    EXPECT_EQ(answer(429, "soon").retryAt, std::nullopt);
+    EXPECT_EQ(detail::adviceAnswer({.outcome = HttpOutcome::Lost}, now).outcome,
+              AdviceOutcome::Unanswered);
+    EXPECT_EQ(detail::adviceAnswer({.outcome = HttpOutcome::NotSent}, now).outcome,
+              AdviceOutcome::NotSent);
 }
 
 // Answers the engine's questions at once by approving one runner.
@@ -101,11 +192,12 @@
         const TimePoint end = time().now() + duration;
         while (time().now() < end) {
             run(milliseconds(20));
-            if (const auto question = engine().takeAdviceQuestion(time().now())) {
+            if (const auto question = engine().takeAdviceQuestion()) {
                 m_questions.push_back(*question);
-                Advice advice{.validity = seconds(3)};
-                advice.approvals.push_back({approved, "ticket"});
-                engine().onAdvice(*question, advice, time().now());
+                AdviceAnswer answer{.outcome = AdviceOutcome::Answered,
+                                    .advice = {.validity = seconds(3)}};
+                answer.advice.approvals.push_back({approved, "ticket"});
+                engine().onAdvice(*question, answer, time().now());
             }
         }
     }
@@ -142,10 +234,12 @@
     const std::vector<jobs::StepSpec> steps{{.size = {.processors = 1, .memory = 1}}};
     pool.submit("a", {.steps = steps});
     pool.run(seconds(1));
-    const auto question = pool.engine().takeAdviceQuestion(pool.time().now());
+    const auto question = pool.engine().takeAdviceQuestion();
     ASSERT_TRUE(question);
     pool.cancel("a");
-    pool.engine().onAdvice(*question, Advice{.validity = seconds(3)}, pool.time().now());
+    pool.engine().onAdvice(*question,
+                           {.outcome = AdviceOutcome::Answered, .advice = {.validity = seconds(3)}},
+                           pool.time().now());
     pool.submit("b", {.steps = steps});
     pool.runAdvised(seconds(2), EnginePool::runnerId(2));
     EXPECT_EQ(pool.phaseOf("b"), jobs::JobPhase::Completed);
--- a/testing/unit/engineterms_test.cpp
+++ b/testing/unit/engineterms_test.cpp
@@ -167,11 +167,12 @@
     pool.replaceOwner(milliseconds(200));
     pool.run(seconds(1));
     EXPECT_TRUE(pool.ledger().runsOf("a").empty()) << pool.trace();
-    const auto question = pool.engine().takeAdviceQuestion(pool.time().now());
+    const auto question = pool.engine().takeAdviceQuestion();
     ASSERT_TRUE(question);
-    jobs::Advice advice{.validity = seconds(3)};
-    advice.approvals.push_back({EnginePool::runnerId(1), "ticket"});
-    pool.engine().onAdvice(*question, advice, pool.time().now());
+    jobs::AdviceAnswer answer{.outcome = jobs::AdviceOutcome::Answered,
+                              .advice = {.validity = seconds(3)}};
+    answer.advice.approvals.push_back({EnginePool::runnerId(1), "ticket"});
+    pool.engine().onAdvice(*question, answer, pool.time().now());
     pool.run(seconds(1));
     EXPECT_EQ(pool.phaseOf("a"), jobs::JobPhase::Completed) << pool.trace();
 }
