--- a/jobs/adviceboard.cpp
+++ b/jobs/adviceboard.cpp
@@ -1,6 +1,7 @@
 #include "jobs/adviceboard.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace sequoiapier::jobs {
@@ -28,6 +29,29 @@
     return decision == nullptr || decision->isApproved;
 }
 
+// Returns the pause after the `count`-th vain question in a row.
+Duration AdviceBoard::pause(unsigned count) const
+{
+    constexpr unsigned MaxDoublings = 10; // Keeps the product within the range of Duration.
+    if (count == 0)
+        return {};
+    return std::min(m_options.pause * (1 << std::min(count - 1, MaxDoublings)), m_options.maxPause);
+}
+
+bool AdviceBoard::accepts(std::string_view step, AdviceNeed need, TimePoint now) const
+{
+    unsigned unusedAnswers = 0;
+    const auto record = m_steps.find(step);
+    if (record != m_steps.end()) {
+        const bool hasRoom = need == AdviceNeed::Room;
+        if (now < record->second.pausedUntil || (!hasRoom && now < record->second.usefulFrom))
+            return false;
+        unusedAnswers = record->second.unusedAnswers;
+    }
+    return !m_request
+        || std::tie(need, unusedAnswers) < std::tie(m_request->need, m_requestUnusedAnswers);
+}
+
 // The fixed time of an answer is paid once for all runners in the question, so that naming fewer
 // than it pays for saves little. More are named only for tasks that need them.
 std::size_t AdviceBoard::runnerCount(const Request &request) const
@@ -44,6 +68,8 @@
     if (request.runners.empty())
         return;
     const std::size_t count = runnerCount(request);
+    const auto record = m_steps.find(request.step);
+    m_requestUnusedAnswers = record != m_steps.end() ? record->second.unusedAnswers : 0;
     m_request
         = {.step = request.step,
            .need = request.need,
@@ -64,13 +90,18 @@
 void AdviceBoard::onAnswer(const AdviceQuestion &question, const AdviceAnswer &answer,
                            TimePoint now)
 {
-    if (answer.outcome == AdviceOutcome::Answered)
+    if (answer.outcome == AdviceOutcome::Answered) {
         record(m_steps[question.step], question, answer.advice, now);
+    } else if (answer.outcome == AdviceOutcome::Rejected) {
+        StepRecord &step = m_steps[question.step];
+        step.pausedUntil = now + pause(++step.rejections);
+    }
 }
 
 void AdviceBoard::record(StepRecord &step, const AdviceQuestion &question, const Advice &advice,
                          TimePoint now) const
 {
+    step.rejections = 0;
     for (const std::string &runner : question.runners)
         step.decisions[runner] = {};
     const TimePoint validUntil
@@ -79,6 +110,22 @@
         step.decisions[approval.runner]
             = {.isApproved = true, .ticket = approval.ticket, .validUntil = validUntil};
     }
+    if (advice.approvals.empty())
+        return;
+    ++step.unusedAnswers;
+    step.usefulFrom = now + advice.validity + pause(step.unusedAnswers);
+    if (step.unusedAnswers > m_options.unusedAnswers)
+        step.pausedUntil = now + pause(step.unusedAnswers - m_options.unusedAnswers);
+}
+
+void AdviceBoard::onTicketUsed(std::string_view step)
+{
+    const auto record = m_steps.find(step);
+    if (record == m_steps.end())
+        return;
+    record->second.unusedAnswers = 0;
+    record->second.pausedUntil = {};
+    record->second.usefulFrom = {};
 }
 
 void AdviceBoard::forgetTicket(std::string_view step, std::string_view runner)
--- a/jobs/engine.h
+++ b/jobs/engine.h
@@ -478,10 +478,13 @@
     bool hasAdvice(const Runner &runner, const Candidate &candidate, TimePoint now) const;
     AdviceTargets adviceTargets(const Candidate &candidate, const std::string &step,
                                 TimePoint now) const;
+    bool hasRoomFor(const Candidate &candidate, const AdviceTargets &targets) const;
     void requestAdvice(const Candidate &candidate, TimePoint now);
     void requestAdviceAhead(TimePoint now);
+    void requestAdviceAhead(const Candidate &candidate, TimePoint now);
     void offerQuestion(const Candidate &candidate, const std::string &step, AdviceNeed need,
-                       const AdviceTargets &targets);
+                       const AdviceTargets &targets, TimePoint now);
+    std::optional<TimePoint> expectedTurn(const Candidate &candidate, TimePoint now) const;
     bool isWithinCeiling(const std::string &team, const Resources &size) const;
     bool hasRowRoom(Entry &entry, std::size_t bytes) const;
     std::size_t growthIfPlaced(const Candidate &candidate, const Task &task,
--- a/jobs/engineadvice.cpp
+++ b/jobs/engineadvice.cpp
@@ -1,5 +1,5 @@
 // Advice for queues whose policy decides which runners may run a step. A runner is used only with
-// the ticket that the policy issued. Steps are offered in order of rank.
+// the ticket that the policy issued. AdviceBoard chooses among the steps that are offered here.
 #include "jobs/engine.h"
 
 #include <algorithm>
@@ -8,6 +8,10 @@
 
 namespace {
 
+// Steps are asked about ahead once they are due within the service time of this many answers, so
+// that the ticket is there when the step's turn comes and has not expired by then.
+constexpr int AnswersAhead = 2;
+
 // Returns how many tasks of the size have room, at most `most`.
 std::size_t taskCount(Resources room, const Resources &size, std::size_t most)
 {
@@ -63,6 +67,17 @@
     return targets;
 }
 
+// Returns whether the tasks that wait for advice could start on the runners with room. The members
+// of a gang start only together.
+bool Engine::hasRoomFor(const Candidate &candidate, const AdviceTargets &targets) const
+{
+    const Job &job = candidate.entry->job;
+    const StepSpec &spec = job.spec.steps[candidate.step];
+    const std::size_t together = spec.isGang ? spec.count : 1;
+    return targets.withRoom > 0 && targets.roomInAll >= together
+        && isWithinCeiling(job.team, spec.size * double(together));
+}
+
 // Offers a question about a step whose turn has come.
 void Engine::requestAdvice(const Candidate &candidate, TimePoint now)
 {
@@ -70,13 +85,21 @@
     if (!job.terms.advice.isNeeded)
         return;
     const std::string step = stepName({job.id, candidate.occurrence, candidate.step, 0});
-    offerQuestion(candidate, step, AdviceNeed::Room, adviceTargets(candidate, step, now));
+    if (!m_advice.accepts(step, AdviceNeed::Room, now))
+        return; // Nor for a need that comes later.
+    AdviceTargets targets = adviceTargets(candidate, step, now);
+    if (hasRoomFor(candidate, targets)) {
+        targets.runners.resize(targets.withRoom);
+        offerQuestion(candidate, step, AdviceNeed::Room, targets, now);
+    } else {
+        offerQuestion(candidate, step, AdviceNeed::NoRoom, targets, now);
+    }
 }
 
 void Engine::offerQuestion(const Candidate &candidate, const std::string &step, AdviceNeed need,
-                           const AdviceTargets &targets)
+                           const AdviceTargets &targets, TimePoint now)
 {
-    if (!m_advice.accepts(need))
+    if (!m_advice.accepts(step, need, now))
         return;
     const AdvicePolicy &policy = candidate.entry->job.terms.advice;
     m_advice.request(
@@ -101,17 +124,54 @@
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 if (m_advice.need() && *m_advice.need() <= AdviceNeed::Ahead)
                     return;
-                const Candidate candidate{&entry, number, step, {}};
-                const std::string name = stepName({id, number, step, 0});
-                if (occurrence.steps[step].waitingCount() > 0) {
-                    offerQuestion(candidate, name, AdviceNeed::Ahead,
-                                  adviceTargets(candidate, name, now));
-                }
+                if (occurrence.steps[step].waitingCount() > 0)
+                    requestAdviceAhead({&entry, number, step, {}}, now);
             }
         }
     }
 }
 
+void Engine::requestAdviceAhead(const Candidate &candidate, TimePoint now)
+{
+    const Job &job = candidate.entry->job;
+    const std::optional<TimePoint> due = expectedTurn(candidate, now);
+    if (!due)
+        return;
+    const std::string step = stepName({job.id, candidate.occurrence, candidate.step, 0});
+    if (!m_advice.accepts(step, AdviceNeed::Ahead, now))
+        return;
+    const AdvicePolicy &policy = job.terms.advice;
+    const AdviceTargets targets = adviceTargets(candidate, step, now);
+    const std::int64_t answer = policy.baseMilliseconds
+        + policy.perRunnerMilliseconds * std::int64_t(targets.runners.size());
+    if (*due <= now + AnswersAhead * std::chrono::milliseconds(answer))
+        offerQuestion(candidate, step, AdviceNeed::Ahead, targets, now);
+}
+
+// Returns when the tasks of the earlier steps are expected to be done; nullopt if the step's turn
+// has come or if some of those tasks have not been placed.
+std::optional<TimePoint> Engine::expectedTurn(const Candidate &candidate, TimePoint now) const
+{
+    const Job &job = candidate.entry->job;
+    const Occurrence &occurrence = job.occurrences.at(candidate.occurrence);
+    std::optional<TimePoint> turn;
+    for (const std::uint32_t before : job.spec.steps[candidate.step].after) {
+        const Step &step = occurrence.steps[before];
+        if (job.spec.steps[before].isLasting || step.waitingCount() > 0)
+            return std::nullopt;
+        if (step.isDone())
+            continue;
+        const double runTime = runMilliseconds({candidate.entry, candidate.occurrence, before, {}});
+        for (const Task &task : step.tasks) {
+            const TimePoint begin = task.startedAt != TimePoint{} ? task.startedAt : now;
+            if (task.phase == TaskPhase::Placed)
+                turn = std::max(turn.value_or(now),
+                                begin + std::chrono::milliseconds(std::int64_t(runTime)));
+        }
+    }
+    return turn;
+}
+
 void Engine::onAdvice(const AdviceQuestion &question, const AdviceAnswer &answer, TimePoint now)
 {
     note("step.advised", {.job = question.step},
--- a/jobs/engineplan.cpp
+++ b/jobs/engineplan.cpp
@@ -448,6 +448,8 @@
     Job &job = candidate.entry->job;
     Task &task = job.occurrences.at(candidate.occurrence).steps[candidate.step].tasks[index];
     const TaskName name{job.id, candidate.occurrence, candidate.step, index};
+    if (job.terms.advice.isNeeded)
+        m_advice.onTicketUsed(stepName(name));
     candidate.entry->rowBytes += growthIfPlaced(candidate, task, runner);
     task.phase = TaskPhase::Placed;
     task.runPhase = RunPhase::Ordered;
--- a/testing/unit/adviceboard_test.cpp
+++ b/testing/unit/adviceboard_test.cpp
@@ -24,7 +24,7 @@
     void request(const std::string &step, const std::vector<std::string> &runners,
                  AdviceNeed need = AdviceNeed::Room)
     {
-        if (m_board.accepts(need))
+        if (m_board.accepts(step, need, m_now))
             m_board.request({.step = step, .need = need, .runners = runners});
     }
     AdviceQuestion askFor(const std::string &step, const std::vector<std::string> &runners,
@@ -89,6 +89,48 @@
     EXPECT_FALSE(m_board.need());
 }
 
+TEST_F(AdviceBoardTest, StepWhoseTicketsExpiredUnusedComesLater)
+{
+    approve(askFor("a.0.0", {"i-1"}), {"i-1"});
+    m_now += seconds(3);
+    request("a.0.0", {"i-1"});
+    request("b.0.0", {"i-1"});
+    EXPECT_EQ(m_board.takeQuestion()->step, "b.0.0");
+    m_board.onTicketUsed("a.0.0");
+    request("a.0.0", {"i-1"});
+    request("b.0.0", {"i-1"});
+    EXPECT_EQ(m_board.takeQuestion()->step, "a.0.0");
+}
+
+// A step without room would ask whenever its tickets expire, for as long as it waits.
+TEST_F(AdviceBoardTest, StepWithoutRoomPausesForLongerEachTime)
+{
+    std::vector<Duration> times;
+    for (int i = 0; i < 6; ++i) {
+        const TimePoint before = m_now;
+        while (askFor("a.0.0", {"i-1"}, AdviceNeed::NoRoom).step.empty())
+            m_now += milliseconds(100);
+        times.push_back(m_now - before);
+        approve({.step = "a.0.0", .runners = {"i-1"}}, {"i-1"});
+    }
+    const std::vector<Duration> expected{seconds(0), milliseconds(3'500), seconds(4),
+                                         seconds(5), seconds(7),          seconds(11)};
+    EXPECT_EQ(times, expected);
+    EXPECT_EQ(askFor("a.0.0", {"i-1"}, AdviceNeed::NoRoom).step, "");
+    m_board.onTicketUsed("a.0.0");
+    EXPECT_EQ(askFor("a.0.0", {"i-1"}, AdviceNeed::NoRoom).step, "a.0.0");
+}
+
+// One question that the service rejects must not take the place of all others.
+TEST_F(AdviceBoardTest, RejectedStepPausesAndOthersDoNot)
+{
+    m_board.onAnswer(askFor("a.0.0", {"i-1"}), {.outcome = AdviceOutcome::Rejected}, m_now);
+    EXPECT_EQ(askFor("a.0.0", {"i-1"}).step, "");
+    EXPECT_EQ(askFor("b.0.0", {"i-1"}).step, "b.0.0");
+    m_now += milliseconds(500);
+    EXPECT_EQ(askFor("a.0.0", {"i-1"}).step, "a.0.0");
+}
+
 TEST_F(AdviceBoardTest, QuestionWithoutAnswerIsAskedAgain)
 {
     for (const AdviceOutcome outcome :
@@ -245,5 +287,69 @@
     EXPECT_EQ(pool.phaseOf("b"), jobs::JobPhase::Completed);
 }
 
+// Guards against steps without room that ask again whenever their tickets expire, so that small
+// jobs, which have room, never get an answer. The large tasks fit no runner beside the lasting
+// ones.
+TEST(Advice, StepsWithoutRoomLeaveTheAnswersToStepsWithRoom)
+{
+    QueueConfig lasting{.name = "lasting", .service = "pool", .maxAttempts = 3, .stretch = 2};
+    QueueConfig advised{.name = "queue",
+                        .service = "pool",
+                        .maxAttempts = 3,
+                        .stretch = 100,
+                        .needsAdvice = true,
+                        .adviceBaseMilliseconds = 500,
+                        .advicePerRunnerMilliseconds = 50};
+    QueueConfig later = advised;
+    later.name = "later";
+    later.priority = 1;
+    EnginePool pool({.runners = 4});
+    pool.setQueues({lasting, advised, later});
+    jobs::StepSpec serving{.count = 4, .size = {.processors = 3, .memory = 1}, .isLasting = true};
+    serving.maxPerRunner = 1;
+    pool.submit("s", {.payload = R"({"runMs": 600000})", .steps = {serving}}, "team", "lasting");
+    pool.run(seconds(2));
+    const jobs::StepSpec large{.size = {.processors = 6}, .estimateMilliseconds = 1'000};
+    constexpr int LargeCount = 6; // Their answers take longer than a ticket is valid.
+    for (int i = 0; i < LargeCount; ++i)
+        pool.submit("large" + std::to_string(i), {.steps = {large}});
+    pool.submit("small", {.payload = R"({"runMs": 100})", .steps = {{.size = {.processors = 1}}}},
+                "team", "later");
+    int questions = 0;
+    std::optional<AdviceQuestion> asked;
+    TimePoint answerAt{};
+    const TimePoint end = pool.time().now() + seconds(20);
+    while (pool.time().now() < end) {
+        pool.run(milliseconds(20));
+        const TimePoint now = pool.time().now();
+        if (asked && now >= answerAt) {
+            AdviceAnswer answer{.outcome = AdviceOutcome::Answered,
+                                .advice = {.validity = seconds(3)}};
+            for (const std::string &runner : asked->runners)
+                answer.advice.approvals.push_back({runner, "ticket"});
+            pool.engine().onAdvice(*std::exchange(asked, std::nullopt), answer, now);
+        }
+        if (!asked && pool.engine().adviceNeed()) {
+            asked = pool.engine().takeAdviceQuestion();
+            answerAt = now + asked->serviceTime;
+            ++questions;
+        }
+    }
+    EXPECT_EQ(pool.phaseOf("small"), jobs::JobPhase::Completed) << pool.trace();
+    // Each large step asks 5 times in 20 s, since its pauses grow.
+    EXPECT_LE(questions, LargeCount * 5 + 1);
+}
+
+// A ticket for a step that is due much later would expire before it can be used.
+TEST(Advice, StepIsAskedAboutAheadOnlyShortlyBeforeItIsDue)
+{
+    AdvisedPool pool;
+    jobs::StepSpec first{.size = {.processors = 1}, .estimateMilliseconds = 8'000};
+    jobs::StepSpec second{.size = {.processors = 1}, .after = {0}};
+    pool.submit("a", {.payload = R"({"runMs": 8000})", .steps = {first, second}});
+    pool.runAdvised(seconds(7), EnginePool::runnerId(1));
+    EXPECT_EQ(pool.questions().size(), 1U);
+}
+
 } // namespace
 } // namespace sequoiapier
