--- a/jobs/enginestarts.cpp
+++ b/jobs/enginestarts.cpp
@@ -11,12 +11,16 @@
 namespace sequoiapier::jobs {
 
 // Returns whether the run is the current one of its task, is not to be stopped, and the runner
-// accepts tasks.
+// accepts tasks. A runner would refuse a start whose ticket has expired meanwhile.
 bool Engine::isStartValid(const StartOrder &start, TimePoint now)
 {
     const auto runner = m_runners.find(start.runner);
     if (currentTask(start.task, start.run) == nullptr || runner == m_runners.end())
         return false;
+    if (m_jobs.at(start.task.job).job.terms.advice.isNeeded
+        && m_advice.ticket(stepName(start.task), start.runner, now).empty()) {
+        return false;
+    }
     const auto run = runner->second.runs.find({start.task, start.run});
     return run != runner->second.runs.end() && !run->second.isStopRequested
         && runner->second.isOpen(now);
--- a/testing/unit/adviceboard_test.cpp
+++ b/testing/unit/adviceboard_test.cpp
@@ -340,6 +340,26 @@
     EXPECT_LE(questions, LargeCount * 5 + 1);
 }
 
+// A ticket may expire while its start waits for the store. The runner would refuse the start.
+TEST(Advice, StartWhoseTicketHasExpiredIsNotSent)
+{
+    AdvisedPool pool;
+    pool.submit("a", {.payload = R"({"runMs": 100})", .steps = {{.size = {.processors = 1}}}});
+    pool.run(milliseconds(500));
+    const auto question = pool.engine().takeAdviceQuestion();
+    ASSERT_TRUE(question);
+    pool.setStoreDown(true);
+    AdviceAnswer answer{.outcome = AdviceOutcome::Answered, .advice = {.validity = seconds(1)}};
+    answer.advice.approvals.push_back({EnginePool::runnerId(1), "ticket"});
+    pool.engine().onAdvice(*question, answer, pool.time().now());
+    pool.run(seconds(2));
+    pool.setStoreDown(false);
+    pool.run(milliseconds(500));
+    EXPECT_TRUE(pool.ledger().runsOf("a").empty()) << pool.trace();
+    pool.runAdvised(seconds(2), EnginePool::runnerId(1));
+    EXPECT_EQ(pool.phaseOf("a"), jobs::JobPhase::Completed) << pool.trace();
+}
+
 // A ticket for a step that is due much later would expire before it can be used.
 TEST(Advice, StepIsAskedAboutAheadOnlyShortlyBeforeItIsDue)
 {
