--- a/controller/fleetedit.cpp
+++ b/controller/fleetedit.cpp
@@ -145,8 +145,8 @@
     return keys;
 }
 
-// The budget rows of `host` after `holder` has acquired its units; empty if the host holds units
-// already.
+// The budget rows of `host` after `holder` has acquired its units. Those of a finished move of the
+// host are given back in the same commit.
 Result<Values> acquireUnits(const HostRow &host, const KeyedRows &rows, const std::string &holder)
 {
     std::vector<VersionedBudgetRow> budgets;
@@ -158,8 +158,9 @@
         budgets.push_back({budget.value(), row->version});
     }
     AvailabilityBudget budget(budgets);
-    if (budget.unitOf(host) != nullptr)
-        return Values{};
+    const BudgetUnit *held = budget.unitOf(host);
+    if (held != nullptr && isOfFinishedMove(*held, host))
+        budget.release(host);
     if (const Result<void> acquired = budget.acquire(host, holder); !acquired)
         return acquired.error();
     Values values;
--- a/controller/moveunits.cpp
+++ b/controller/moveunits.cpp
@@ -14,9 +14,9 @@
 bool isOver(const BudgetUnit &unit, const std::string &domain, const HostRow &host)
 {
     const auto domains = domainsOf(host);
-    return unit.holder.starts_with(HolderPrefix)
-        && (host.operationId != unit.holder
-            || std::find(domains.begin(), domains.end(), domain) == domains.end());
+    return isOfFinishedMove(unit, host)
+        || (unit.holder.starts_with(HolderPrefix)
+            && std::find(domains.begin(), domains.end(), domain) == domains.end());
 }
 
 } // namespace
@@ -26,6 +26,11 @@
     return std::string(HolderPrefix) + std::string(operationId);
 }
 
+bool isOfFinishedMove(const BudgetUnit &unit, const HostRow &host)
+{
+    return unit.holder.starts_with(HolderPrefix) && host.operationId != unit.holder;
+}
+
 std::vector<RowWrite> releaseMoveUnits(const FleetRows &rows)
 {
     std::map<std::string_view, std::size_t> hosts;
--- a/controller/moveunits.h
+++ b/controller/moveunits.h
@@ -14,6 +14,9 @@
 // The holder of a move's units, which is also the operationId of its host row.
 std::string moveHolder(std::string_view operationId);
 
+// Returns whether a finished move of the host has acquired the unit.
+bool isOfFinishedMove(const BudgetUnit &unit, const HostRow &host);
+
 // Maximum number of units released by one commit.
 inline constexpr std::size_t MaxReleasedUnits = 64;
 
--- a/testing/unit/fleetchange_test.cpp
+++ b/testing/unit/fleetchange_test.cpp
@@ -161,6 +161,21 @@
     EXPECT_EQ(fleet.table.rows().commit(stale).outcome, CommitOutcome::Conflict);
 }
 
+// Guards against a host that is moved again before the units of its first move are released, and
+// that drains without units once they are: another host of its rack could then drain beside it.
+TEST(FleetChange, SecondMoveOfAHostHoldsUnitsOfItsOwn)
+{
+    Fleet fleet;
+    fleet.change("add", registration({"a"}));
+    fleet.admit("a");
+    EXPECT_EQ(fleet.change("first", moveEdit("a", "benches")), ResultCode::Committed);
+    fleet.admit("a");
+    EXPECT_EQ(fleet.change("second", moveEdit("a", "benches")), ResultCode::Committed);
+    fleet.table.rows().commit(releaseMoveUnits(fleet.rows()));
+    for (const char *domain : {"rack/r", "zone/z"})
+        EXPECT_EQ(fleet.budget(domain).units, (std::vector<BudgetUnit>{{"a", "move/second"}}));
+}
+
 TEST(FleetChange, LostAnswersAndOutagesAreAnsweredTruthfully)
 {
     Fleet fleet;
