--- a/jobs/adviceboard.cpp
+++ b/jobs/adviceboard.cpp
@@ -90,6 +90,8 @@
 void AdviceBoard::onAnswer(const AdviceQuestion &question, const AdviceAnswer &answer,
                            TimePoint now)
 {
+    if (m_request && m_request->step == question.step) // Made before this answer.
+        m_request.reset();
     if (answer.outcome == AdviceOutcome::Answered) {
         record(m_steps[question.step], question, answer.advice, now);
     } else if (answer.outcome == AdviceOutcome::Rejected) {
--- a/testing/unit/adviceboard_test.cpp
+++ b/testing/unit/adviceboard_test.cpp
@@ -131,6 +131,15 @@
     EXPECT_EQ(askFor("a.0.0", {"i-1"}).step, "a.0.0");
 }
 
+// A plan that is made while the question is open still finds no ticket for the step.
+TEST_F(AdviceBoardTest, AnswerEndsTheRequestThatWasMadeWhileItWasWaitedFor)
+{
+    const AdviceQuestion open = askFor("a.0.0", {"i-1"});
+    request("a.0.0", {"i-1"});
+    approve(open, {"i-1"});
+    EXPECT_FALSE(m_board.need());
+}
+
 TEST_F(AdviceBoardTest, QuestionWithoutAnswerIsAskedAgain)
 {
     for (const AdviceOutcome outcome :
