--- a/cli/daemon.cpp
+++ b/cli/daemon.cpp
@@ -71,10 +71,11 @@
               .contentTimeoutSeconds = unsigned(settings.readTimeoutSeconds)})
     , m_logger(loggerOptions(settings))
     , m_events({.process = settings.name, .zone = settings.zone}, wallMicroseconds)
-    , m_httpClient(m_loop,
-                   {.maxConnections = std::size_t(settings.maxDescriptors) / 2,
-                    .maxResponseBytes = MaxScanBytes,
-                    .keptHeaders = {"x-run-state", "x-runner-state", "content-type", "retry-after"}})
+    , m_httpClient(
+          m_loop,
+          {.maxConnections = std::size_t(settings.maxDescriptors) / 2,
+           .maxResponseBytes = MaxScanBytes,
+           .keptHeaders = {"x-run-state", "x-runner-state", "content-type", "retry-after"}})
     , m_admin(m_loop,
               {.address = settings.address,
                .port = std::uint16_t(settings.port),
--- a/jobs/adviceschedule.cpp
+++ b/jobs/adviceschedule.cpp
@@ -19,11 +19,6 @@
 
 } // namespace
 
-bool AdviceSchedule::mayCall(TimePoint now) const
-{
-    return now >= nextCallAt();
-}
-
 TimePoint AdviceSchedule::nextCallAt() const
 {
     TimePoint due = m_pausedUntil;
@@ -42,7 +37,7 @@
 std::optional<std::string> AdviceSchedule::next(std::span<const Waiting> waiting,
                                                 TimePoint now) const
 {
-    if (waiting.empty() || !mayCall(now))
+    if (waiting.empty() || now < nextCallAt())
         return std::nullopt;
     const auto rank = [this](const Waiting &entry) {
         const auto used = m_used.find(entry.pool);
--- a/jobs/adviceschedule.h
+++ b/jobs/adviceschedule.h
@@ -33,7 +33,6 @@
 #include <optional>
 #include <span>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace sequoiapier::jobs {
@@ -81,8 +80,6 @@
 
     // Returns the pool that asks next; nullopt if no pool may ask now.
     std::optional<std::string> next(std::span<const Waiting> waiting, TimePoint now) const;
-    // Returns whether a call may be made now.
-    bool mayCall(TimePoint now) const;
     // Returns when a call may be made if no call ends before.
     TimePoint nextCallAt() const;
     // Records a call for the pool that is sent now.
--- a/testing/unit/adviceboard_test.cpp
+++ b/testing/unit/adviceboard_test.cpp
@@ -153,8 +153,10 @@
 // The fixed time of an answer pays for some runners; more are named for tasks that need them.
 TEST_F(AdviceBoardTest, NamesAsManyRunnersAsTheFixedTimePaysForOrTheTasksNeed)
 {
+    constexpr int RunnerCount = 40;
     std::vector<std::string> runners;
-    for (int i = 0; i < 40; ++i)
+    runners.reserve(RunnerCount);
+    for (int i = 0; i < RunnerCount; ++i)
         runners.push_back("i-" + std::to_string(i));
     const auto ask = [&](Duration base, Duration each, std::size_t wanted) {
         m_board.clearRequest();
