--- a/testing/unit/adviceschedule_test.cpp
+++ b/testing/unit/adviceschedule_test.cpp
@@ -304,6 +304,27 @@
     }
 }
 
+// No other call goes out while one is open and in time, and none before the pause after a call that
+// the service did not answer.
+TEST(AdviceSchedule, OneCallIsOutAtATimeAndTheNextComesAfterAPause)
+{
+    const std::vector<AdviceSchedule::Waiting> waiting{{.pool = "a"}, {.pool = "b"}};
+    for (const AdviceOutcome outcome :
+         {AdviceOutcome::Unanswered, AdviceOutcome::Busy, AdviceOutcome::NotSent}) {
+        TimePoint now{std::chrono::hours(1)};
+        AdviceSchedule schedule({});
+        EXPECT_EQ(schedule.next(waiting, now), "a");
+        const auto call = schedule.begin("a", milliseconds(100), now);
+        EXPECT_FALSE(schedule.next(waiting, now));
+        EXPECT_FALSE(schedule.next(waiting, call.overdueAt - milliseconds(1)));
+        now += milliseconds(10);
+        schedule.end(call.number, outcome, std::nullopt, now);
+        EXPECT_FALSE(schedule.next(waiting, now));
+        EXPECT_FALSE(schedule.next(waiting, now + milliseconds(199)));
+        EXPECT_EQ(schedule.next(waiting, now + milliseconds(200)), "b");
+    }
+}
+
 TEST(AdviceSchedule, TimeToRetryIsKeptUpToABound)
 {
     const TimePoint now{std::chrono::hours(1)};
